--- /dev/null
+++ b/result/code.go
@@ -0,0 +1,152 @@
+// Package result holds the numbered result codes of almondflow. Every decision about
+// a packet, every rejected table or settings file and every failed command ends in one
+// of them. docs/ERRORS.md tables them and a test compares the two.
+package result
+
+import "fmt"
+
+// Code is a numbered result. Codes keep their number for good.
+type Code uint16
+
+// Codes of packet decisions (100 to 199).
+const (
+	// Forwarded means that the packet was sent to its flow's target.
+	Forwarded Code = 100
+	// Steered means that the packet was passed to another entry VM that holds its flow.
+	Steered Code = 101
+	// Placed means that a new flow got a target.
+	Placed Code = 102
+	// Replied means that a target's packet was translated back to the client.
+	Replied Code = 103
+	// CopyStored means that a record carried by a packet was stored.
+	CopyStored Code = 104
+	// TookOver means that a holder began to serve a flow whose owner is gone.
+	TookOver Code = 105
+	// Asked means that a missing record was asked of the other holders.
+	Asked Code = 106
+	// Replaced means that a flow whose target refused it untouched was placed again.
+	Replaced Code = 107
+
+	// DroppedNoRoute means that no route matches the destination.
+	DroppedNoRoute Code = 120
+	// DroppedMalformed means that the packet could not be decoded.
+	DroppedMalformed Code = 121
+	// DroppedUnknownFlow means that a packet in mid-flow has no record anywhere.
+	DroppedUnknownFlow Code = 122
+	// DroppedNoTarget means that the pool has no target that may be used.
+	DroppedNoTarget Code = 123
+	// DroppedTableFull means that the flow table holds no room for a new flow.
+	DroppedTableFull Code = 124
+	// DroppedBadTag means that a steered packet failed authentication.
+	DroppedBadTag Code = 125
+	// DroppedHops means that a packet was steered too often.
+	DroppedHops Code = 126
+	// DroppedUndetermined means that a flow that may not be repeated could be neither
+	// placed nor refused with certainty. The client's retransmission settles it.
+	DroppedUndetermined Code = 127
+	// DroppedUnsupported means a protocol, fragment or option that is not carried.
+	DroppedUnsupported Code = 128
+	// DroppedOversize means that a packet with its encapsulation exceeds the fabric's MTU.
+	DroppedOversize Code = 129
+	// RefusedFull means that the flow was refused, not run, because the pool is full.
+	RefusedFull Code = 140
+	// RefusedNoTarget means that the flow was refused, not run, for want of a target.
+	RefusedNoTarget Code = 141
+)
+
+// Codes of commands and the daemon (1 to 99). They are also process exit codes.
+const (
+	// OK means success.
+	OK Code = 0
+	// Internal means a defect of almondflow itself.
+	Internal Code = 1
+	// Usage means wrong command-line arguments.
+	Usage Code = 2
+	// SettingsInvalid means a settings file that fails its checks.
+	SettingsInvalid Code = 10
+	// TablesInvalid means tables that fail their checks.
+	TablesInvalid Code = 11
+	// ListInvalid means a list of entry VMs that fails its checks.
+	ListInvalid Code = 12
+	// FileUnreadable means a file that is missing or cannot be read.
+	FileUnreadable Code = 13
+	// PortInUse means that a socket could not be bound.
+	PortInUse Code = 14
+	// KeyInvalid means a key or certificate that is missing or unusable.
+	KeyInvalid Code = 15
+	// PlatformUnreachable means that the platform's service gave no usable answer.
+	PlatformUnreachable Code = 16
+	// DaemonUnreachable means that the operator endpoint of a daemon did not answer.
+	DaemonUnreachable Code = 17
+	// PromiseBroken means that a demo saw a promise of the product broken.
+	PromiseBroken Code = 18
+	// NotFound means that what was asked for does not exist.
+	NotFound Code = 19
+)
+
+// Entry is one row of the table of codes.
+type Entry struct {
+	code    Code
+	name    string
+	meaning string
+}
+
+// Code returns the number.
+func (e Entry) Code() Code { return e.code }
+
+// Name returns the snake-case name used in logs and metrics.
+func (e Entry) Name() string { return e.name }
+
+// Meaning returns one sentence for operators.
+func (e Entry) Meaning() string { return e.meaning }
+
+var entries = []Entry{
+	{OK, "ok", "The command succeeded."},
+	{Internal, "internal", "A defect of almondflow itself; report it with the log."},
+	{Usage, "usage", "The command-line arguments are wrong."},
+	{SettingsInvalid, "settings_invalid", "The settings file fails its checks."},
+	{TablesInvalid, "tables_invalid", "The routes or pools fail their checks; nothing of them is in force."},
+	{ListInvalid, "list_invalid", "The list of entry VMs fails its checks; nothing of it is in force."},
+	{FileUnreadable, "file_unreadable", "A file is missing or cannot be read."},
+	{PortInUse, "port_in_use", "A socket could not be bound."},
+	{KeyInvalid, "key_invalid", "A key or certificate is missing or unusable."},
+	{PlatformUnreachable, "platform_unreachable", "The platform's service gave no usable answer."},
+	{DaemonUnreachable, "daemon_unreachable", "The operator endpoint of a daemon did not answer."},
+	{PromiseBroken, "promise_broken", "A demo saw a promise of the product broken."},
+	{NotFound, "not_found", "What was asked for does not exist."},
+	{Forwarded, "forwarded", "The packet was sent to its flow's target."},
+	{Steered, "steered", "The packet was passed to another entry VM that holds its flow."},
+	{Placed, "placed", "A new flow got a target."},
+	{Replied, "replied", "A target's packet was translated back to the client."},
+	{CopyStored, "copy_stored", "A record carried by a packet was stored."},
+	{TookOver, "took_over", "A holder began to serve a flow whose owner is gone."},
+	{Asked, "asked", "A missing record was asked of the other holders."},
+	{Replaced, "replaced", "A flow whose target refused it untouched was placed again."},
+	{DroppedNoRoute, "dropped_no_route", "No route matches the destination."},
+	{DroppedMalformed, "dropped_malformed", "The packet could not be decoded."},
+	{DroppedUnknownFlow, "dropped_unknown_flow", "A packet in mid-flow has no record anywhere."},
+	{DroppedNoTarget, "dropped_no_target", "The pool has no target that may be used."},
+	{DroppedTableFull, "dropped_table_full", "The flow table has no room for a new flow."},
+	{DroppedBadTag, "dropped_bad_tag", "A steered packet failed authentication."},
+	{DroppedHops, "dropped_hops", "A packet was steered too often."},
+	{DroppedUndetermined, "dropped_undetermined", "A flow that may not be repeated could be neither placed nor refused with certainty."},
+	{DroppedUnsupported, "dropped_unsupported", "A protocol, fragment or option that is not carried."},
+	{DroppedOversize, "dropped_oversize", "A packet with its encapsulation exceeds the fabric's MTU."},
+	{RefusedFull, "refused_full", "The flow was refused, not run, because the pool is full."},
+	{RefusedNoTarget, "refused_no_target", "The flow was refused, not run, for want of a target."},
+}
+
+// All returns the table of codes in ascending order within each range.
+func All() []Entry {
+	return append([]Entry(nil), entries...)
+}
+
+// String returns the snake-case name of the code.
+func (c Code) String() string {
+	for _, e := range entries {
+		if e.code == c {
+			return e.name
+		}
+	}
+	return fmt.Sprintf("code_%d", uint16(c))
+}
--- /dev/null
+++ b/steer/message_test.go
@@ -0,0 +1,77 @@
+package steer_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/steer"
+)
+
+func drawMessage(t *rapid.T) steer.Message {
+	endpoint := flow.NewEndpoint(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), rapid.Uint16().Draw(t, "port")))
+	m := steer.Message{
+		Kind:        steer.Kind(rapid.IntRange(1, 10).Draw(t, "kind")),
+		Hops:        rapid.Byte().Draw(t, "hops"),
+		From:        fleet.ID(rapid.Uint64().Draw(t, "from")),
+		Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+		List:        rapid.Uint64().Draw(t, "list"),
+		Decided:     rapid.Bool().Draw(t, "decided"),
+		Origin:      fleet.ID(rapid.Uint64().Draw(t, "origin")),
+		TrailLength: uint8(rapid.IntRange(0, steer.MaxTrail).Draw(t, "trail")),
+	}
+	if rapid.Bool().Draw(t, "with target") {
+		m.Table = rapid.Uint64().Draw(t, "table")
+		m.Target = flow.NewTarget(flow.NewTargetID("p", "h", 1), endpoint)
+	}
+	if rapid.Bool().Draw(t, "with key") {
+		m.Key = flow.NewKey(flow.TCP, endpoint, endpoint)
+	}
+	if rapid.Bool().Draw(t, "with ballot") {
+		m.Ballot = steer.Ballot{List: 3, Round: rapid.Uint16().Draw(t, "round"), VM: 9}
+	}
+	for i := range m.TrailLength {
+		m.Trail[i] = fleet.ID(rapid.Uint64().Draw(t, "visit"))
+	}
+	return m
+}
+
+func TestMessageSurvivesEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		encoded := m.Append(nil)
+		if len(encoded) > steer.MaxSize {
+			t.Fatalf("message of %d bytes exceeds %d", len(encoded), steer.MaxSize)
+		}
+		var got steer.Message
+		if err := got.Decode(encoded); err != nil {
+			t.Fatal(err)
+		}
+		if got != m {
+			t.Fatalf("got %+v, want %+v", got, m)
+		}
+	})
+}
+
+func TestTruncatedMessageIsAnError(t *testing.T) {
+	is := is.New(t)
+	m := steer.Message{Kind: steer.Ask, Origin: 7, TrailLength: 2}
+	encoded := m.Append(nil)
+	for n := range encoded {
+		var got steer.Message
+		is.True(got.Decode(encoded[:n]) != nil) // every prefix is too short
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	m := steer.Message{Kind: steer.Copy, Target: flow.NewTarget(1, flow.Endpoint{})}
+	f.Add(m.Append(nil))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var got steer.Message
+		_ = got.Decode(b)
+	})
+}
