--- /dev/null
+++ b/standin/target.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// Paths that a stand-in target serves.
+const (
+	// FeedPath answers GET with one line an event, numbered from 0, without end.
+	FeedPath = "/feed"
+	// HoldPath answers POST by running the id of the query once for each request.
+	HoldPath = "/hold"
+	// PhotoPath answers PUT with the SHA-256 digest of the body in hexadecimal.
+	PhotoPath = "/photo"
+)
+
+const (
+	feedInterval = 200 * time.Millisecond
+	holdDuration = 5 * time.Millisecond
+	idleTimeout  = 10 * time.Second
+	maxPhoto     = 64 << 20
+)
+
+// PoolHeader is the response header that names the pool of the target that answered.
+const PoolHeader = "Almondflow-Pool"
+
+// Target is an HTTP/3 server that stands for one host of a pool. It runs as many holds
+// at once as it has slots and keeps further ones waiting.
+type Target struct {
+	pool        string
+	name        string
+	ledger      *Ledger
+	slots       chan struct{}
+	connections atomic.Int64
+	accepted    atomic.Int64
+	socket      net.PacketConn
+	server      *http3.Server
+	done        sync.WaitGroup
+}
+
+// StartTarget binds the address, where port 0 takes a free one, and serves.
+func StartTarget(pool, name, address string, slots int, certificates *Certificates, ledger *Ledger) (*Target, error) {
+	socket, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{pool: pool, name: name, ledger: ledger, slots: make(chan struct{}, slots), socket: socket}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+FeedPath, t.feed)
+	mux.HandleFunc("POST "+HoldPath, t.hold)
+	mux.HandleFunc("PUT "+PhotoPath, t.photo)
+	t.server = &http3.Server{
+		Handler:     mux,
+		TLSConfig:   certificates.server,
+		QUICConfig:  &quic.Config{MaxIdleTimeout: idleTimeout},
+		ConnContext: t.countConnection,
+	}
+	t.done.Go(func() { _ = t.server.Serve(socket) })
+	return t, nil
+}
+
+func (t *Target) countConnection(ctx context.Context, c *quic.Conn) context.Context {
+	t.connections.Add(1)
+	t.accepted.Add(1)
+	context.AfterFunc(c.Context(), func() { t.connections.Add(-1) })
+	return ctx
+}
+
+// Name returns the name of the host.
+func (t *Target) Name() string { return t.name }
+
+// Pool returns the name of the pool.
+func (t *Target) Pool() string { return t.pool }
+
+// Address returns the bound address.
+func (t *Target) Address() netip.AddrPort {
+	return t.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Connections returns the number of open connections.
+func (t *Target) Connections() int64 { return t.connections.Load() }
+
+// Accepted returns the number of connections accepted since the start.
+func (t *Target) Accepted() int64 { return t.accepted.Load() }
+
+// Close ends the server and its connections at once.
+func (t *Target) Close() {
+	_ = t.server.Close()
+	_ = t.socket.Close()
+	t.done.Wait()
+}
+
+func (t *Target) feed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(PoolHeader, t.pool)
+	ticker := time.NewTicker(feedInterval)
+	defer ticker.Stop()
+	for event := 0; ; event++ {
+		if _, err := fmt.Fprintln(w, event); err != nil {
+			return
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Target) hold(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(PoolHeader, t.pool)
+	select {
+	case t.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-t.slots }()
+	t.ledger.Run(r.URL.Query().Get("id"))
+	time.Sleep(holdDuration)
+	_, _ = io.WriteString(w, t.name)
+}
+
+func (t *Target) photo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(PoolHeader, t.pool)
+	digest := sha256.New()
+	_, err := io.Copy(digest, http.MaxBytesReader(w, r.Body, maxPhoto))
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		http.Error(w, "photo too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(w, hex.EncodeToString(digest.Sum(nil)))
+}
