Read tables and the list of entry VMs strictly

Daemons need to accept or reject the same version, whole, and operators need every fault at once. Package strictjson decodes JSON with duplicate fields, trailing data and floats rejected, checks it against an embedded JSON schema and collects faults with path and value. table.Parse and fleet.ParseList add the cross checks. Succeed keeps hosts that have left the tables, bounded in number and by a span, so that their replies are still translated.

--- /dev/null
+++ b/strictjson/schema.go
@@ -0,0 +1,92 @@
+package strictjson
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// schemaURL is the name under which a schema is compiled. Nothing is loaded from it.
+const schemaURL = "almondflow.schema.json"
+
+// Schema checks the structure of decoded documents.
+type Schema struct {
+	compiled *jsonschema.Schema
+	printer  *message.Printer
+}
+
+// MustCompile compiles an embedded JSON schema. It panics when the schema is wrong,
+// which only a defect of the program can cause.
+func MustCompile(schema []byte) *Schema {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		panic(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(schemaURL, document); err != nil {
+		panic(err)
+	}
+	return &Schema{
+		compiled: compiler.MustCompile(schemaURL),
+		printer:  message.NewPrinter(language.English),
+	}
+}
+
+// Check adds every fault of the structure of a decoded document to problems.
+func (s *Schema) Check(document any, problems *Problems) {
+	var invalid *jsonschema.ValidationError
+	if errors.As(s.compiled.Validate(document), &invalid) {
+		s.collect(document, invalid, problems)
+	}
+}
+
+// collect adds the innermost causes, which name what is wrong.
+func (s *Schema) collect(document any, e *jsonschema.ValidationError, problems *Problems) {
+	for _, cause := range e.Causes {
+		s.collect(document, cause, problems)
+	}
+	if len(e.Causes) > 0 {
+		return
+	}
+	path, value := locate(document, e.InstanceLocation)
+	object := NewObject(path, value)
+	switch k := e.ErrorKind.(type) {
+	case *kind.Required:
+		for _, name := range k.Missing {
+			problems.Add(object.Path(name), nil, "field is missing")
+		}
+	case *kind.AdditionalProperties:
+		for _, name := range k.Properties {
+			problems.Add(object.Path(name), object.fields[name], "field is unknown")
+		}
+	case *kind.Type:
+		problems.Add(path, value, "must be %s, not %s", k.Want[0], k.Got)
+	default:
+		problems.Add(path, value, "%s", k.LocalizedString(s.printer))
+	}
+}
+
+// locate follows a location and returns its path and the value there.
+func locate(value any, location []string) (string, any) {
+	path := "$"
+	for _, token := range location {
+		switch container := value.(type) {
+		case map[string]any:
+			path = fieldPath(path, token)
+			value = container[token]
+		case []any:
+			index, err := strconv.Atoi(token)
+			if err != nil || index >= len(container) {
+				return path, nil
+			}
+			path = ElementPath(path, index)
+			value = container[index]
+		}
+	}
+	return path, value
+}
--- /dev/null
+++ b/table/document.go
@@ -0,0 +1,164 @@
+package table
+
+import (
+	"encoding/json"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/flow"
+)
+
+type documentMessage struct {
+	Version uint64           `json:"version"`
+	Routes  []routeMessage   `json:"routes"`
+	Pools   []poolMessage    `json:"pools"`
+	Retired []retiredMessage `json:"retired,omitempty"`
+}
+
+type routeMessage struct {
+	Name               string `json:"name"`
+	Destination        string `json:"destination"`
+	Port               uint16 `json:"port"`
+	Protocol           string `json:"protocol"`
+	Source             string `json:"source,omitempty"`
+	Pool               string `json:"pool"`
+	Repeatable         bool   `json:"repeatable"`
+	IdleTimeoutSeconds int64  `json:"idle_timeout_seconds"`
+	MidFlow            string `json:"mid_flow"`
+}
+
+type poolMessage struct {
+	Name             string        `json:"name"`
+	Prefer           string        `json:"prefer"`
+	Spill            bool          `json:"spill"`
+	SlowStartSeconds int64         `json:"slow_start_seconds"`
+	Hosts            []hostMessage `json:"hosts"`
+}
+
+type hostMessage struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Port        uint16 `json:"port"`
+	Domain      string `json:"domain"`
+	Mark        string `json:"mark"`
+	Generation  uint32 `json:"generation"`
+	Weight      uint32 `json:"weight"`
+	Slots       uint32 `json:"slots"`
+	Connections uint32 `json:"connections"`
+}
+
+type retiredMessage struct {
+	Pool             string `json:"pool"`
+	Name             string `json:"name"`
+	Generation       uint32 `json:"generation"`
+	Address          string `json:"address"`
+	Port             uint16 `json:"port"`
+	Protocol         string `json:"protocol"`
+	Destination      string `json:"destination"`
+	DestinationPort  uint16 `json:"destination_port"`
+	RemainingSeconds int64  `json:"remaining_seconds"`
+}
+
+// Document returns the published part of the tables as canonical JSON: equal tables
+// give equal bytes, which Parse accepts. Retired hosts are left out, since each daemon
+// has its own.
+func (s *Snapshot) Document() []byte {
+	return encode(s.message())
+}
+
+// Handover returns the document with the hosts that are retired at now and the span
+// left to each, so that a daemon without memory learns them from its peers.
+func (s *Snapshot) Handover(now clock.Millis) []byte {
+	m := s.message()
+	for i := range s.retired {
+		r := &s.retired[i]
+		remaining := (r.until + s.base(now) - now) / clock.Second
+		if remaining < 1 {
+			continue
+		}
+		m.Retired = append(m.Retired, retiredMessage{
+			Pool:             r.pool,
+			Name:             r.name,
+			Generation:       r.generation,
+			Address:          addressText(r.endpoint),
+			Port:             r.endpoint.Port(),
+			Protocol:         r.protocol.String(),
+			Destination:      addressText(r.destination),
+			DestinationPort:  r.destination.Port(),
+			RemainingSeconds: int64(remaining),
+		})
+	}
+	return encode(m)
+}
+
+func (s *Snapshot) message() *documentMessage {
+	m := &documentMessage{
+		Version: s.version,
+		Routes:  make([]routeMessage, 0, len(s.routes)),
+		Pools:   make([]poolMessage, 0, len(s.pools)),
+	}
+	for _, r := range s.routes {
+		m.Routes = append(m.Routes, r.message())
+	}
+	for _, p := range s.pools {
+		m.Pools = append(m.Pools, p.message())
+	}
+	return m
+}
+
+func (r *Route) message() routeMessage {
+	m := routeMessage{
+		Name:               r.name,
+		Destination:        addressText(r.destination),
+		Port:               r.destination.Port(),
+		Protocol:           r.protocol.String(),
+		Pool:               r.pool.name,
+		Repeatable:         r.repeatable,
+		IdleTimeoutSeconds: int64(r.idleTimeout / clock.Second),
+		MidFlow:            "drop",
+	}
+	if r.source.IsValid() {
+		m.Source = r.source.String()
+	}
+	if r.hashDefault {
+		m.MidFlow = midFlowHash
+	}
+	return m
+}
+
+func (p *Pool) message() poolMessage {
+	m := poolMessage{
+		Name:             p.name,
+		Prefer:           p.prefer.String(),
+		Spill:            p.spill,
+		SlowStartSeconds: int64(p.slowStart / clock.Second),
+		Hosts:            make([]hostMessage, 0, len(p.hosts)),
+	}
+	for i := range p.hosts {
+		m.Hosts = append(m.Hosts, p.hosts[i].message())
+	}
+	return m
+}
+
+func (h *Host) message() hostMessage {
+	return hostMessage{
+		Name:        h.name,
+		Address:     addressText(h.endpoint),
+		Port:        h.endpoint.Port(),
+		Domain:      h.domain,
+		Mark:        h.mark.String(),
+		Generation:  h.generation,
+		Weight:      h.weight,
+		Slots:       h.slots,
+		Connections: h.connections,
+	}
+}
+
+func addressText(e flow.Endpoint) string { return e.AddrPort().Addr().String() }
+
+func encode(m any) []byte {
+	document, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // strings, integers and booleans always encode
+	}
+	return document
+}
--- /dev/null
+++ b/table/retired.go
@@ -0,0 +1,126 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/flow"
+)
+
+// Bounds of the memory of hosts that have left the tables.
+const (
+	// RetiredSpan is how long replies of a host that has left the tables are translated.
+	RetiredSpan = 24 * clock.Hour
+	// MaxRetired is the number of such hosts that are kept, those that left last first.
+	MaxRetired = 16_384
+)
+
+// retired is a host that has left the tables while flows to it may live.
+type retired struct {
+	pool        string
+	name        string
+	generation  uint32
+	endpoint    flow.Endpoint
+	protocol    flow.Protocol
+	destination flow.Endpoint
+	// until is the end of its retention. In a parsed document it is the span left.
+	until clock.Millis
+}
+
+func (r *retired) key() replyKey { return replyKey{r.endpoint, r.protocol} }
+
+// setHanded stores the retired hosts of a parsed document, whose spans start to run
+// when Succeed puts the snapshot in force.
+func (s *Snapshot) setHanded(hosts []retired) {
+	s.isHanded = true
+	s.setRetired(hosts)
+}
+
+// setRetired stores the hosts whose address no host of the tables uses, up to the bound.
+func (s *Snapshot) setRetired(hosts []retired) {
+	kept := slices.DeleteFunc(hosts, func(r retired) bool {
+		_, isLive := s.byReply[r.key()]
+		return isLive
+	})
+	slices.SortFunc(kept, compareRetired)
+	s.retired = kept[:min(len(kept), MaxRetired)]
+	s.byRetired = make(map[replyKey]flow.Endpoint, len(s.retired))
+	for i := range s.retired {
+		s.byRetired[s.retired[i].key()] = s.retired[i].destination
+	}
+}
+
+// compareRetired sorts the hosts that left last first.
+func compareRetired(a, b retired) int {
+	return cmp.Or(
+		cmp.Compare(b.until, a.until),
+		strings.Compare(a.pool, b.pool),
+		strings.Compare(a.name, b.name),
+		cmp.Compare(a.generation, b.generation),
+		a.endpoint.AddrPort().Compare(b.endpoint.AddrPort()),
+		cmp.Compare(a.protocol, b.protocol),
+	)
+}
+
+// Succeed returns the snapshot to put in force at now in place of old, which may be nil.
+// It is next with the hosts of old that next no longer has, so that their replies are
+// still translated for RetiredSpan. An address that next uses again belongs to next.
+func Succeed(old, next *Snapshot, now clock.Millis) *Snapshot {
+	merged := make(map[replyKey]retired)
+	keep := func(hosts []retired, base clock.Millis) {
+		for _, r := range hosts {
+			r.until += base
+			if known, exists := merged[r.key()]; r.until > now && (!exists || known.until < r.until) {
+				merged[r.key()] = r
+			}
+		}
+	}
+	keep(next.retired, next.base(now))
+	if old != nil {
+		keep(old.retired, old.base(now))
+		keep(old.vanished(next), now)
+	}
+	hosts := make([]retired, 0, len(merged))
+	for _, r := range merged {
+		hosts = append(hosts, r)
+	}
+	s := *next
+	s.isHanded = false
+	s.setRetired(hosts)
+	return &s
+}
+
+// base is the point that the ends of retention count from.
+func (s *Snapshot) base(now clock.Millis) clock.Millis {
+	if s.isHanded {
+		return now
+	}
+	return 0
+}
+
+// vanished returns the hosts whose address next does not use, each with a whole span.
+func (s *Snapshot) vanished(next *Snapshot) []retired {
+	var hosts []retired
+	for _, p := range s.pools {
+		for i := range p.hosts {
+			h := &p.hosts[i]
+			key := replyKey{h.endpoint, h.protocol}
+			destination, isRouted := s.byReply[key]
+			if _, isLive := next.byReply[key]; isLive || !isRouted {
+				continue
+			}
+			hosts = append(hosts, retired{
+				pool:        p.name,
+				name:        h.name,
+				generation:  h.generation,
+				endpoint:    h.endpoint,
+				protocol:    h.protocol,
+				destination: destination,
+				until:       RetiredSpan,
+			})
+		}
+	}
+	return hosts
+}
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -23,6 +23,20 @@
 	Leaving
 )
 
+// String returns the name used in the tables.
+func (m Mark) String() string {
+	switch m {
+	case Serving:
+		return "serving"
+	case Joining:
+		return "joining"
+	case Leaving:
+		return "leaving"
+	default:
+		return "unknown"
+	}
+}
+
 // Preference says what weighs more in a pool where the two conflict.
 type Preference uint8
 
@@ -34,6 +48,14 @@
 	PreferBalance
 )
 
+// String returns the name used in the tables.
+func (p Preference) String() string {
+	if p == PreferBalance {
+		return "balance"
+	}
+	return "flows"
+}
+
 // Host is one target of a pool.
 type Host struct {
 	id          flow.TargetID
@@ -146,12 +168,17 @@
 
 // Snapshot is one accepted version of the tables. It is immutable.
 type Snapshot struct {
-	version uint64
-	routes  []*Route
-	pools   []*Pool
-	byRoute map[routeKey][]*Route
-	byReply map[replyKey]flow.Endpoint
-	byID    map[flow.TargetID]*Host
+	version    uint64
+	routes     []*Route
+	pools      []*Pool
+	byRoute    map[routeKey][]*Route
+	byReply    map[replyKey]flow.Endpoint
+	byEndpoint map[replyKey]*Host
+	byID       map[flow.TargetID]*Host
+	retired    []retired
+	byRetired  map[replyKey]flow.Endpoint
+	// isHanded reports whether the ends of retention are spans that do not run yet.
+	isHanded bool
 }
 
 type routeKey struct {
@@ -185,12 +212,24 @@
 	return nil
 }
 
-// Reply returns the routed endpoint in whose name a target's packet is answered.
+// Reply returns the routed endpoint in whose name a target's packet is answered. It
+// knows the hosts of the tables and those that have left them lately.
 func (s *Snapshot) Reply(target flow.Endpoint, protocol flow.Protocol) (flow.Endpoint, bool) {
-	destination, ok := s.byReply[replyKey{target, protocol}]
+	key := replyKey{target, protocol}
+	destination, ok := s.byReply[key]
+	if !ok {
+		destination, ok = s.byRetired[key]
+	}
 	return destination, ok
 }
 
+// HostAt returns the host that has the endpoint now. Records of an earlier host of the
+// same endpoint name another identity.
+func (s *Snapshot) HostAt(target flow.Endpoint, protocol flow.Protocol) (*Host, bool) {
+	h, ok := s.byEndpoint[replyKey{target, protocol}]
+	return h, ok
+}
+
 // Host returns the host with the identity.
 func (s *Snapshot) Host(id flow.TargetID) (*Host, bool) {
 	h, ok := s.byID[id]
@@ -200,16 +239,19 @@
 // newSnapshot indexes checked routes and pools.
 func newSnapshot(version uint64, routes []*Route, pools []*Pool) *Snapshot {
 	s := &Snapshot{
-		version: version,
-		routes:  routes,
-		pools:   pools,
-		byRoute: make(map[routeKey][]*Route),
-		byReply: make(map[replyKey]flow.Endpoint),
-		byID:    make(map[flow.TargetID]*Host),
+		version:    version,
+		routes:     routes,
+		pools:      pools,
+		byRoute:    make(map[routeKey][]*Route),
+		byReply:    make(map[replyKey]flow.Endpoint),
+		byEndpoint: make(map[replyKey]*Host),
+		byID:       make(map[flow.TargetID]*Host),
 	}
 	for _, p := range pools {
 		for i := range p.hosts {
-			s.byID[p.hosts[i].id] = &p.hosts[i]
+			h := &p.hosts[i]
+			s.byID[h.id] = h
+			s.byEndpoint[replyKey{h.endpoint, h.protocol}] = h
 		}
 	}
 	for _, r := range routes {
