--- /dev/null
+++ b/placement/placer_test.go
@@ -0,0 +1,179 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/placement"
+	"github.com/almondflow/almondflow/result"
+	"github.com/almondflow/almondflow/table"
+)
+
+// place opens flows spread over a span and counts them by target.
+func place(p *placement.Placer, route *table.Route, from, span clock.Millis, flows int) map[flow.TargetID]int {
+	counts := make(map[flow.TargetID]int)
+	for i := range flows {
+		now := from + span*clock.Millis(i)/clock.Millis(flows)
+		target, code := p.Place(now, route, hashOf(i), 0)
+		if code == result.Placed {
+			counts[target.ID()]++
+		}
+	}
+	return counts
+}
+
+func TestMarksDecideWhoTakesNewFlows(t *testing.T) {
+	tests := []struct {
+		mark     string
+		from, to float64 // bounds of the share of new flows over the fair share
+	}{
+		{"serving", 1, 1.5},
+		{"joining", 0.1, 1.5},
+		{"leaving", 0, 0},
+	}
+	for _, test := range tests {
+		for _, prefer := range []string{"flows", "balance"} {
+			is := is.New(t)
+			p := placement.New()
+			tables := newTables(prefer, 14, 4)
+			tables.hosts[3].Mark = test.mark
+			snapshot := tables.parse(t)
+			p.SetTables(0, snapshot)
+			counts := place(p, snapshot.Routes()[0], 0, 30*clock.Second, 30000)
+			share := float64(counts[tables.hosts[3].id()]) * 14 / 30000
+			is.True(share >= test.from*0.9 && share <= test.to) // share over fair share
+		}
+	}
+}
+
+func TestHostThatJoinsLaterStartsSlowly(t *testing.T) {
+	for _, prefer := range []string{"flows", "balance"} {
+		is := is.New(t)
+		p := placement.New()
+		tables := newTables(prefer, 13, 4)
+		snapshot := tables.parse(t)
+		p.SetTables(0, snapshot)
+		place(p, snapshot.Routes()[0], 0, clock.Second, 20000)
+		tables.hosts = append(tables.hosts, newHost(13, 4))
+		snapshot = tables.parse(t)
+		p.SetTables(clock.Second, snapshot)
+		for at := range clock.Millis(6) {
+			counts := place(p, snapshot.Routes()[0], clock.Second+at*10*clock.Second, 10*clock.Second, 10000)
+			is.True(float64(counts[tables.hosts[13].id()]) <= 1.5*10000/14) // share of new flows
+		}
+	}
+}
+
+func TestColdFleetServesEvenly(t *testing.T) {
+	is := is.New(t)
+	p := placement.New()
+	tables := newTables("balance", 14, 4)
+	for i := range tables.hosts {
+		tables.hosts[i].Mark = "joining"
+	}
+	snapshot := tables.parse(t)
+	p.SetTables(0, snapshot)
+	for _, n := range place(p, snapshot.Routes()[0], 0, clock.Second, 20000) {
+		is.True(float64(n) <= 1.5*20000/14) // flows of one host
+	}
+}
+
+func TestLimitsRefuseEarly(t *testing.T) {
+	is := is.New(t)
+	p := placement.New()
+	tables := newTables("balance", 4, 2)
+	for i := range tables.hosts {
+		tables.hosts[i].Connections = 10
+	}
+	snapshot := tables.parse(t)
+	p.SetTables(0, snapshot)
+	place(p, snapshot.Routes()[0], 0, clock.Second, 100)
+	total := int64(0)
+	for _, h := range tables.hosts {
+		is.True(p.Active(h.id()) <= 10)
+		total += p.Active(h.id())
+	}
+	is.Equal(total, int64(40)) // spilled until all were full
+	_, code := p.Place(0, snapshot.Routes()[0], 1, 0)
+	is.Equal(code, result.RefusedFull)
+}
+
+func TestOwnersShareLimits(t *testing.T) {
+	is := is.New(t)
+	list := newList(t, 8, 4)
+	tables := newTables("balance", 14, 4)
+	for i := range tables.hosts {
+		tables.hosts[i].Connections = 2000
+	}
+	snapshot := tables.parse(t)
+	ranking := fleet.NewRanking(list)
+	owners := make(map[fleet.ID]*placement.Placer)
+	for i := range list.VMs() {
+		id := list.VMs()[i].ID()
+		owners[id] = placement.New()
+		owners[id].SetFleet(0, placement.NewFleet(list, id, allAlive))
+		owners[id].SetTables(0, snapshot)
+	}
+	placed := 0
+	for i := range 40000 {
+		holders := ranking.Holders(hashOf(i), fleet.HomePair)
+		_, code := owners[holders.At(0)].Place(clock.Millis(i), snapshot.Routes()[0], hashOf(i), 0)
+		if code == result.Placed {
+			placed++
+		}
+	}
+	is.True(placed >= 28000*9/10) // the limits of the fleet can be used
+	for _, h := range tables.hosts {
+		total := int64(0)
+		for _, p := range owners {
+			total += p.Active(h.id())
+		}
+		is.True(total <= 2000) // the limit holds over the whole fleet
+	}
+}
+
+func TestRetriesAreAShareOfNewFlows(t *testing.T) {
+	is := is.New(t)
+	p := placement.New()
+	tables := newTables("balance", 4, 1)
+	snapshot := tables.parse(t)
+	route := snapshot.Routes()[0]
+	p.SetTables(0, snapshot)
+	retries := 0
+	for i := range 10000 {
+		target, _ := p.Place(0, route, hashOf(i), 0)
+		again, code := p.Place(0, route, hashOf(i), target.ID())
+		if code == result.Placed {
+			retries++
+			is.True(again.ID() != target.ID()) // placed elsewhere
+		}
+	}
+	is.True(retries >= 900 && retries <= 1100) // a tenth and the burst
+}
+
+func TestSpillNeedsPermission(t *testing.T) {
+	tests := []struct {
+		spill   bool
+		refused bool
+	}{{true, false}, {false, true}}
+	for _, test := range tests {
+		is := is.New(t)
+		p := placement.New()
+		tables := newTables("flows", 4, 2)
+		tables.spill = test.spill
+		snapshot := tables.parse(t)
+		p.SetTables(0, snapshot)
+		p.SetHealth(0, []flow.TargetID{tables.hosts[0].id(), tables.hosts[2].id()})
+		refused := 0
+		for i := range 1000 {
+			if _, code := p.Place(0, snapshot.Routes()[0], hashOf(i), 0); code == result.RefusedNoTarget {
+				refused++
+			}
+		}
+		is.Equal(refused > 0, test.refused)
+	}
+}
