Decode, rewrite and build inner packets

The core needs packets decoded and translated without allocation. The headers of IP, UDP and ICMP are decoded by gopacket; TCP's fixed header is read here, since gopacket allocates for multipath options that any client can send.

--- /dev/null
+++ b/packet/packet_test.go
@@ -0,0 +1,229 @@
+package packet_test
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/packet"
+	"github.com/almondflow/almondflow/result"
+)
+
+func end(s string) flow.Endpoint { return flow.NewEndpoint(netip.MustParseAddrPort(s)) }
+
+// ends are the client, the routed destination and the target in one IP version.
+type ends struct{ client, routed, target flow.Endpoint }
+
+var versions = []ends{
+	{end("192.0.2.7:40001"), end("203.0.113.10:443"), end("10.1.2.3:8443")},
+	{end("[2001:db8::7]:40001"), end("[2001:db8:1::10]:443"), end("[fd00::3]:8443")},
+}
+
+// decode is the oracle: gopacket decodes the packet and verifies every checksum.
+func decode(t rapid.TB, b []byte) gopacket.Packet {
+	t.Helper()
+	first := layers.LayerTypeIPv4
+	if b[0]>>4 == 6 {
+		first = layers.LayerTypeIPv6
+	}
+	d := gopacket.NewPacket(b, first, gopacket.Default)
+	if len(d.Layers()) < 2 || d.Layers()[1].LayerType() == gopacket.LayerTypeDecodeFailure {
+		t.Fatalf("gopacket: %v", d.ErrorLayer().Error())
+	}
+	for _, l := range d.Layers() {
+		if c, ok := l.(interface {
+			SetNetworkLayerForChecksum(gopacket.NetworkLayer) error
+		}); ok {
+			_ = c.SetNetworkLayerForChecksum(d.NetworkLayer())
+		}
+	}
+	err, mismatches := d.VerifyChecksums()
+	if err != nil || len(mismatches) > 0 {
+		t.Fatalf("checksums: %v %+v", err, mismatches)
+	}
+	return d
+}
+
+func parse(t rapid.TB, b []byte) *packet.Packet {
+	t.Helper()
+	var p packet.Packet
+	if err := p.Parse(b); err != nil {
+		t.Fatal(err)
+	}
+	return &p
+}
+
+func drawPacket(t *rapid.T, v ends) []byte {
+	payload := rapid.SliceOfN(rapid.Byte(), 0, 60).Draw(t, "payload")
+	port := rapid.Uint16().Draw(t, "port")
+	client := flow.EndpointOf(v.client.Address16(), port)
+	if rapid.Bool().Draw(t, "tcp") {
+		return packet.AppendTCP(nil, flow.NewKey(flow.TCP, client, v.routed), packet.Segment{
+			Sequence: rapid.Uint32().Draw(t, "sequence"),
+			Flags:    packet.Flags(rapid.IntRange(0, 31).Draw(t, "flags")),
+			Payload:  payload,
+		})
+	}
+	return packet.AppendUDP(nil, flow.NewKey(flow.UDP, client, v.routed), payload)
+}
+
+func drawEndpoint(t *rapid.T, is4 bool) flow.Endpoint {
+	var a [16]byte
+	copy(a[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "address"))
+	if is4 {
+		copy(a[:], []byte{10: 0xff, 11: 0xff})
+		clear(a[:10])
+	} else {
+		a[0] = 0x20
+	}
+	return flow.EndpointOf(a, rapid.Uint16().Draw(t, "new port"))
+}
+
+func TestRewriteKeepsChecksumsRight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := rapid.SampledFrom(versions).Draw(t, "version")
+		b := drawPacket(t, v)
+		decode(t, b)
+		p := parse(t, b)
+		key := p.Key()
+		from, to := drawEndpoint(t, v.client.Is4()), drawEndpoint(t, v.client.Is4())
+		if !p.SetSource(from) || !p.SetDestination(to) {
+			t.Fatal("refused an endpoint of the same IP version")
+		}
+		network := decode(t, p.Bytes()).NetworkLayer().NetworkFlow()
+		if network.Src().String() != from.AddrPort().Addr().String() || network.Dst().String() != to.AddrPort().Addr().String() {
+			t.Fatalf("addresses are %v, want %v > %v", network, from, to)
+		}
+		again := parse(t, p.Bytes())
+		if again.Key() != flow.NewKey(key.Protocol(), from, to) || again.Key() != p.Key() {
+			t.Fatalf("key is %v", again.Key())
+		}
+	})
+}
+
+func TestZeroChecksumOfUDPStaysZeroOnIPv4(t *testing.T) {
+	is := is.New(t)
+	v := versions[0]
+	b := packet.AppendUDP(nil, flow.NewKey(flow.UDP, v.client, v.routed), []byte("hold"))
+	b[26], b[27] = 0, 0
+	p := parse(t, b)
+	is.True(p.SetDestination(v.target))
+	is.Equal(p.Bytes()[26:28], []byte{0, 0})
+	decode(t, p.Bytes())
+}
+
+func TestOtherIPVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	for i, v := range versions {
+		b := packet.AppendUDP(nil, flow.NewKey(flow.UDP, v.client, v.routed), []byte("hold"))
+		before := string(b)
+		p := parse(t, b)
+		is.True(!p.SetDestination(versions[1-i].target))
+		is.True(!p.SetSource(versions[1-i].target))
+		is.Equal(string(p.Bytes()), before)
+	}
+}
+
+func TestFlagsAndPayloadLength(t *testing.T) {
+	is := is.New(t)
+	for _, v := range versions {
+		key := flow.NewKey(flow.TCP, v.client, v.routed)
+		p := parse(t, packet.AppendTCP(nil, key, packet.Segment{Flags: packet.SYN | packet.ACK, Payload: []byte("abc")}))
+		is.Equal(p.Flags(), packet.SYN|packet.ACK)
+		is.Equal(p.PayloadLength(), 3)
+		is.Equal(p.Key(), key)
+		_, isError := p.ICMPError()
+		is.True(!isError)
+	}
+}
+
+// change edits a well-formed packet.
+type change struct {
+	name string
+	edit func(b []byte) []byte
+	want result.Code
+}
+
+func set(offset int, value byte) func([]byte) []byte {
+	return func(b []byte) []byte {
+		b[offset] = value
+		return b
+	}
+}
+
+// set4 also corrects the IPv4 header checksum.
+func set4(offset int, value byte) func([]byte) []byte {
+	return func(b []byte) []byte {
+		b[offset], b[10], b[11] = value, 0, 0
+		sum := gopacket.FoldChecksum(gopacket.ComputeChecksum(b[:20], 0))
+		b[10], b[11] = byte(sum>>8), byte(sum)
+		return b
+	}
+}
+
+func checkRefusals(t *testing.T, key flow.Key, build func(flow.Key) []byte, changes []change) {
+	t.Helper()
+	for _, c := range changes {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var p packet.Packet
+			var failure *packet.Error
+			is.True(errors.As(p.Parse(c.edit(build(key))), &failure))
+			is.Equal(failure.Code(), c.want)
+		})
+	}
+}
+
+func udpPacket(k flow.Key) []byte { return packet.AppendUDP(nil, k, []byte("hold")) }
+
+func tcpPacket(k flow.Key) []byte { return packet.AppendTCP(nil, k, packet.Segment{}) }
+
+func TestBadPacketsAreRefused(t *testing.T) {
+	v4, v6 := versions[0], versions[1]
+	checkRefusals(t, flow.NewKey(flow.UDP, v4.client, v4.routed), udpPacket, []change{
+		{"empty", func([]byte) []byte { return nil }, result.DroppedMalformed},
+		{"version", set(0, 0x50), result.DroppedMalformed},
+		{"short header", set(0, 0x44), result.DroppedMalformed},
+		{"option", set(0, 0x46), result.DroppedUnsupported},
+		{"cut header", func(b []byte) []byte { return b[:19] }, result.DroppedMalformed},
+		{"cut payload", func(b []byte) []byte { return b[:len(b)-1] }, result.DroppedMalformed},
+		{"length zero", func(b []byte) []byte { return set4(3, 0)(b) }, result.DroppedMalformed},
+		{"header checksum", set(10, 0), result.DroppedMalformed},
+		{"more fragments", set4(6, 0x20), result.DroppedUnsupported},
+		{"later fragment", set4(7, 1), result.DroppedUnsupported},
+		{"protocol", set4(9, 47), result.DroppedUnsupported},
+		{"ICMPv6 over IPv4", set4(9, 58), result.DroppedUnsupported},
+		{"UDP length above the packet", set(25, 200), result.DroppedMalformed},
+		{"UDP length below the header", set(25, 7), result.DroppedMalformed},
+		{"UDP length zero", set(25, 0), result.DroppedMalformed},
+	})
+	checkRefusals(t, flow.NewKey(flow.UDP, v6.client, v6.routed), udpPacket, []change{
+		{"IPv6 cut header", func(b []byte) []byte { return b[:39] }, result.DroppedMalformed},
+		{"IPv6 cut payload", func(b []byte) []byte { return b[:len(b)-1] }, result.DroppedMalformed},
+		{"IPv6 length zero", set(5, 0), result.DroppedMalformed},
+		{"IPv6 hop by hop", set(6, 0), result.DroppedUnsupported},
+		{"IPv6 fragment", set(6, 44), result.DroppedUnsupported},
+		{"ICMP over IPv6", set(6, 1), result.DroppedUnsupported},
+		{"UDP over IPv6 without checksum", func(b []byte) []byte { return set(46, 0)(set(47, 0)(b)) }, result.DroppedMalformed},
+	})
+	checkRefusals(t, flow.NewKey(flow.TCP, v4.client, v4.routed), tcpPacket, []change{
+		{"TCP cut header", func(b []byte) []byte { return set4(3, 39)(b)[:39] }, result.DroppedMalformed},
+		{"TCP offset below the header", set(32, 0x40), result.DroppedMalformed},
+		{"TCP offset above the packet", set(32, 0x60), result.DroppedMalformed},
+	})
+}
+
+func TestBytesAfterThePacketAreCut(t *testing.T) {
+	is := is.New(t)
+	v := versions[0]
+	b := packet.AppendUDP(nil, flow.NewKey(flow.UDP, v.client, v.routed), []byte("hold"))
+	p := parse(t, append(b, 0, 0, 0))
+	is.Equal(len(p.Bytes()), 32)
+	is.Equal(p.PayloadLength(), 4)
+}
--- /dev/null
+++ b/packet/parse.go
@@ -0,0 +1,193 @@
+package packet
+
+import (
+	"encoding/binary"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"github.com/almondflow/almondflow/flow"
+)
+
+// Lengths in bytes.
+const (
+	ip4HeaderSize  = 20
+	ip6HeaderSize  = 40
+	tcpHeaderSize  = 20
+	udpHeaderSize  = 8
+	icmpHeaderSize = 8
+	// quotedSize is what an ICMP error quotes at least of a transport header.
+	quotedSize = 8
+)
+
+// Offsets of fields in bytes.
+const (
+	ip6NextHeader  = 6
+	ip4Checksum    = 10
+	tcpChecksum    = 16
+	udpChecksum    = 6
+	icmpChecksum   = 2
+	tcpDataOffset  = 12
+	tcpFlags       = 13
+	tcpSequence    = 4
+	tcpAcknowledge = 8
+)
+
+// Parse decodes the packet that b starts with and keeps a reference to it. An error is
+// of type *Error; the Packet must not be used after one.
+func (p *Packet) Parse(b []byte) error {
+	p.bytes, p.flags, p.payload = nil, 0, 0
+	p.embedded = header{}
+	if err := p.decodeNetwork(&p.outer, b, 0); err != nil {
+		return err
+	}
+	p.bytes = b[:p.outer.end]
+	return p.decodeTransport()
+}
+
+// decodeNetwork decodes the IP header at an offset. Only a quoted packet, one that does
+// not stand at the start, may be truncated.
+func (p *Packet) decodeNetwork(h *header, b []byte, offset int) error {
+	*h = header{network: offset}
+	if len(b) <= offset {
+		return errTruncated
+	}
+	p.truncated = false
+	h.version = b[offset] >> 4
+	switch h.version {
+	case 4:
+		return p.decodeIPv4(h, b[offset:])
+	case 6:
+		return p.decodeIPv6(h, b[offset:])
+	default:
+		return errVersion
+	}
+}
+
+func (p *Packet) decodeIPv4(h *header, b []byte) error {
+	if b[0]&0xf > ip4HeaderSize/4 {
+		return errOption
+	}
+	if err := p.ip4.DecodeFromBytes(b, p); err != nil {
+		return errNetwork
+	}
+	if binary.BigEndian.Uint16(b[2:]) == 0 {
+		return errLength
+	}
+	isQuoted := h.network > 0
+	hasMore := p.ip4.Flags&layers.IPv4MoreFragments != 0
+	if p.ip4.FragOffset != 0 || hasMore && !isQuoted {
+		return errFragment
+	}
+	if !isQuoted {
+		if p.truncated {
+			return errTruncated
+		}
+		if gopacket.FoldChecksum(gopacket.ComputeChecksum(p.ip4.Contents, 0)) != 0 {
+			return errChecksum
+		}
+	}
+	h.transport = h.network + ip4HeaderSize
+	h.end = h.transport + len(p.ip4.Payload)
+	h.protocol = flow.Protocol(p.ip4.Protocol)
+	if h.protocol == flow.ICMPv6 {
+		return errProtocol
+	}
+	h.key = flow.NewKey(h.protocol, endpoint(p.ip4.SrcIP), endpoint(p.ip4.DstIP))
+	return nil
+}
+
+func (p *Packet) decodeIPv6(h *header, b []byte) error {
+	if len(b) < ip6HeaderSize {
+		return errTruncated
+	}
+	h.protocol = flow.Protocol(b[ip6NextHeader])
+	if h.protocol != flow.TCP && h.protocol != flow.UDP && h.protocol != flow.ICMPv6 {
+		return errProtocol
+	}
+	if err := p.ip6.DecodeFromBytes(b, p); err != nil {
+		return errNetwork
+	}
+	if p.truncated && h.network == 0 {
+		return errTruncated
+	}
+	h.transport = h.network + ip6HeaderSize
+	h.end = h.transport + len(p.ip6.Payload)
+	h.key = flow.NewKey(h.protocol, endpoint(p.ip6.SrcIP), endpoint(p.ip6.DstIP))
+	return nil
+}
+
+func (p *Packet) decodeTransport() error {
+	switch p.outer.protocol {
+	case flow.TCP:
+		return p.decodeTCP()
+	case flow.UDP:
+		return p.decodeUDP()
+	case flow.ICMP, flow.ICMPv6:
+		return p.decodeICMP()
+	default:
+		return errProtocol
+	}
+}
+
+// decodeTCP reads the fixed header itself, because gopacket decodes every option and
+// allocates for some of them.
+func (p *Packet) decodeTCP() error {
+	segment := p.bytes[p.outer.transport:]
+	if len(segment) < tcpHeaderSize {
+		return errTruncated
+	}
+	size := int(segment[tcpDataOffset]>>4) * 4
+	if size < tcpHeaderSize || size > len(segment) {
+		return errTransport
+	}
+	p.flags = Flags(segment[tcpFlags]) & flagMask
+	p.payload = len(segment) - size
+	p.outer.checksum = p.outer.transport + tcpChecksum
+	p.outer.setPorts(segment)
+	return nil
+}
+
+func (p *Packet) decodeUDP() error {
+	datagram := p.bytes[p.outer.transport:]
+	p.truncated = false
+	if err := p.udp.DecodeFromBytes(datagram, p); err != nil {
+		return errTransport
+	}
+	if p.truncated {
+		return errTruncated
+	}
+	if p.udp.Length == 0 {
+		return errLength
+	}
+	p.payload = len(p.udp.Payload)
+	p.outer.setPorts(datagram)
+	if p.udp.Checksum != 0 {
+		p.outer.checksum = p.outer.transport + udpChecksum
+		return nil
+	}
+	if p.outer.version == 6 {
+		return errChecksum
+	}
+	return nil
+}
+
+// setPorts completes the key with the ports that start a TCP or UDP header.
+func (h *header) setPorts(segment []byte) {
+	source, destination := h.key.Source(), h.key.Destination()
+	h.key = flow.NewKey(h.protocol,
+		flow.EndpointOf(source.Address16(), binary.BigEndian.Uint16(segment)),
+		flow.EndpointOf(destination.Address16(), binary.BigEndian.Uint16(segment[2:])))
+}
+
+// endpoint converts an address of 4 or 16 bytes. The port is set later.
+func endpoint(address []byte) flow.Endpoint {
+	var a [16]byte
+	if len(address) == len(a) {
+		copy(a[:], address)
+		return flow.EndpointOf(a, 0)
+	}
+	a[10], a[11] = 0xff, 0xff
+	copy(a[12:], address)
+	return flow.EndpointOf(a, 0)
+}
