Decide what happens to packets

Cause: the system needs one deterministic machine that steers packets to the owner of their flow, places new flows, copies records on data packets, asks other holders on a miss and decides the targets of flows that may not be repeated.

--- /dev/null
+++ b/core/node.go
@@ -0,0 +1,297 @@
+package core
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/packet"
+	"github.com/almondflow/almondflow/result"
+	"github.com/almondflow/almondflow/table"
+)
+
+// Defaults of the options.
+const (
+	defaultShards          = 16
+	defaultFlows           = 1_000_000
+	defaultOpeningLifetime = 120 * clock.Second
+	defaultPauseGap        = 1 * clock.Second
+	maxCode                = 256
+)
+
+// Options are what a Node needs to know from its settings.
+type Options struct {
+	// Self is the entry VM that the Node runs on.
+	Self fleet.ID
+	// Incarnation is the number of this run of the process.
+	Incarnation uint64
+	// Seed is the seed of flow hashes, the same at every daemon of the fleet.
+	Seed uint64
+	// Shards is the number of independently locked parts of the flow table.
+	Shards int
+	// Flows is the largest number of flows held.
+	Flows int
+	// Started is when the process started.
+	Started clock.Millis
+	// OpeningLifetime is the longest span for which an opening packet, or a
+	// retransmission of it, can be under way. A VM that started more recently takes no
+	// part in decisions about flows that may not be repeated.
+	OpeningLifetime clock.Millis
+	// PauseGap is the span without a Tick that counts as a pause of the process.
+	PauseGap clock.Millis
+	// Copies is the number of holders that get a record besides the owner, 0 to 2.
+	// The zero value of Options means all of them; see NoCopies.
+	Copies int
+	// NoCopies switches copies off, for comparison.
+	NoCopies bool
+	// Placer chooses targets.
+	Placer Placer
+	// Budget limits repair traffic. Nil means no limit.
+	Budget Budget
+	// Breakage weakens the Node on purpose, to prove that a test would notice.
+	Breakage Breakage
+}
+
+// Breakage is a deliberate defect that a test must find.
+type Breakage uint8
+
+// Breakages of a Node.
+const (
+	// Unbroken is the Node as it should be.
+	Unbroken Breakage = iota
+	// BreakCopies sends no copies.
+	BreakCopies
+	// BreakQuarantine lets a restarted VM vote at once.
+	BreakQuarantine
+	// BreakMajority lets one holder of three decide.
+	BreakMajority
+	// BreakUnknownFlow answers packets of unknown flows with a reset.
+	BreakUnknownFlow
+	// BreakVersions lets tables fall back to an older version.
+	BreakVersions
+	// BreakRetry places a flow again although payload was sent.
+	BreakRetry
+	// BreakLease votes without a lease.
+	BreakLease
+)
+
+// Node is one entry VM's decisions. FromFabric and FromPeer may be called by several
+// workers at once. The setters and Tick belong to one control goroutine.
+//
+// Lock order: control, then one shard. No two shards are locked at once, and the Placer
+// is called with a shard locked.
+type Node struct {
+	options Options
+	control sync.Mutex
+	view    atomic.Pointer[view]
+	shards  []shard
+	codes   [maxCode]atomic.Uint64
+	ticked  clock.Millis
+}
+
+// New returns a Node that drops everything until it has tables and a list.
+func New(options Options) *Node {
+	if options.Shards <= 0 {
+		options.Shards = defaultShards
+	}
+	if options.Flows <= 0 {
+		options.Flows = defaultFlows
+	}
+	if options.OpeningLifetime <= 0 {
+		options.OpeningLifetime = defaultOpeningLifetime
+	}
+	if options.PauseGap <= 0 {
+		options.PauseGap = defaultPauseGap
+	}
+	if options.Copies <= 0 {
+		options.Copies = fleet.HolderCount - 1
+	}
+	n := &Node{options: options, shards: make([]shard, options.Shards), ticked: options.Started}
+	for i := range n.shards {
+		n.shards[i].init(n)
+	}
+	n.view.Store(&view{peers: NewPeers(nil), unsureSince: options.Started})
+	return n
+}
+
+// change swaps the view for a changed copy of it.
+func (n *Node) change(edit func(v *view)) {
+	n.control.Lock()
+	defer n.control.Unlock()
+	changed := *n.view.Load()
+	edit(&changed)
+	n.view.Store(&changed)
+}
+
+// SetTables puts tables in force. Versions only rise: it reports false and changes
+// nothing for a version that is not above the one in force.
+func (n *Node) SetTables(_ clock.Millis, tables *table.Snapshot) bool {
+	accepted := false
+	n.change(func(v *view) {
+		newer := v.tables == nil || tables.Version() > v.tables.Version()
+		if newer || n.options.Breakage == BreakVersions {
+			v.tables = tables
+			accepted = true
+		}
+	})
+	return accepted
+}
+
+// SetList puts a ranked list in force, with the same rule of versions as SetTables.
+func (n *Node) SetList(now clock.Millis, ranking *fleet.Ranking) bool {
+	accepted := false
+	n.change(func(v *view) {
+		if len(v.epochs) > 0 && ranking.List().Version() <= v.list().Version() {
+			return
+		}
+		accepted = true
+		if len(v.epochs) > 0 && ranking.List().Version() != v.list().Version()+1 {
+			v.epochsLost = now
+		}
+		v.pushEpoch(now, ranking)
+	})
+	return accepted
+}
+
+func (v *view) pushEpoch(now clock.Millis, ranking *fleet.Ranking) {
+	epochs := make([]epoch, 0, maxEpochs+1)
+	epochs = append(epochs, epoch{ranking: ranking})
+	for _, e := range v.epochs {
+		if e.superseded == 0 {
+			e.superseded = now
+		}
+		epochs = append(epochs, e)
+	}
+	if len(epochs) > maxEpochs {
+		epochs = epochs[:maxEpochs]
+		v.epochsLost = now
+	}
+	v.epochs = epochs
+}
+
+// SetPeers replaces the picture of the other entry VMs.
+func (n *Node) SetPeers(_ clock.Millis, peers *Peers) {
+	n.change(func(v *view) { v.peers = peers })
+}
+
+// SetVoting replaces the permission to decide flows that may not be repeated.
+func (n *Node) SetVoting(_ clock.Millis, voting Voting) {
+	n.change(func(v *view) { v.voting = voting })
+}
+
+// Doubt tells the Node that others took it for dead, so that flows it would place anew
+// may have been placed elsewhere. It asks the other holders first for a while.
+func (n *Node) Doubt(now clock.Millis) {
+	n.change(func(v *view) { v.unsureSince = now })
+}
+
+// Tick expires and repairs. It is called every 100 ms or so; a longer gap than the
+// option PauseGap counts as a pause of the process, after which nothing is taken for
+// granted.
+func (n *Node) Tick(now clock.Millis, sink Sink) {
+	if now-n.ticked > n.options.PauseGap {
+		n.Doubt(now)
+	}
+	n.ticked = now
+	v := n.view.Load()
+	if !v.ready() {
+		return
+	}
+	for i := range n.shards {
+		n.shards[i].tick(now, v, sink)
+	}
+}
+
+// FromFabric handles an inner packet that the fabric handed to this entry VM. It may
+// change the packet's bytes.
+func (n *Node) FromFabric(now clock.Millis, inner []byte, sink Sink) result.Code {
+	var p packet.Packet
+	if err := p.Parse(inner); err != nil {
+		return n.count(codeOf(err))
+	}
+	v := n.view.Load()
+	if !v.ready() {
+		return n.count(result.DroppedNoRoute)
+	}
+	return n.count(n.ingress(now, v, &p, sink))
+}
+
+func (n *Node) count(code result.Code) result.Code {
+	n.codes[code%maxCode].Add(1)
+	return code
+}
+
+// Count returns how many packets ended in a code.
+func (n *Node) Count(code result.Code) uint64 {
+	return n.codes[code%maxCode].Load()
+}
+
+func (n *Node) shardOf(hash uint64) *shard {
+	return &n.shards[(hash>>48)%uint64(len(n.shards))]
+}
+
+// Flows returns the number of flows held, own and copies.
+func (n *Node) Flows() int {
+	total := 0
+	for i := range n.shards {
+		s := &n.shards[i]
+		s.mutex.Lock()
+		total += s.flows.Len()
+		s.mutex.Unlock()
+	}
+	return total
+}
+
+// FlowInfo describes one flow for operators.
+type FlowInfo struct {
+	// Key is the flow.
+	Key flow.Key
+	// Target is where it goes. Its ID is zero when that is not known here.
+	Target flow.Target
+	// Owned says that this VM serves the flow.
+	Owned bool
+	// Decided says that the target can never change.
+	Decided bool
+	// Idle is the span since its last packet here.
+	Idle clock.Millis
+}
+
+// Lookup returns what this VM knows of a flow.
+func (n *Node) Lookup(now clock.Millis, key *flow.Key) (FlowInfo, bool) {
+	hash := key.Hash(n.options.Seed)
+	s := n.shardOf(hash)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	r := s.flows.Get(hash, key)
+	if r == nil {
+		return FlowInfo{}, false
+	}
+	return r.info(now, key), true
+}
+
+// Each calls visit for up to most flows.
+func (n *Node) Each(now clock.Millis, most int, visit func(FlowInfo)) {
+	for i := range n.shards {
+		s := &n.shards[i]
+		s.mutex.Lock()
+		s.flows.Sweep(0, min(most, s.flows.Slots()), func(_ uint64, key *flow.Key, r *record) bool {
+			if most > 0 {
+				visit(r.info(now, key))
+				most--
+			}
+			return true
+		})
+		s.mutex.Unlock()
+	}
+}
+
+// Holders returns the holders of a flow under the list in force, highest rank first.
+func (n *Node) Holders(key *flow.Key, repeatable bool) fleet.Holders {
+	v := n.view.Load()
+	if len(v.epochs) == 0 {
+		return fleet.Holders{}
+	}
+	return v.epochs[0].ranking.Holders(key.Hash(n.options.Seed), spreadOf(repeatable))
+}
--- /dev/null
+++ b/core/view.go
@@ -0,0 +1,102 @@
+package core
+
+import (
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/table"
+)
+
+// maxEpochs bounds the earlier lists whose holders are still asked.
+const maxEpochs = 4
+
+// epoch is a list that is or was in force.
+type epoch struct {
+	ranking    *fleet.Ranking
+	superseded clock.Millis // point at which a newer list came; 0 for the current one
+}
+
+// Peer is what is known of another entry VM.
+type Peer struct {
+	// ID names the VM.
+	ID fleet.ID
+	// Alive is false while the VM is suspected.
+	Alive bool
+	// Quarantined VMs started too recently to vote.
+	Quarantined bool
+	// Incarnation is the number of the run of the VM's process. A change means that the
+	// VM has lost its records.
+	Incarnation uint64
+}
+
+// Peers is an immutable picture of the other entry VMs. VMs that are not in it count as
+// alive, since the published list says so.
+type Peers struct {
+	byID map[fleet.ID]Peer
+}
+
+// NewPeers builds a picture.
+func NewPeers(peers []Peer) *Peers {
+	p := &Peers{byID: make(map[fleet.ID]Peer, len(peers))}
+	for _, peer := range peers {
+		p.byID[peer.ID] = peer
+	}
+	return p
+}
+
+func (p *Peers) find(id fleet.ID) Peer {
+	peer, ok := p.byID[id]
+	if !ok {
+		return Peer{ID: id, Alive: true}
+	}
+	return peer
+}
+
+// Voting is the permission to decide the targets of flows that may not be repeated.
+type Voting struct {
+	// List is the version of the list the permission is for.
+	List uint64
+	// Until is the point from which on the permission has run out.
+	Until clock.Millis
+}
+
+// view is what all shards read. It is immutable and swapped whole.
+type view struct {
+	tables      *table.Snapshot
+	epochs      []epoch // newest first
+	peers       *Peers
+	voting      Voting
+	unsureSince clock.Millis // when this VM last lost sight of the others or its records
+	epochsLost  clock.Millis // when an epoch was dropped for want of room, or 0
+}
+
+func (v *view) ready() bool { return v.tables != nil && len(v.epochs) > 0 }
+
+func (v *view) list() *fleet.List { return v.epochs[0].ranking.List() }
+
+func (v *view) alive(id, self fleet.ID) bool {
+	return id == self || v.peers.find(id).Alive
+}
+
+// signature changes when a holder changes, restarts or comes back, which is when records
+// have to be copied again.
+func (v *view) signature(holders *fleet.Holders) uint32 {
+	var s uint64
+	for i := range holders.Len() {
+		id := holders.At(i)
+		peer := v.peers.find(id)
+		if peer.Alive {
+			s = s*31 + (uint64(id) ^ peer.Incarnation*0x9e3779b97f4a7c15)
+		}
+	}
+	return uint32(s ^ s>>32)
+}
+
+// recent returns the earlier epochs that ended less than span before now.
+func (v *view) recent(now, span clock.Millis) []epoch {
+	for i := 1; i < len(v.epochs); i++ {
+		if now-v.epochs[i].superseded >= span {
+			return v.epochs[1:i]
+		}
+	}
+	return v.epochs[1:]
+}
--- /dev/null
+++ b/flowtable/table_test.go
@@ -0,0 +1,128 @@
+package flowtable_test
+
+import (
+	"flag"
+	"net/netip"
+	"os"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/flowtable"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+func keyOf(n uint32) flow.Key {
+	client := netip.AddrFrom4([4]byte{10, byte(n >> 24), byte(n >> 16), byte(n >> 8)})
+	return flow.NewKey(flow.TCP, flow.NewEndpoint(netip.AddrPortFrom(client, uint16(n))), flow.Endpoint{})
+}
+
+// TestTableAgreesWithMap compares the table with the language's map. Few distinct hashes
+// make long probe runs, which is where deletion goes wrong.
+func TestTableAgreesWithMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := flowtable.New[int]()
+		want := map[flow.Key]int{}
+		hashOf := func(n uint32) uint64 { return uint64(n % 7) }
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				n := rapid.Uint32Range(0, 300).Draw(t, "n")
+				key := keyOf(n)
+				value, added := table.Put(hashOf(n), &key)
+				_, had := want[key]
+				if added == had {
+					t.Fatalf("added is %v where the map had %v", added, had)
+				}
+				*value = int(n)
+				want[key] = int(n)
+			},
+			"delete": func(t *rapid.T) {
+				n := rapid.Uint32Range(0, 300).Draw(t, "n")
+				key := keyOf(n)
+				_, had := want[key]
+				if table.Delete(hashOf(n), &key) != had {
+					t.Fatalf("delete of %d disagrees", n)
+				}
+				delete(want, key)
+			},
+			"": func(t *rapid.T) {
+				if table.Len() != len(want) {
+					t.Fatalf("length %d, want %d", table.Len(), len(want))
+				}
+				for key, value := range want {
+					got := table.Get(hashOf(uint32(value)), &key)
+					if got == nil || *got != value {
+						t.Fatalf("lost %d", value)
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestSweepVisitsAndDeletes(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New[int]()
+	const flows = 5000
+	for n := range uint32(flows) {
+		key := keyOf(n)
+		value, _ := table.Put(key.Hash(1), &key)
+		*value = int(n)
+	}
+	visited := 0
+	position := 0
+	for range 10 {
+		position = table.Sweep(position, flows/10, func(_ uint64, _ *flow.Key, value *int) bool {
+			visited++
+			return *value%2 == 0
+		})
+	}
+	is.Equal(visited, flows)
+	is.Equal(table.Len(), flows/2)
+	is.Equal(position, 0) // back at the start
+}
+
+func BenchmarkGet(b *testing.B) {
+	table := flowtable.New[[56]byte]()
+	const flows = 300_000
+	keys := make([]flow.Key, flows)
+	for n := range uint32(flows) {
+		keys[n] = keyOf(n)
+		table.Put(keys[n].Hash(1), &keys[n])
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		key := &keys[n%flows]
+		table.Get(key.Hash(1), key)
+		n += 7919
+	}
+}
+
+func BenchmarkMemoryOfFlow(b *testing.B) {
+	const flows = 300_000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := flowtable.New[[56]byte]()
+		for n := range uint32(flows) {
+			key := keyOf(n)
+			table.Put(key.Hash(1), &key)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(table)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "bytes/flow")
+}
--- a/steer/message.go
+++ b/steer/message.go
@@ -36,11 +36,13 @@
 	Accept
 	// Reject answers Prepare or Accept when the holder cannot vote for the ballot.
 	Reject
+	// Settled carries decided flows where no other message does.
+	Settled
 )
 
 // String returns the name used in logs and traces.
 func (k Kind) String() string {
-	names := [...]string{"none", "steer", "copy", "ask", "found", "not_found", "repair", "prepare", "promise", "accept", "reject"}
+	names := [...]string{"none", "steer", "copy", "ask", "found", "not_found", "repair", "prepare", "promise", "accept", "reject", "settled"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -218,7 +220,7 @@
 		return errVersion
 	}
 	m.Kind = Kind(r.byte())
-	if m.Kind < Steer || m.Kind > Reject {
+	if m.Kind < Steer || m.Kind > Settled {
 		return errKind
 	}
 	m.Hops = r.byte()
