--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -19,6 +19,13 @@
 //go:embed list.schema.json
 var listSchemaText []byte
 
+//go:embed list_part.schema.json
+var listPartSchemaText []byte
+
+var listPartSchema = sync.OnceValue(func() *strictjson.Schema {
+	return strictjson.MustCompile(listPartSchemaText)
+})
+
 var listSchema = sync.OnceValue(func() *strictjson.Schema {
 	return strictjson.MustCompile(listSchemaText)
 })
@@ -27,17 +34,27 @@
 // the error is a *ProblemsError that names every fault.
 func ParseList(document []byte) (*List, error) {
 	problems := strictjson.NewProblems(result.ListInvalid)
-	value, ok := strictjson.Decode(document, problems)
+	root, ok := listSchema().Read("$", document, problems)
 	if !ok {
 		return nil, problems.Err()
 	}
-	listSchema().Check(value, problems)
-	root := strictjson.NewObject("$", value)
-	vms := checkVMs(root.Objects("vms"), problems)
-	if err := problems.Err(); err != nil {
-		return nil, err
+	c := newListCheck(problems)
+	c.add(root.Objects("vms"))
+	return c.list(uint64(root.Integer("version", 0)))
+}
+
+// ParseListParts reads a published list that is split into parts of the form
+// {"vms": [...]}. It accepts all parts or none.
+func ParseListParts(version uint64, parts []strictjson.Part) (*List, error) {
+	problems := strictjson.NewProblems(result.ListInvalid)
+	c := newListCheck(problems)
+	for i := range parts {
+		root, ok := listPartSchema().Read(parts[i].Name()+":$", parts[i].Document(), problems)
+		if ok {
+			c.add(root.Objects("vms"))
+		}
 	}
-	return NewList(uint64(root.Integer("version", 0)), vms), nil
+	return c.list(version)
 }
 
 // listCheck finds VMs that contradict each other.
@@ -48,22 +65,32 @@
 	data      map[netip.AddrPort]string
 	peer      map[netip.AddrPort]string
 	perDomain map[string]int
+	vms       []VM
 }
 
-func checkVMs(objects []strictjson.Object, problems *strictjson.Problems) []VM {
-	c := listCheck{
+func newListCheck(problems *strictjson.Problems) *listCheck {
+	return &listCheck{
 		problems:  problems,
-		names:     make(map[string]string, len(objects)),
-		ids:       make(map[ID]string, len(objects)),
-		data:      make(map[netip.AddrPort]string, len(objects)),
-		peer:      make(map[netip.AddrPort]string, len(objects)),
+		names:     make(map[string]string),
+		ids:       make(map[ID]string),
+		data:      make(map[netip.AddrPort]string),
+		peer:      make(map[netip.AddrPort]string),
 		perDomain: make(map[string]int),
 	}
-	vms := make([]VM, 0, len(objects))
+}
+
+func (c *listCheck) add(objects []strictjson.Object) {
 	for _, o := range objects {
-		vms = append(vms, c.vm(o))
+		c.vms = append(c.vms, c.vm(o))
+	}
+}
+
+// list returns what was collected, or every fault.
+func (c *listCheck) list(version uint64) (*List, error) {
+	if err := c.problems.Err(); err != nil {
+		return nil, err
 	}
-	return vms
+	return NewList(version, c.vms), nil
 }
 
 func (c *listCheck) vm(o strictjson.Object) VM {
--- a/strictjson/decode.go
+++ b/strictjson/decode.go
@@ -27,20 +27,21 @@
 
 // Decode reads one document into Object, []any, json.Number, string, bool and nil.
 // It reports false when the text is no JSON, so that nothing more can be said of it.
-// Duplicate fields and numbers that are no plain integers are problems as well.
-func Decode(document []byte, problems *Problems) (any, bool) {
+// Duplicate fields and numbers that are no plain integers are problems as well. Paths
+// begin with root, "$" for a document of its own.
+func Decode(root string, document []byte, problems *Problems) (any, bool) {
 	if !utf8.Valid(document) {
-		problems.Add("$", nil, "text is not valid UTF-8")
+		problems.Add(root, nil, "text is not valid UTF-8")
 		return nil, false
 	}
 	d := decoder{json: json.NewDecoder(bytes.NewReader(document)), problems: problems}
 	d.json.UseNumber()
-	value, err := d.value("$", 0)
+	value, err := d.value(root, 0)
 	if err == nil {
 		err = d.end()
 	}
 	if err != nil {
-		problems.Add("$", nil, "not JSON at byte %d: %v", d.json.InputOffset(), err)
+		problems.Add(root, nil, "not JSON at byte %d: %v", d.json.InputOffset(), err)
 		return nil, false
 	}
 	return value, true
--- a/strictjson/object.go
+++ b/strictjson/object.go
@@ -15,6 +15,9 @@
 	return Object{path: path, fields: fields}
 }
 
+// Root returns the path of the object.
+func (o Object) Root() string { return o.path }
+
 // Path returns the path of a field.
 func (o Object) Path(name string) string { return fieldPath(o.path, name) }
 
--- a/strictjson/schema.go
+++ b/strictjson/schema.go
@@ -37,23 +37,24 @@
 	}
 }
 
-// Check adds every fault of the structure of a decoded document to problems.
-func (s *Schema) Check(document any, problems *Problems) {
+// Check adds every fault of the structure of a decoded document to problems. Paths
+// begin with root.
+func (s *Schema) Check(root string, document any, problems *Problems) {
 	var invalid *jsonschema.ValidationError
 	if errors.As(s.compiled.Validate(document), &invalid) {
-		s.collect(document, invalid, problems)
+		s.collect(root, document, invalid, problems)
 	}
 }
 
 // collect adds the innermost causes, which name what is wrong.
-func (s *Schema) collect(document any, e *jsonschema.ValidationError, problems *Problems) {
+func (s *Schema) collect(root string, document any, e *jsonschema.ValidationError, problems *Problems) {
 	for _, cause := range e.Causes {
-		s.collect(document, cause, problems)
+		s.collect(root, document, cause, problems)
 	}
 	if len(e.Causes) > 0 {
 		return
 	}
-	path, value := locate(document, e.InstanceLocation)
+	path, value := locate(root, document, e.InstanceLocation)
 	object := NewObject(path, value)
 	switch k := e.ErrorKind.(type) {
 	case *kind.Required:
@@ -72,8 +73,7 @@
 }
 
 // locate follows a location and returns its path and the value there.
-func locate(value any, location []string) (string, any) {
-	path := "$"
+func locate(path string, value any, location []string) (string, any) {
 	for _, token := range location {
 		switch container := value.(type) {
 		case map[string]any:
--- a/table/build.go
+++ b/table/build.go
@@ -26,14 +26,44 @@
 			spill:     o.Bool("spill", false),
 			slowStart: clock.Millis(o.Integer("slow_start_seconds", defaultSlowStartSeconds)) * clock.Second,
 		}
-		hosts := o.Objects("hosts")
-		for _, h := range hosts {
+		for _, h := range o.Objects("hosts") {
 			pool.hosts = append(pool.hosts, b.host(pool.name, h))
 		}
-		b.pools = append(b.pools, &poolDraft{pool: pool, path: o.Path("name"), hosts: hosts})
+		b.pools = append(b.pools, &poolDraft{
+			pool:      pool,
+			path:      o.Path("name"),
+			hostPaths: []hostPath{{path: o.Path("hosts")}},
+		})
 	}
 }
 
+// mergeFragments joins the pools of the part read last with the same pools of earlier
+// parts.
+func (b *builder) mergeFragments() {
+	kept := b.pools[:b.merged]
+	for _, d := range b.pools[b.merged:] {
+		first, exists := b.earlier[d.pool.name]
+		if !exists {
+			kept = append(kept, d)
+			continue
+		}
+		if !first.pool.hasAttributesOf(d.pool) {
+			b.problems.Add(d.path, d.pool.name, "pool differs from its other part at %s", first.path)
+		}
+		first.hostPaths = append(first.hostPaths, hostPath{start: len(first.pool.hosts), path: d.hostPaths[0].path})
+		first.pool.hosts = append(first.pool.hosts, d.pool.hosts...)
+	}
+	b.pools = kept
+	for _, d := range kept[b.merged:] {
+		b.earlier[d.pool.name] = d
+	}
+	b.merged = len(kept)
+}
+
+func (p *Pool) hasAttributesOf(q *Pool) bool {
+	return p.prefer == q.prefer && p.spill == q.spill && p.slowStart == q.slowStart
+}
+
 func (b *builder) host(pool string, o strictjson.Object) Host {
 	name := o.Text("name", "")
 	generation := uint32(o.Integer("generation", defaultGeneration))
@@ -61,7 +91,7 @@
 			idleTimeout: clock.Millis(o.Integer("idle_timeout_seconds", defaultIdleTimeoutSeconds)) * clock.Second,
 		}
 		r.source = b.source(o, r.destination)
-		b.routes = append(b.routes, &routeDraft{route: r, poolName: o.Text("pool", ""), object: o})
+		b.routes = append(b.routes, &routeDraft{route: r, poolName: o.Text("pool", ""), path: o.Root()})
 	}
 }
 
--- a/table/check.go
+++ b/table/check.go
@@ -29,13 +29,13 @@
 	for _, d := range b.routes {
 		name := d.route.name
 		if first, exists := names[name]; exists && name != "" {
-			b.problems.Add(d.object.Path("name"), name, "name is used already at %s", first)
+			b.problems.Add(d.field("name"), name, "name is used already at %s", first)
 		}
-		names[name] = d.object.Path("name")
+		names[name] = d.field("name")
 		if pool, exists := byName[d.poolName]; exists {
 			d.route.pool = pool.pool
 		} else if d.poolName != "" {
-			b.problems.Add(d.object.Path("pool"), d.poolName, "there is no pool of this name")
+			b.problems.Add(d.field("pool"), d.poolName, "there is no pool of this name")
 		}
 	}
 }
@@ -58,17 +58,17 @@
 		}
 		key := sourceKey{routeKey{r.destination, r.protocol}, r.source}
 		if first, exists := sources[key]; exists {
-			b.problems.Add(d.object.Path("destination"), r.destination.String(),
+			b.problems.Add(d.field("destination"), r.destination.String(),
 				"destination, port, protocol and source are routed already at %s", first)
 		}
-		sources[key] = d.object.Path("destination")
+		sources[key] = d.field("destination")
 		if r.pool == nil {
 			continue
 		}
 		first, exists := served[r.pool]
 		if exists && (first.route.destination != r.destination || first.route.protocol != r.protocol) {
-			b.problems.Add(d.object.Path("pool"), d.poolName,
-				"pool serves another destination, port or protocol already at %s", first.object.Path("pool"))
+			b.problems.Add(d.field("pool"), d.poolName,
+				"pool serves another destination, port or protocol already at %s", first.field("pool"))
 			continue
 		}
 		served[r.pool] = d
@@ -103,7 +103,7 @@
 		if isUnset(d.route.destination) {
 			continue
 		}
-		c.destinations[d.route.destination.AddrPort().Addr()] = d.object.Path("destination")
+		c.destinations[d.route.destination.AddrPort().Addr()] = d.field("destination")
 		if d.route.pool != nil {
 			c.families[d.route.pool] = d.route.destination.Is4()
 		}
@@ -116,18 +116,17 @@
 func (c *hostCheck) pool(d *poolDraft) {
 	names := make(map[string]string, len(d.pool.hosts))
 	for i := range d.pool.hosts {
-		h, o := &d.pool.hosts[i], d.hosts[i]
+		h := &d.pool.hosts[i]
 		if h.name != "" {
-			c.identity(h, o, names)
+			c.identity(h, d.hostPath(i, "name"), names)
 		}
 		if !isUnset(h.endpoint) {
-			c.endpoint(d.pool, h, o)
+			c.endpoint(d.pool, h, d.hostPath(i, "address"))
 		}
 	}
 }
 
-func (c *hostCheck) identity(h *Host, o strictjson.Object, names map[string]string) {
-	path := o.Path("name")
+func (c *hostCheck) identity(h *Host, path string, names map[string]string) {
 	if first, exists := names[h.name]; exists {
 		c.problems.Add(path, h.name, "name is used already at %s", first)
 		return
@@ -140,8 +139,7 @@
 	c.ids[h.id] = path
 }
 
-func (c *hostCheck) endpoint(p *Pool, h *Host, o strictjson.Object) {
-	path := o.Path("address")
+func (c *hostCheck) endpoint(p *Pool, h *Host, path string) {
 	key := replyKey{h.endpoint, h.protocol}
 	if first, exists := c.endpoints[key]; exists {
 		c.problems.Add(path, h.endpoint.String(), "address, port and protocol belong to the host at %s already", first)
--- a/table/parse.go
+++ b/table/parse.go
@@ -20,17 +20,22 @@
 	return strictjson.MustCompile(tableSchemaText)
 })
 
+//go:embed table_part.schema.json
+var tablePartSchemaText []byte
+
+var tablePartSchema = sync.OnceValue(func() *strictjson.Schema {
+	return strictjson.MustCompile(tablePartSchemaText)
+})
+
 // Parse reads the tables. It accepts all of the document or nothing of it, and depends
 // on nothing but the document, so that every daemon decides alike. The error is a
 // *ProblemsError that names every fault.
 func Parse(document []byte) (*Snapshot, error) {
 	problems := strictjson.NewProblems(result.TablesInvalid)
-	value, ok := strictjson.Decode(document, problems)
+	root, ok := tableSchema().Read("$", document, problems)
 	if !ok {
 		return nil, problems.Err()
 	}
-	tableSchema().Check(value, problems)
-	root := strictjson.NewObject("$", value)
 	b := newBuilder(problems)
 	b.addPools(root.Objects("pools"))
 	b.addRoutes(root.Objects("routes"))
@@ -38,28 +43,66 @@
 	return b.snapshot(uint64(root.Integer("version", 0)))
 }
 
+// ParseParts reads tables that are split into parts of the form {"routes": [...],
+// "pools": [...]}, where either may be left out. A large pool may stand in several
+// parts with other hosts in each. It accepts all parts or none.
+func ParseParts(version uint64, parts []strictjson.Part) (*Snapshot, error) {
+	b := newBuilder(strictjson.NewProblems(result.TablesInvalid))
+	for i := range parts {
+		root, ok := tablePartSchema().Read(parts[i].Name()+":$", parts[i].Document(), b.problems)
+		if !ok {
+			continue
+		}
+		b.addPools(root.Objects("pools"))
+		b.addRoutes(root.Objects("routes"))
+		b.mergeFragments()
+	}
+	return b.snapshot(version)
+}
+
 // builder collects routes and pools and the places where they were declared.
 type builder struct {
 	problems *strictjson.Problems
 	pools    []*poolDraft
 	routes   []*routeDraft
 	retired  []retired
+	// earlier holds the pools of the parts before the one read last, merged of them.
+	earlier map[string]*poolDraft
+	merged  int
 }
 
 type poolDraft struct {
-	pool  *Pool
+	pool *Pool
+	path string
+	// hostPaths holds the path of the first host of each part of the pool.
+	hostPaths []hostPath
+}
+
+// hostPath says where the hosts from a position on were declared.
+type hostPath struct {
+	start int
 	path  string
-	hosts []strictjson.Object
+}
+
+// hostPath returns the path of a field of host i.
+func (d *poolDraft) hostPath(i int, field string) string {
+	at := len(d.hostPaths) - 1
+	for d.hostPaths[at].start > i {
+		at--
+	}
+	return strictjson.ElementPath(d.hostPaths[at].path, i-d.hostPaths[at].start) + "." + field
 }
 
 type routeDraft struct {
 	route    *Route
 	poolName string
-	object   strictjson.Object
+	path     string
 }
 
+func (d *routeDraft) field(name string) string { return d.path + "." + name }
+
 func newBuilder(problems *strictjson.Problems) *builder {
-	return &builder{problems: problems}
+	return &builder{problems: problems, earlier: make(map[string]*poolDraft)}
 }
 
 // snapshot joins what was collected, or returns every fault.
--- a/table/retired.go
+++ b/table/retired.go
@@ -31,6 +31,9 @@
 
 func (r *retired) key() replyKey { return replyKey{r.endpoint, r.protocol} }
 
+// HasRetired reports whether the snapshot knows hosts that have left the tables.
+func (s *Snapshot) HasRetired() bool { return len(s.retired) > 0 }
+
 // setHanded stores the retired hosts of a parsed document, whose spans start to run
 // when Succeed puts the snapshot in force.
 func (s *Snapshot) setHanded(hosts []retired) {
