--- /dev/null
+++ b/targets/example_test.go
@@ -0,0 +1,33 @@
+package targets_test
+
+import (
+	"fmt"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/placement"
+	"github.com/almondflow/almondflow/targets"
+)
+
+// A target that refuses its flows is ejected although no probe has failed.
+func ExampleMonitor() {
+	monitor := targets.New(vmID(0))
+	monitor.SetTables(0, newTables(panicker{}, 4, 1))
+	monitor.SetList(0, newList(panicker{}, 1, 1))
+	for now := clock.Second; now <= 2*clock.Second; now += clock.Second {
+		monitor.Evidence(now, []placement.Tally{
+			placement.NewTally(hostID(0), 0, 5, 0),
+			placement.NewTally(hostID(1), 5, 0, 0),
+		})
+		ejected, changed := monitor.Tick(now)
+		fmt.Println(len(ejected), changed)
+	}
+	fmt.Println(monitor.Verdicts()[0].Reason())
+	// Output:
+	// 0 false
+	// 1 true
+	// flows_fail
+}
+
+type panicker struct{}
+
+func (panicker) Fatal(arguments ...any) { panic(fmt.Sprint(arguments...)) }
--- /dev/null
+++ b/targets/passive.go
@@ -0,0 +1,118 @@
+package targets
+
+import (
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/placement"
+)
+
+const (
+	// passiveOpenings is the number of openings from which a conclusion is drawn.
+	passiveOpenings = 5
+	// passiveSpan is how long openings are gathered for a conclusion.
+	passiveSpan = 30 * clock.Second
+	// passiveFall is the number of bad conclusions in a row that eject a target.
+	passiveFall = 2
+	// goodDivisor bounds the failures of a good conclusion: one in so many openings.
+	goodDivisor = 5
+	// badDivisor is the same for a bad conclusion. Between the two nothing is concluded.
+	badDivisor = 2
+	// answerSpan is how long a good conclusion speaks against failed probes.
+	answerSpan = 10 * clock.Second
+	// backoffBase is how long a target is first ejected. Each time doubles it.
+	backoffBase = 10 * clock.Second
+	// backoffMost bounds the doubling.
+	backoffMost = 5 * clock.Minute
+)
+
+// passive is what the flows of one target show.
+type passive struct {
+	since    clock.Millis
+	answered int64
+	resets   int64
+	silences int64
+
+	streak uint8
+	// ejections counts the ejections since the target last did well.
+	ejections uint8
+	down      bool
+	// silent says that the last bad conclusion came from silence more than resets.
+	silent bool
+	// until is when an ejected target is tried again.
+	until clock.Millis
+	// goodAt is the time of the last good conclusion.
+	goodAt clock.Millis
+	isGood bool
+}
+
+// add takes evidence and reports whether the state changed.
+func (p *passive) add(now clock.Millis, t *placement.Tally) bool {
+	if now-p.since > passiveSpan {
+		p.clear(now)
+	}
+	p.answered += t.Answered()
+	p.resets += t.Resets()
+	p.silences += t.Silences()
+	failures := p.resets + p.silences
+	openings := p.answered + failures
+	if openings < passiveOpenings {
+		return false
+	}
+	silent := p.silences > p.resets
+	p.clear(now)
+	switch {
+	case failures*goodDivisor <= openings:
+		return p.good(now)
+	case failures*badDivisor >= openings:
+		return p.bad(now, silent)
+	default:
+		p.streak = 0
+		return false
+	}
+}
+
+func (p *passive) clear(now clock.Millis) {
+	p.since, p.answered, p.resets, p.silences = now, 0, 0, 0
+}
+
+func (p *passive) good(now clock.Millis) bool {
+	changed := p.down || !p.answers(now)
+	p.isGood, p.goodAt = true, now
+	p.streak, p.ejections, p.down = 0, 0, false
+	return changed
+}
+
+func (p *passive) bad(now clock.Millis, silent bool) bool {
+	wasGood := p.isGood
+	p.isGood, p.silent = false, silent
+	if p.down {
+		return wasGood
+	}
+	p.streak++
+	if p.streak < passiveFall {
+		return wasGood
+	}
+	p.down, p.streak = true, 0
+	p.until = now + min(backoffBase<<min(p.ejections, 10), backoffMost)
+	p.ejections = min(p.ejections+1, 10)
+	return true
+}
+
+// answers reports whether the target did well lately.
+func (p *passive) answers(now clock.Millis) bool {
+	return p.isGood && now-p.goodAt <= answerSpan
+}
+
+// tick ends an ejection that is over, and reports whether the state changed. The target
+// is on trial then: one more bad conclusion ejects it again.
+func (p *passive) tick(now clock.Millis) bool {
+	if !p.down || now < p.until {
+		return false
+	}
+	p.readmit()
+	return true
+}
+
+// readmit puts an ejected target on trial.
+func (p *passive) readmit() {
+	p.down, p.streak = false, passiveFall-1
+}
