Add the membership and lease state machine

Cause: daemons need to know whom they reach, which versions their peers have, and when they may place flows that must not be repeated. Change: package member holds probes, suspicion, digests with pulls, a lease with change of lists, quarantine and a control budget, as a deterministic machine; tests run it under loss, delay, partition, pause, skew and restart.

--- /dev/null
+++ b/member/probe.go
@@ -0,0 +1,154 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+)
+
+// probe is a Probe that waits for its Answer.
+type probe struct {
+	sequence uint64
+	target   fleet.ID
+	sent     clock.Millis
+	indirect bool // other members were asked to probe
+	// requester and requested are the daemon that asked for the probe and its sequence
+	// number; requester is 0 for the daemon's own probes.
+	requester fleet.ID
+	requested uint64
+}
+
+// maximumOutstanding bounds the probes that wait, those for others included.
+const maximumOutstanding = 64
+
+func (m *Machine) probeNext(now clock.Millis) {
+	if now < m.nextProbe {
+		return
+	}
+	m.nextProbe = max(m.nextProbe+m.period, now)
+	if target, ok := m.nextTarget(); ok {
+		m.sendProbe(now, probe{target: target})
+	}
+}
+
+// nextTarget walks the members in random order, so that each is probed once a round.
+func (m *Machine) nextTarget() (fleet.ID, bool) {
+	if len(m.peers) == 0 {
+		return 0, false
+	}
+	if m.next >= len(m.order) || len(m.order) == 0 {
+		m.shuffle()
+	}
+	m.next++
+	return m.order[m.next-1], true
+}
+
+func (m *Machine) shuffle() {
+	m.order = m.order[:0]
+	vms := m.list.VMs()
+	for i := range vms {
+		if id := vms[i].ID(); m.peers[id] != nil {
+			m.order = append(m.order, id)
+		}
+	}
+	m.random.Shuffle(len(m.order), func(i, j int) {
+		m.order[i], m.order[j] = m.order[j], m.order[i]
+	})
+	m.next = 0
+}
+
+func (m *Machine) sendProbe(now clock.Millis, p probe) {
+	if len(m.outstanding) >= maximumOutstanding {
+		return
+	}
+	m.sequence++
+	p.sequence = m.sequence
+	p.sent = now
+	if m.send(now, p.target, m.compose(now, Probe, p.target, p.sequence)) {
+		m.outstanding = append(m.outstanding, p)
+	}
+}
+
+// expireProbes asks others about members that stay silent and suspects those that they
+// do not reach either.
+func (m *Machine) expireProbes(now clock.Millis) {
+	for i := range m.outstanding {
+		p := &m.outstanding[i]
+		if p.requester == 0 && !p.indirect && now-p.sent >= directTimeout {
+			p.indirect = true
+			m.askOthers(now, p.target, p.sequence)
+		}
+	}
+	for _, p := range m.outstanding {
+		if p.requester == 0 && now-p.sent >= probeTimeout {
+			m.suspect(now, p.target)
+		}
+	}
+	m.outstanding = slices.DeleteFunc(m.outstanding, func(p probe) bool {
+		return now-p.sent >= probeTimeout
+	})
+}
+
+func (m *Machine) askOthers(now clock.Millis, target fleet.ID, sequence uint64) {
+	if m.peers[target].status != Alive {
+		return
+	}
+	asked := 0
+	for range len(m.order) {
+		if asked == indirectProbes {
+			return
+		}
+		helper := m.randomAlive()
+		if helper == 0 || helper == target {
+			continue
+		}
+		request := m.compose(now, ProbeRequest, helper, sequence)
+		request.Subject = target
+		m.send(now, helper, request)
+		asked++
+	}
+}
+
+// randomAlive returns a random member, or 0 when it is not alive.
+func (m *Machine) randomAlive() fleet.ID {
+	id := m.order[m.random.IntN(len(m.order))]
+	if m.peers[id].status != Alive {
+		return 0
+	}
+	return id
+}
+
+// probeFor probes a member in the place of another daemon.
+func (m *Machine) probeFor(now clock.Millis, from fleet.ID, message *Message) {
+	if m.peers[message.Subject] == nil || m.peers[from] == nil {
+		return
+	}
+	m.sendProbe(now, probe{target: message.Subject, requester: from, requested: message.Sequence})
+}
+
+func (m *Machine) receiveAnswer(now clock.Millis, from fleet.ID, message *Message) {
+	at := slices.IndexFunc(m.outstanding, func(p probe) bool {
+		return p.sequence == message.Sequence && p.target == from
+	})
+	if at < 0 {
+		return
+	}
+	p := m.outstanding[at]
+	m.outstanding = slices.Delete(m.outstanding, at, at+1)
+	m.resume(now)
+	m.record(now, from, p.sent, message)
+	if p.requester != 0 && m.peers[p.requester] != nil {
+		report := m.compose(now, ProbeReport, p.requester, p.requested)
+		report.Subject = from
+		m.send(now, p.requester, report)
+	}
+}
+
+// receiveReport ends a probe that another member saw answered. It supports no lease,
+// which needs answers to this daemon's own probes.
+func (m *Machine) receiveReport(message *Message) {
+	m.outstanding = slices.DeleteFunc(m.outstanding, func(p probe) bool {
+		return p.sequence == message.Sequence && p.target == message.Subject
+	})
+}
--- /dev/null
+++ b/member/settle.go
@@ -0,0 +1,187 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/almondflow/almondflow/clock"
+)
+
+// coldFraction is the part of the list that must have started afresh for a cold start.
+const (
+	coldNumerator   = 3
+	coldDenominator = 4
+)
+
+// hearSettled takes over what an established member found out: that nobody votes under
+// lower lists stays true for good, so it may be passed on.
+func (m *Machine) hearSettled(now clock.Millis, message *Message) {
+	if message.Established {
+		m.raiseSettled(now, message.Settled)
+	}
+}
+
+func (m *Machine) raiseSettled(now clock.Millis, version uint64) {
+	l := &m.lease
+	if version <= l.settled {
+		return
+	}
+	l.settled = version
+	l.stack = slices.DeleteFunc(l.stack, func(p predecessor) bool { return p.version < version })
+	m.sink.Event(Event{At: now, Kind: ListSettled, Name: ListName, Version: version})
+}
+
+// establish ends the time in which this process must not be counted by others. Its
+// predecessor on the VM may have said that it is on a newer list than the one that this
+// process was given, so it first hears more than half of its list.
+func (m *Machine) establish(now clock.Millis) {
+	l := &m.lease
+	if l.established || m.list == nil || !m.listed || m.paused {
+		return
+	}
+	if now-m.started < m.quarantine {
+		return
+	}
+	switch {
+	case m.heardEstablished():
+	case m.faults.noRecovery || m.heardColdStart():
+		if l.settled == 0 {
+			m.raiseSettled(now, m.listVersion())
+		}
+	default:
+		return
+	}
+	l.established = true
+	m.sink.Event(Event{At: now, Kind: Established, Version: m.listVersion()})
+}
+
+// heardEstablished tells whether more than half of the list are established and on no
+// newer list. Only probes sent after the quarantine count: by then, whoever counted the
+// previous process of this VM has made up its mind.
+func (m *Machine) heardEstablished() bool {
+	version := m.listVersion()
+	count := 0
+	for id, e := range m.lease.evidence {
+		if e.list > version {
+			return false
+		}
+		if e.established && m.isElector(id) && e.sent >= m.started+m.quarantine {
+			count++
+		}
+	}
+	return count > m.electorate()/2
+}
+
+// heardColdStart tells whether the fleet as a whole has just started: three quarters of
+// the list are past their quarantine on the same list and remember no other.
+func (m *Machine) heardColdStart() bool {
+	version := m.listVersion()
+	count := 1
+	for id, e := range m.lease.evidence {
+		switch {
+		case e.list > version, e.established && e.age >= coldSpan:
+			return false
+		case e.list == version && e.age >= m.quarantine && m.isElector(id):
+			count++
+		}
+	}
+	return count*coldDenominator >= m.electorate()*coldNumerator
+}
+
+// settle finds out that nobody votes under an older list any more: enough members of
+// every older list were heard on this one, and the leases that they may have supported
+// before have run out.
+func (m *Machine) settle(now clock.Millis) {
+	l := &m.lease
+	if m.list == nil || !l.established || m.paused || l.settled == 0 || l.settled >= m.listVersion() {
+		return
+	}
+	if !l.moved {
+		l.moved = m.predecessorsMoved()
+		l.movedAt = now
+	}
+	wait := prolong(m.leaseSpan)
+	if m.faults.noChangeWait {
+		wait = 0
+	}
+	if l.moved && now-l.movedAt >= wait {
+		m.raiseSettled(now, m.listVersion())
+	}
+}
+
+// predecessorsMoved checks every version from the settled one up to the list in force.
+func (m *Machine) predecessorsMoved() bool {
+	l := &m.lease
+	version := m.listVersion()
+	if version-l.settled > maximumStack {
+		return false
+	}
+	for v := l.settled; v < version; v++ {
+		p := l.find(v)
+		if p != nil {
+			if !m.mostOf(p, func(e evidence) bool { return e.list == version }) {
+				return false
+			}
+			continue
+		}
+		if v == l.settled || !m.neverSettled(v) {
+			return false
+		}
+	}
+	return true
+}
+
+// neverSettled tells whether a version that this daemon was never on can have been voted
+// under. Whoever wanted to would have needed more than half of each earlier list on it,
+// but more than half passed it over.
+func (m *Machine) neverSettled(skipped uint64) bool {
+	if m.faults.ignoreSkipped {
+		return true
+	}
+	version := m.listVersion()
+	for i := range m.lease.stack {
+		p := &m.lease.stack[i]
+		if p.version > skipped {
+			break
+		}
+		passedOver := func(e evidence) bool {
+			return e.list == version && e.previous != 0 && e.previous < skipped
+		}
+		if !m.mostOf(p, passedOver) {
+			return false
+		}
+	}
+	return true
+}
+
+// mostOf tells whether more than half of an older list said something. VMs that the
+// operator marked lost are left out.
+func (m *Machine) mostOf(p *predecessor, said func(evidence) bool) bool {
+	total, count := 0, 0
+	for _, id := range p.members {
+		if _, lost := m.lease.lost[id]; lost {
+			continue
+		}
+		total++
+		e, heard := m.lease.evidence[id]
+		if id == m.self {
+			e, heard = m.ownEvidence(), true
+		}
+		if heard && said(e) {
+			count++
+		}
+	}
+	return total == 0 || count > total/2
+}
+
+func (m *Machine) ownEvidence() evidence {
+	return evidence{list: m.listVersion(), previous: m.lease.previous, established: m.lease.established}
+}
+
+func (l *lease) find(version uint64) *predecessor {
+	for i := range l.stack {
+		if l.stack[i].version == version {
+			return &l.stack[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,77 @@
+package member
+
+import "github.com/almondflow/almondflow/fleet"
+
+// View is an immutable snapshot of what a daemon believes of the listed VMs. Only what
+// deviates from a healthy fleet is stored, so that a change costs little to publish.
+type View struct {
+	version         uint64
+	self            fleet.ID
+	selfQuarantined bool
+	list            *fleet.List
+	down            map[fleet.ID]Status
+	quarantined     map[fleet.ID]struct{}
+}
+
+// Version rises with every change of the view.
+func (v *View) Version() uint64 { return v.version }
+
+// Alive tells whether packets may be passed to a VM: it is listed, not marked lost, and
+// neither unreachable nor gone. Suspected members count as alive until their time to
+// refute is over. The daemon itself is always alive.
+func (v *View) Alive(id fleet.ID) bool {
+	if id == v.self {
+		return true
+	}
+	if v.list == nil || v.down[id] >= Unreachable {
+		return false
+	}
+	vm, listed := v.list.Find(id)
+	return listed && vm.State() != fleet.Lost
+}
+
+// Quarantined tells whether a VM's process is known to be younger than the quarantine.
+func (v *View) Quarantined(id fleet.ID) bool {
+	if id == v.self {
+		return v.selfQuarantined
+	}
+	_, fresh := v.quarantined[id]
+	return fresh
+}
+
+// Status returns what is believed of a listed VM. Members without news are alive.
+func (v *View) Status(id fleet.ID) Status {
+	if status, ok := v.down[id]; ok {
+		return status
+	}
+	return Alive
+}
+
+// View returns the current snapshot.
+func (m *Machine) View() *View {
+	if !m.dirty {
+		return m.view
+	}
+	v := &View{
+		version:         1,
+		self:            m.self,
+		selfQuarantined: m.lastTick-m.started < m.quarantine,
+		list:            m.list,
+		down:            make(map[fleet.ID]Status),
+		quarantined:     make(map[fleet.ID]struct{}, len(m.fresh)),
+	}
+	if m.view != nil {
+		v.version = m.view.version + 1
+	}
+	for id, p := range m.peers {
+		if p.status != Alive {
+			v.down[id] = p.status
+		}
+	}
+	for id := range m.fresh {
+		v.quarantined[id] = struct{}{}
+	}
+	m.view = v
+	m.dirty = false
+	return v
+}
