Keep the ends of a packet instead of its key

Parsing built the flow key up to three times. The header now keeps its two endpoints and builds the key when it is asked for.

--- a/packet/builder.go
+++ b/packet/builder.go
@@ -166,7 +166,7 @@
 }
 
 func (p *Packet) reverseKey(protocol flow.Protocol) flow.Key {
-	return flow.NewKey(protocol, p.outer.key.Destination(), p.outer.key.Source())
+	return flow.NewKey(protocol, p.outer.ends[destination], p.outer.ends[source])
 }
 
 // takeBuilder returns a builder with the IP header of the key's addresses.
--- a/packet/icmp.go
+++ b/packet/icmp.go
@@ -22,6 +22,7 @@
 	}
 	p.payload = len(message) - icmpHeaderSize
 	p.outer.checksum = p.outer.transport + icmpChecksum
+	p.outer.readEnds(p.bytes)
 	return p.decodeEmbedded()
 }
 
@@ -80,6 +81,6 @@
 	default:
 		return errMessage
 	}
-	h.setPorts(quoted)
+	h.readEnds(p.bytes)
 	return nil
 }
--- a/packet/packet.go
+++ b/packet/packet.go
@@ -45,7 +45,8 @@
 
 // header locates the fields of one IP packet in the bytes of a Packet.
 type header struct {
-	key       flow.Key
+	// ends are the endpoints by side.
+	ends      [2]flow.Endpoint
 	protocol  flow.Protocol
 	version   uint8
 	network   int
@@ -55,12 +56,16 @@
 	checksum int
 }
 
+func (h *header) key() flow.Key {
+	return flow.NewKey(h.protocol, h.ends[source], h.ends[destination])
+}
+
 // Bytes returns the packet without anything that followed its IP length.
 func (p *Packet) Bytes() []byte { return p.bytes }
 
 // Key returns the endpoints and protocol that stand in the header. The ports of an
 // ICMP error are 0.
-func (p *Packet) Key() flow.Key { return p.outer.key }
+func (p *Packet) Key() flow.Key { return p.outer.key() }
 
 // Flags returns the TCP flags, or 0 for other protocols.
 func (p *Packet) Flags() Flags { return p.flags }
@@ -71,7 +76,7 @@
 // ICMPError returns the key in the header of the packet that an ICMP error quotes. It
 // reports false when the packet is not an ICMP error.
 func (p *Packet) ICMPError() (flow.Key, bool) {
-	return p.embedded.key, p.embedded.version != 0
+	return p.embedded.key(), p.embedded.version != 0
 }
 
 // SetTruncated implements gopacket.DecodeFeedback.
--- a/packet/parse.go
+++ b/packet/parse.go
@@ -18,10 +18,16 @@
 	icmpHeaderSize = 8
 	// quotedSize is what an ICMP error quotes at least of a transport header.
 	quotedSize = 8
+
+	ip4AddressSize = 4
+	ip6AddressSize = 16
+	portSize       = 2
 )
 
-// Offsets of fields in bytes.
+// Offsets of fields in bytes. The destination follows the source.
 const (
+	ip4Source      = 12
+	ip6Source      = 8
 	ip6NextHeader  = 6
 	ip4Checksum    = 10
 	tcpChecksum    = 16
@@ -93,7 +99,6 @@
 	if h.protocol == flow.ICMPv6 {
 		return errProtocol
 	}
-	h.key = flow.NewKey(h.protocol, endpoint(p.ip4.SrcIP), endpoint(p.ip4.DstIP))
 	return nil
 }
 
@@ -113,7 +118,6 @@
 	}
 	h.transport = h.network + ip6HeaderSize
 	h.end = h.transport + len(p.ip6.Payload)
-	h.key = flow.NewKey(h.protocol, endpoint(p.ip6.SrcIP), endpoint(p.ip6.DstIP))
 	return nil
 }
 
@@ -144,7 +148,7 @@
 	p.flags = Flags(segment[tcpFlags]) & flagMask
 	p.payload = len(segment) - size
 	p.outer.checksum = p.outer.transport + tcpChecksum
-	p.outer.setPorts(segment)
+	p.outer.readEnds(p.bytes)
 	return nil
 }
 
@@ -161,7 +165,7 @@
 		return errLength
 	}
 	p.payload = len(p.udp.Payload)
-	p.outer.setPorts(datagram)
+	p.outer.readEnds(p.bytes)
 	if p.udp.Checksum != 0 {
 		p.outer.checksum = p.outer.transport + udpChecksum
 		return nil
@@ -172,22 +176,24 @@
 	return nil
 }
 
-// setPorts completes the key with the ports that start a TCP or UDP header.
-func (h *header) setPorts(segment []byte) {
-	source, destination := h.key.Source(), h.key.Destination()
-	h.key = flow.NewKey(h.protocol,
-		flow.EndpointOf(source.Address16(), binary.BigEndian.Uint16(segment)),
-		flow.EndpointOf(destination.Address16(), binary.BigEndian.Uint16(segment[2:])))
+// readEnds takes the endpoints from the IP header and the ports that start a TCP or UDP
+// header.
+func (h *header) readEnds(b []byte) {
+	for s := range h.ends {
+		var port uint16
+		if h.hasPorts() {
+			port = binary.BigEndian.Uint16(b[h.transport+portSize*s:])
+		}
+		a := [16]byte{10: 0xff, 11: 0xff}
+		if h.version == 6 {
+			copy(a[:], b[h.network+ip6Source+ip6AddressSize*s:])
+		} else {
+			copy(a[12:], b[h.network+ip4Source+ip4AddressSize*s:])
+		}
+		h.ends[s] = flow.EndpointOf(a, port)
+	}
 }
 
-// endpoint converts an address of 4 or 16 bytes. The port is set later.
-func endpoint(address []byte) flow.Endpoint {
-	var a [16]byte
-	if len(address) == len(a) {
-		copy(a[:], address)
-		return flow.EndpointOf(a, 0)
-	}
-	a[10], a[11] = 0xff, 0xff
-	copy(a[12:], address)
-	return flow.EndpointOf(a, 0)
+func (h *header) hasPorts() bool {
+	return h.protocol == flow.TCP || h.protocol == flow.UDP
 }
--- a/packet/rewrite.go
+++ b/packet/rewrite.go
@@ -54,8 +54,8 @@
 // too when the target sent it. It reports false and changes nothing when the packet is
 // no ICMP error or of the other IP version.
 func (p *Packet) ErrorToClient(routed flow.Endpoint) bool {
-	target := p.embedded.key.Destination()
-	sender := p.outer.key.Source()
+	target := p.embedded.ends[destination]
+	sender := p.outer.ends[source]
 	if !p.SetEmbeddedDestination(routed) {
 		return false
 	}
@@ -87,14 +87,14 @@
 	if !h.hasPorts() {
 		e = flow.EndpointOf(a, 0)
 	}
-	h.setEndpoint(s, e)
+	h.ends[s] = e
 	if h.version == 6 {
-		from := h.network + 8 + 16*int(s)
-		c := replace(p.bytes[from:from+16], a[:])
+		from := h.network + ip6Source + ip6AddressSize*int(s)
+		c := replace(p.bytes[from:from+ip6AddressSize], a[:])
 		return c + p.rewriteTransport(h, s, c, e), true
 	}
-	from := h.network + 12 + 4*int(s)
-	c := replace(p.bytes[from:from+4], a[12:])
+	from := h.network + ip4Source + ip4AddressSize*int(s)
+	c := replace(p.bytes[from:from+ip4AddressSize], a[12:])
 	total := c + c.adjust(p.bytes[h.network+ip4Checksum:][:2])
 	return total + p.rewriteTransport(h, s, c, e), true
 }
@@ -106,8 +106,8 @@
 	if h.hasPorts() {
 		var b [2]byte
 		binary.BigEndian.PutUint16(b[:], e.Port())
-		from := h.transport + 2*int(s)
-		port = replace(p.bytes[from:from+2], b[:])
+		from := h.transport + portSize*int(s)
+		port = replace(p.bytes[from:from+portSize], b[:])
 	}
 	if h.checksum == 0 || h.protocol == flow.ICMP {
 		return port
@@ -118,15 +118,3 @@
 	}
 	return port + (address + port).adjust(field)
 }
-
-func (h *header) hasPorts() bool {
-	return h.protocol == flow.TCP || h.protocol == flow.UDP
-}
-
-func (h *header) setEndpoint(s side, e flow.Endpoint) {
-	if s == source {
-		h.key = flow.NewKey(h.protocol, e, h.key.Destination())
-		return
-	}
-	h.key = flow.NewKey(h.protocol, h.key.Source(), e)
-}
