--- a/strictjson/problem.go
+++ b/strictjson/problem.go
@@ -66,8 +66,12 @@
 type Problems struct {
 	code     result.Code
 	problems []Problem
+	isSecret bool
 }
 
+// HideValues keeps the values of a document that holds secrets out of its faults.
+func (p *Problems) HideValues() { p.isSecret = true }
+
 // NewProblems returns an empty collection whose faults carry the code.
 func NewProblems(code result.Code) *Problems {
 	return &Problems{code: code}
@@ -75,6 +79,9 @@
 
 // Add records a fault. A nil value means that there is none to quote.
 func (p *Problems) Add(path string, value any, format string, arguments ...any) {
+	if p.isSecret {
+		value = nil
+	}
 	p.problems = append(p.problems, Problem{
 		path:   path,
 		value:  quote(value),
--- a/strictjson/schema.go
+++ b/strictjson/schema.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"maps"
 	"strconv"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -67,6 +68,8 @@
 		}
 	case *kind.Type:
 		problems.Add(path, value, "must be %s, not %s", k.Want[0], k.Got)
+	case *kind.Pattern:
+		problems.Add(path, value, "must match %s", k.Want)
 	default:
 		problems.Add(path, value, "%s", k.LocalizedString(s.printer))
 	}
@@ -90,3 +93,27 @@
 	}
 	return path, value
 }
+
+// Defaults returns the default values that the schema text gives for the fields of the
+// document.
+func Defaults(schema []byte) map[string]any {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		panic(err) // an embedded schema that MustCompile refuses as well
+	}
+	properties := NewObject("$", document).Object("properties")
+	defaults := make(map[string]any)
+	for name := range properties.fields {
+		if value, exists := properties.Object(name).fields["default"]; exists {
+			defaults[name] = value
+		}
+	}
+	return defaults
+}
+
+// WithDefaults returns the object with the defaults in place of fields that it lacks.
+func (o Object) WithDefaults(defaults map[string]any) Object {
+	fields := maps.Clone(defaults)
+	maps.Copy(fields, o.fields)
+	return Object{path: o.path, fields: fields}
+}
