Send and receive datagrams in batches

The workers need batch reads and writes without an allocation a packet. Writes use WriteBatch of golang.org/x/net; reads call recvmmsg, since ReadBatch allocates twice for each address. The kernel picks a worker by the inner flow through a small BPF program. A packet that does not fit with its message is answered as too big.

--- /dev/null
+++ b/fabric/bench_test.go
@@ -0,0 +1,109 @@
+package fabric_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/almondflow/almondflow/fabric"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/geneve"
+	"github.com/almondflow/almondflow/result"
+	"github.com/almondflow/almondflow/steer"
+)
+
+// window is the number of datagrams under way, few enough for the sockets' buffers.
+const window = 64
+
+// bareForwarder sends each datagram on to a fixed address with the standard library.
+func bareForwarder(socket *net.UDPConn, to netip.AddrPort) {
+	buffer := make([]byte, 9000)
+	for {
+		n, _, err := socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if _, err = socket.WriteToUDPAddrPort(buffer[:n], to); err != nil {
+			return
+		}
+	}
+}
+
+// batchForwarder does the same with batches and decodes nothing.
+func batchForwarder(conn fabric.Conn, to netip.AddrPort) {
+	in, out := fabric.NewBatch(window, 9000), fabric.NewBatch(window, 9000)
+	for conn.Read(in) == nil {
+		out.Reset()
+		for i := range in.Len() {
+			out.Add(append(out.Next(), in.Datagram(i)...), to)
+		}
+		_, _ = conn.Write(out)
+	}
+}
+
+// pump sends at least count datagrams through a forwarder and returns the time it took.
+func pump(b *testing.B, driver fabric.Conn, forwarder netip.AddrPort, datagram []byte, count int) time.Duration {
+	b.Helper()
+	out, in := fabric.NewBatch(window, 9000), fabric.NewBatch(window, 9000)
+	start := time.Now()
+	for sent := 0; sent < count; sent += window {
+		out.Reset()
+		for range window {
+			out.Add(append(out.Next(), datagram...), forwarder)
+		}
+		if _, err := driver.Write(out); err != nil {
+			b.Fatal(err)
+		}
+		for received := 0; received < window; received += in.Len() {
+			if err := driver.Read(in); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	return time.Since(start)
+}
+
+// BenchmarkForward sends packets over loopback through a Worker, and in the same run
+// through forwarders that know nothing of Geneve. The ratios are of packets a second.
+func BenchmarkForward(b *testing.B) {
+	keys := newKeys(b)
+	self := fleet.NewID("a")
+	forward := fabric.HandlerFunc(func(_ netip.AddrPort, _ *steer.Message, inner []byte, s *fabric.Sender) result.Code {
+		s.Fabric(inner)
+		return result.Forwarded
+	})
+	packet := inner(1, 1200)
+	encoder := geneve.NewEncoder(0, keys)
+	cases := []struct {
+		name     string
+		datagram []byte
+	}{
+		{"fabric", encoder.AppendFabric(nil, packet)},
+		{"peer", encoder.AppendPeer(nil, self, &steer.Message{Kind: steer.Steer}, packet)},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			driver := listen(b, "127.0.0.1:0", 1)[0]
+			conn, batched := listen(b, "127.0.0.1:0", 1)[0], listen(b, "127.0.0.1:0", 1)[0]
+			bare, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = bare.Close() }()
+			go func() { _ = fabric.NewGateway(self, driver.Address(), keys).Worker(conn).Run(forward) }()
+			go bareForwarder(bare, driver.Address())
+			go batchForwarder(batched, driver.Address())
+
+			b.ReportAllocs()
+			b.ResetTimer()
+			took := pump(b, driver, conn.Address(), c.datagram, b.N)
+			b.StopTimer()
+			bareTook := pump(b, driver, bare.LocalAddr().(*net.UDPAddr).AddrPort(), c.datagram, b.N)
+			batchTook := pump(b, driver, batched.Address(), c.datagram, b.N)
+			b.ReportMetric(float64(b.N)/took.Seconds(), "packets/s")
+			b.ReportMetric(bareTook.Seconds()/took.Seconds(), "of-bare")
+			b.ReportMetric(batchTook.Seconds()/took.Seconds(), "of-batched")
+		})
+	}
+}
--- /dev/null
+++ b/fabric/receiver_other.go
@@ -0,0 +1,25 @@
+//go:build !linux
+
+package fabric
+
+import (
+	"net"
+	"syscall"
+)
+
+// receiver reads one datagram at a time where there is no recvmmsg.
+type receiver struct {
+	slots []slot
+}
+
+func (r *receiver) init(slots []slot) { r.slots = slots }
+
+// read fills the first slot.
+func (r *receiver) read(socket *net.UDPConn, _ syscall.RawConn) (int, error) {
+	n, from, err := socket.ReadFromUDPAddrPort(r.slots[0].buffer)
+	if err != nil {
+		return 0, err
+	}
+	r.slots[0].set(n, from)
+	return 1, nil
+}
--- /dev/null
+++ b/fabric/udp_test.go
@@ -0,0 +1,108 @@
+package fabric_test
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/fabric"
+	"github.com/almondflow/almondflow/geneve"
+)
+
+func listen(t testing.TB, address string, workers int) []*fabric.UDP {
+	t.Helper()
+	conns, err := fabric.Listen(t.Context(), netip.MustParseAddrPort(address), workers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	})
+	return conns
+}
+
+func TestBatchesPassSockets(t *testing.T) {
+	for _, address := range []string{"127.0.0.1:0", "[::1]:0"} {
+		t.Run(address, func(t *testing.T) {
+			is := is.New(t)
+			from, to := listen(t, address, 1)[0], listen(t, address, 1)[0]
+			out, in := fabric.NewBatch(4, 100), fabric.NewBatch(4, 10)
+			nowhere := netip.AddrPortFrom(to.Address().Addr(), 0)
+			is.True(out.Add(append(out.Next(), "refused"...), nowhere))
+			is.True(out.Add(append(out.Next(), "short"...), to.Address()))
+			is.True(out.Add(append(out.Next(), "longer than ten"...), to.Address()))
+			is.True(!out.Add(make([]byte, 101), to.Address()))
+			refused, err := from.Write(out)
+			is.Equal(refused, 1)
+			is.True(err != nil)
+			var got []string
+			for len(got) < 2 {
+				is.NoErr(to.Read(in))
+				for i := range in.Len() {
+					got = append(got, string(in.Datagram(i)))
+					is.Equal(in.Address(i), from.Address())
+					is.Equal(in.IsCut(i), len(got) == 2)
+				}
+			}
+			is.Equal(got, []string{"short", "longer tha"})
+		})
+	}
+}
+
+func TestClosedConnEndsReads(t *testing.T) {
+	is := is.New(t)
+	conn := listen(t, "127.0.0.1:0", 1)[0]
+	worker := fabric.NewGateway(1, conn.Address(), newKeys(t)).Worker(conn)
+	var done sync.WaitGroup
+	var err error
+	done.Go(func() { err = worker.Run(nil) })
+	is.NoErr(conn.Close())
+	done.Wait()
+	is.NoErr(err)
+}
+
+func TestPacketsOfAFlowMeetTheSameWorker(t *testing.T) {
+	const workers, flows, repeats = 4, 32, 2
+	conns := listen(t, "127.0.0.1:0", workers)
+	from := listen(t, "127.0.0.1:0", 1)[0]
+	encoder := geneve.NewEncoder(0, newKeys(t))
+	out := fabric.NewBatch(flows*repeats, 500)
+	for i := range flows * repeats {
+		out.Add(encoder.AppendFabric(out.Next(), inner(uint16(i%flows), 10)), conns[0].Address())
+	}
+	if _, err := from.Write(out); err != nil {
+		t.Fatal(err)
+	}
+	type arrival struct {
+		worker int
+		flow   string
+	}
+	arrivals := make(chan arrival, flows*repeats)
+	for w, c := range conns {
+		go func() {
+			in := fabric.NewBatch(8, 500)
+			for c.Read(in) == nil {
+				for i := range in.Len() {
+					arrivals <- arrival{w, string(in.Datagram(i))}
+				}
+			}
+		}()
+	}
+	workerOf := make(map[string]int)
+	loads := make(map[int]int)
+	for range flows * repeats {
+		a := <-arrivals
+		if w, known := workerOf[a.flow]; known && w != a.worker {
+			t.Fatalf("a flow met workers %d and %d", w, a.worker)
+		}
+		workerOf[a.flow] = a.worker
+		loads[a.worker]++
+	}
+	if len(loads) != workers {
+		t.Fatalf("loads of workers are %v", loads)
+	}
+}
--- a/packet/builder.go
+++ b/packet/builder.go
@@ -1,7 +1,6 @@
 package packet
 
 import (
-	"encoding/binary"
 	"sync"
 
 	"github.com/gopacket/gopacket"
@@ -13,16 +12,6 @@
 // hopLimit is the time to live of packets that are built here.
 const hopLimit = 64
 
-// quoteLimit4 and quoteLimit6 bound the whole ICMP error in bytes, so that it is never
-// fragmented on its way (RFC 1812, section 4.3.2.3, and RFC 4443, section 2.4).
-const (
-	quoteLimit4 = 576
-	quoteLimit6 = 1280
-)
-
-// icmp6Unused is the length of the unused field that follows the type, code and checksum.
-const icmp6Unused = 4
-
 // maxPayload is the longest payload in bytes that fits an IPv4 packet over TCP.
 const maxPayload = 1<<16 - 1 - ip4HeaderSize - tcpHeaderSize
 
@@ -39,7 +28,7 @@
 	network networkLayer
 	source  [16]byte
 	target  [16]byte
-	// quote is the body of an ICMPv6 error: four unused bytes and the quoted packet.
+	// quote is the body of an ICMPv6 error: a value and the quoted packet.
 	quote [quoteLimit6]byte
 }
 
@@ -100,75 +89,6 @@
 	return b.append(dst, &b.tcp, s.Payload)
 }
 
-// AppendReset appends the reset that answers a TCP packet as a closed port would
-// (RFC 9293, section 3.10.7.1). To a reset or another protocol there is no answer and
-// nothing is appended.
-func AppendReset(dst []byte, p *Packet) []byte {
-	if p.outer.protocol != flow.TCP || p.flags.Has(RST) {
-		return dst
-	}
-	segment := p.bytes[p.outer.transport:]
-	reset := Segment{Flags: RST}
-	if p.flags.Has(ACK) {
-		reset.Sequence = binary.BigEndian.Uint32(segment[tcpAcknowledge:])
-	} else {
-		reset.Flags |= ACK
-		reset.Acknowledgment = binary.BigEndian.Uint32(segment[tcpSequence:]) + p.sequenceLength()
-	}
-	return AppendTCP(dst, p.reverseKey(flow.TCP), reset)
-}
-
-// sequenceLength is the room that a segment takes in the sequence space.
-func (p *Packet) sequenceLength() uint32 {
-	length := uint32(p.payload)
-	if p.flags.Has(SYN) {
-		length++
-	}
-	if p.flags.Has(FIN) {
-		length++
-	}
-	return length
-}
-
-// AppendUnreachable appends the ICMP or ICMPv6 port unreachable error that answers a
-// UDP packet. For other protocols nothing is appended.
-func AppendUnreachable(dst []byte, p *Packet) []byte {
-	if p.outer.protocol != flow.UDP {
-		return dst
-	}
-	if p.outer.version == 6 {
-		return p.appendUnreachable6(dst)
-	}
-	k := p.reverseKey(flow.ICMP)
-	b := takeBuilder(&k, flow.ICMP)
-	defer builders.Put(b)
-	b.icmp4 = layers.ICMPv4{
-		TypeCode: layers.CreateICMPv4TypeCode(layers.ICMPv4TypeDestinationUnreachable, layers.ICMPv4CodePort),
-	}
-	return b.append(dst, &b.icmp4, p.quote(quoteLimit4-ip4HeaderSize-icmpHeaderSize))
-}
-
-func (p *Packet) appendUnreachable6(dst []byte) []byte {
-	k := p.reverseKey(flow.ICMPv6)
-	b := takeBuilder(&k, flow.ICMPv6)
-	defer builders.Put(b)
-	b.icmp6 = layers.ICMPv6{
-		TypeCode: layers.CreateICMPv6TypeCode(layers.ICMPv6TypeDestinationUnreachable, layers.ICMPv6CodePortUnreachable),
-	}
-	_ = b.icmp6.SetNetworkLayerForChecksum(b.network)
-	quoted := p.quote(quoteLimit6 - ip6HeaderSize - icmpHeaderSize)
-	copy(b.quote[icmp6Unused:], quoted)
-	return b.append(dst, &b.icmp6, b.quote[:icmp6Unused+len(quoted)])
-}
-
-func (p *Packet) quote(limit int) []byte {
-	return p.bytes[:min(limit, len(p.bytes))]
-}
-
-func (p *Packet) reverseKey(protocol flow.Protocol) flow.Key {
-	return flow.NewKey(protocol, p.outer.ends[destination], p.outer.ends[source])
-}
-
 // takeBuilder returns a builder with the IP header of the key's addresses.
 func takeBuilder(k *flow.Key, protocol flow.Protocol) *builder {
 	b, _ := builders.Get().(*builder)
--- a/packet/icmp_test.go
+++ b/packet/icmp_test.go
@@ -41,6 +41,24 @@
 	}
 }
 
+func TestTooBigTellsTheMTU(t *testing.T) {
+	is := is.New(t)
+	for _, v := range versions {
+		key := flow.NewKey(flow.UDP, v.client, v.routed)
+		b := packet.AppendTooBig(nil, parse(t, packet.AppendUDP(nil, key, make([]byte, 1300))), 1296)
+		decode(t, b)
+		at := 26 // the last field of the ICMP header
+		if !v.client.Is4() {
+			at = 46
+		}
+		is.Equal(b[at:at+2], []byte{1296 >> 8, 1296 & 0xff})
+		got, ok := parse(t, b).ICMPError()
+		is.True(ok)
+		is.Equal(got, key)
+		is.Equal(len(packet.AppendTooBig(nil, parse(t, b), 1296)), 0) // an error is never answered
+	}
+}
+
 func TestErrorFromTargetReachesClient(t *testing.T) {
 	is := is.New(t)
 	for _, v := range versions {
--- a/result/code.go
+++ b/result/code.go
@@ -48,6 +48,11 @@
 	DroppedUnsupported Code = 128
 	// DroppedOversize means that a packet with its encapsulation exceeds the fabric's MTU.
 	DroppedOversize Code = 129
+	// DroppedUnknownPeer means that the list names no entry VM of the identity that a
+	// packet was meant for.
+	DroppedUnknownPeer Code = 130
+	// DroppedNotSent means that the operating system refused to send a datagram.
+	DroppedNotSent Code = 131
 	// RefusedFull means that the flow was refused, not run, because the pool is full.
 	RefusedFull Code = 140
 	// RefusedNoTarget means that the flow was refused, not run, for want of a target.
@@ -132,6 +137,8 @@
 	{DroppedUndetermined, "dropped_undetermined", "A flow that may not be repeated could be neither placed nor refused with certainty."},
 	{DroppedUnsupported, "dropped_unsupported", "A protocol, fragment or option that is not carried."},
 	{DroppedOversize, "dropped_oversize", "A packet with its encapsulation exceeds the fabric's MTU."},
+	{DroppedUnknownPeer, "dropped_unknown_peer", "The list names no such entry VM."},
+	{DroppedNotSent, "dropped_not_sent", "The operating system refused to send a datagram."},
 	{RefusedFull, "refused_full", "The flow was refused, not run, because the pool is full."},
 	{RefusedNoTarget, "refused_no_target", "The flow was refused, not run, for want of a target."},
 }
