--- a/fabric/udp.go
+++ b/fabric/udp.go
@@ -23,19 +23,30 @@
 }
 
 // Listen binds sockets to one address, one for each worker. Port 0 takes a free port for
-// all of them. The kernel hands all packets of an inner flow to the same socket.
+// all of them. The kernel hands all packets of an inner flow to the same socket. An
+// address that another process has is an error, which wraps syscall.EADDRINUSE.
 func Listen(ctx context.Context, address netip.AddrPort, workers int) ([]*UDP, error) {
-	conns := make([]*UDP, 0, workers)
-	for range workers {
-		u, err := listen(ctx, address)
+	// The first socket is bound without SO_REUSEPORT: with it a second daemon on the same
+	// address would go unnoticed and take a share of the packets.
+	first, err := listen(ctx, address, nil)
+	if err != nil {
+		return nil, err
+	}
+	conns := []*UDP{first}
+	if workers > 1 {
+		if err := setReusePort("", "", first.raw); err != nil {
+			return nil, errors.Join(err, first.Close())
+		}
+	}
+	for len(conns) < workers {
+		u, err := listen(ctx, first.Address(), setReusePort)
 		if err != nil {
 			return nil, errors.Join(err, closeAll(conns))
 		}
-		address = u.Address()
 		conns = append(conns, u)
 	}
 	if workers > 1 {
-		conns[0].spreadByFlow(workers)
+		first.spreadByFlow(workers)
 	}
 	return conns, nil
 }
@@ -48,8 +59,11 @@
 	return errors.Join(failures...)
 }
 
-func listen(ctx context.Context, address netip.AddrPort) (*UDP, error) {
-	config := net.ListenConfig{Control: setReusePort}
+// control prepares a socket before it is bound.
+type control func(network, address string, raw syscall.RawConn) error
+
+func listen(ctx context.Context, address netip.AddrPort, prepare control) (*UDP, error) {
+	config := net.ListenConfig{Control: prepare}
 	network := "udp6"
 	if address.Addr().Is4() {
 		network = "udp4"
--- a/fabric/udp_test.go
+++ b/fabric/udp_test.go
@@ -1,8 +1,10 @@
 package fabric_test
 
 import (
+	"errors"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -53,6 +55,16 @@
 	}
 }
 
+func TestAddressInUseIsAnError(t *testing.T) {
+	is := is.New(t)
+	for _, workers := range []int{1, 3} {
+		conns := listen(t, "127.0.0.1:0", workers)
+		is.Equal(len(conns), workers)
+		_, err := fabric.Listen(t.Context(), conns[0].Address(), workers)
+		is.True(errors.Is(err, syscall.EADDRINUSE))
+	}
+}
+
 func TestClosedConnEndsReads(t *testing.T) {
 	is := is.New(t)
 	conn := listen(t, "127.0.0.1:0", 1)[0]
--- a/geneve/geneve_test.go
+++ b/geneve/geneve_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/gopacket/gopacket"
@@ -212,6 +213,7 @@
 	is.Equal(code(err), result.KeyInvalid)
 	_, err = geneve.NewKeyRing(key(t, 1), key(t, 2), key(t, 1))
 	is.Equal(code(err), result.KeyInvalid)
+	is.Equal(fmt.Sprintf("%v %v", ring(t, 1, 2).Ring(), key(t, 3)), "geneve keys [1 2] geneve key") // no secrets
 	is.True(ring(t, 1, 2).Ring().Accepts(2))
 	is.True(!ring(t, 1, 2).Ring().Accepts(3))
 }
--- a/geneve/key.go
+++ b/geneve/key.go
@@ -1,6 +1,9 @@
 package geneve
 
-import "sync/atomic"
+import (
+	"fmt"
+	"sync/atomic"
+)
 
 // minSecretSize is the least length of a secret in bytes.
 const minSecretSize = 32
@@ -47,6 +50,15 @@
 	return r, nil
 }
 
+// String returns the ids of the keys without their secrets.
+func (r *KeyRing) String() string {
+	ids := make([]uint32, len(r.keys))
+	for i := range r.keys {
+		ids[i] = r.keys[i].id
+	}
+	return fmt.Sprintf("geneve keys %v", ids)
+}
+
 // Current returns the key that tags are made with.
 func (r *KeyRing) Current() Key { return r.keys[0] }
 
