Carry process runs and ages of versions in messages

Cause: the core must know when a VM lost its records, and readers of the platform hold direct reads back by how fresh their peers are. Change: messages carry the incarnation of the process start and the age of each version; views list members; large fleets probe 48 fixed partners.

--- a/member/machine.go
+++ b/member/machine.go
@@ -19,6 +19,7 @@
 	self        fleet.ID
 	started     clock.Millis
 	incarnation uint64
+	run         uint64
 	random      *rand.Rand
 	sink        Sink
 
@@ -27,11 +28,12 @@
 	peers    map[fleet.ID]*peer
 	suspects []fleet.ID
 	rumors   rumors
-	versions []Version
+	versions versions
 	pulls    []pull
 	lease    lease
 
-	order       []fleet.ID
+	partners    []fleet.ID // members that are probed
+	order       []fleet.ID // partners in the order of the current round
 	next        int
 	nextProbe   clock.Millis
 	sequence    uint64
@@ -62,6 +64,7 @@
 		self:        self,
 		started:     now,
 		incarnation: incarnation,
+		run:         incarnation,
 		random:      random,
 		sink:        sink,
 		peers:       make(map[fleet.ID]*peer),
@@ -92,26 +95,13 @@
 	m.list = list
 	_, m.listed = list.Find(m.self)
 	m.replacePeers(list)
-	m.order = nil
+	m.choosePartners()
 	m.dirty = true
+	m.versions.raise(Version{Name: ListName, Number: list.Version()})
 	m.dropPull(ListName, list.Version())
 	m.sink.Event(Event{At: now, Kind: VersionInForce, Name: ListName, Version: list.Version()})
 }
 
-// SetVersions tells which documents besides the list the daemon has in force. Versions
-// that are not higher are ignored.
-func (m *Machine) SetVersions(now clock.Millis, versions []Version) {
-	m.observe(now)
-	for _, v := range versions {
-		if v.Name == ListName || v.Number <= m.versionOf(v.Name) {
-			continue
-		}
-		m.putVersion(v)
-		m.dropPull(v.Name, v.Number)
-		m.sink.Event(Event{At: now, Kind: VersionInForce, Name: v.Name, Version: v.Number})
-	}
-}
-
 // SetCounts sets the load counts that ride on messages. They are dropped when they
 // exceed MaximumCountsBytes.
 func (m *Machine) SetCounts(counts []byte) {
@@ -200,12 +190,13 @@
 		Kind:        kind,
 		Sequence:    sequence,
 		Incarnation: m.incarnation,
+		Run:         m.run,
 		Age:         now - m.started,
 		List:        m.listVersion(),
 		Previous:    m.lease.previous,
 		Settled:     m.lease.settled,
 		Established: m.lease.established,
-		Versions:    m.versions,
+		Versions:    m.versions.digest(now),
 	}
 	m.attachUpdates(now, to, message)
 	if kind == Probe && len(m.counts) > 0 && now >= m.countsAt {
--- a/member/machine_test.go
+++ b/member/machine_test.go
@@ -133,7 +133,7 @@
 	is.NoErr(w.run(3*clock.Second, nil))
 	for _, other := range w.nodes {
 		is.Equal(other.machine.listVersion(), uint64(4))
-		is.Equal(other.machine.versionOf("tables"), uint64(9)) // lower versions are ignored
+		is.Equal(other.machine.versions.number("tables"), uint64(9)) // lower versions are ignored
 	}
 }
 
--- a/member/message.go
+++ b/member/message.go
@@ -21,8 +21,8 @@
 // Sizes from which the bytes of a message on the wire are estimated.
 const (
 	messageOverheadBytes = 96
-	versionBytes         = 8
-	updateBytes          = 20
+	versionBytes         = 12
+	updateBytes          = 22
 )
 
 // Kind says what a message is for.
@@ -84,6 +84,10 @@
 type Version struct {
 	Name   string
 	Number uint64
+	// Confirmed tells whether the platform was ever known to hold nothing newer, and
+	// ConfirmedAge how long ago that was last the case.
+	Confirmed    bool
+	ConfirmedAge clock.Millis
 }
 
 // Message is what daemons exchange. Every message carries the sender's versions and
@@ -95,6 +99,8 @@
 	Subject fleet.ID
 	// Incarnation is the sender's own, which rises when it refutes a suspicion.
 	Incarnation uint64
+	// Run is the incarnation with which the sender's process started.
+	Run uint64
 	// Age is the time since the sender's process started, in milliseconds.
 	Age clock.Millis
 	// List is the version of the list that the sender is on, 0 before the first.
--- a/member/options.go
+++ b/member/options.go
@@ -31,6 +31,8 @@
 const (
 	indirectProbes = 2
 	noticesOnLeave = 4
+	// maximumPartners is the number of members that a daemon probes.
+	maximumPartners = 48
 	// maximumReminded bounds how many suspects are probed out of turn.
 	maximumReminded = 4
 	// maximumStack bounds how many changes of the list may be in progress at once.
--- a/member/probe.go
+++ b/member/probe.go
@@ -34,7 +34,7 @@
 
 // nextTarget walks the members in random order, so that each is probed once a round.
 func (m *Machine) nextTarget() (fleet.ID, bool) {
-	if len(m.peers) == 0 {
+	if len(m.partners) == 0 {
 		return 0, false
 	}
 	if m.next >= len(m.order) || len(m.order) == 0 {
@@ -45,19 +45,47 @@
 }
 
 func (m *Machine) shuffle() {
-	m.order = m.order[:0]
-	vms := m.list.VMs()
-	for i := range vms {
-		if id := vms[i].ID(); m.peers[id] != nil {
-			m.order = append(m.order, id)
-		}
-	}
+	m.order = append(m.order[:0], m.partners...)
 	m.random.Shuffle(len(m.order), func(i, j int) {
 		m.order[i], m.order[j] = m.order[j], m.order[i]
 	})
 	m.next = 0
 }
 
+// choosePartners picks the members that this daemon probes: all of a small fleet, else
+// those that rank highest for it. A fixed choice keeps connections open, and each member
+// is the partner of about as many others.
+func (m *Machine) choosePartners() {
+	m.order = nil
+	m.partners = m.partners[:0]
+	var scores [maximumPartners]uint64
+	vms := m.list.VMs()
+	for i := range vms {
+		id := vms[i].ID()
+		if m.peers[id] == nil {
+			continue
+		}
+		m.partners = insertPartner(m.partners, &scores, id, fleet.Score(uint64(m.self), id))
+	}
+}
+
+func insertPartner(partners []fleet.ID, scores *[maximumPartners]uint64, id fleet.ID, score uint64) []fleet.ID {
+	at := len(partners)
+	for at > 0 && scores[at-1] < score {
+		at--
+	}
+	if at == maximumPartners {
+		return partners
+	}
+	if len(partners) < maximumPartners {
+		partners = append(partners, 0)
+	}
+	copy(partners[at+1:], partners[at:])
+	copy(scores[at+1:], scores[at:])
+	partners[at], scores[at] = id, score
+	return partners
+}
+
 func (m *Machine) sendProbe(now clock.Millis, p probe) {
 	if len(m.outstanding) >= maximumOutstanding {
 		return
--- a/member/pulls.go
+++ b/member/pulls.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/fleet"
@@ -18,11 +17,8 @@
 
 // hearVersions compares a peer's digest with this daemon's.
 func (m *Machine) hearVersions(now clock.Millis, from fleet.ID, message *Message) {
-	if message.List > m.listVersion() {
-		m.wantPull(now, from, Version{Name: ListName, Number: message.List})
-	}
 	for _, v := range message.Versions[:min(len(message.Versions), MaximumVersions)] {
-		if v.Name != ListName && v.Number > m.versionOf(v.Name) {
+		if v.Number > m.versions.number(v.Name) {
 			m.wantPull(now, from, v)
 		}
 	}
@@ -66,29 +62,3 @@
 		return p.name == name && p.version <= inForce
 	})
 }
-
-func (m *Machine) versionOf(name string) uint64 {
-	at, found := m.findVersion(name)
-	if !found {
-		return 0
-	}
-	return m.versions[at].Number
-}
-
-func (m *Machine) findVersion(name string) (int, bool) {
-	return slices.BinarySearchFunc(m.versions, name, func(v Version, name string) int {
-		return strings.Compare(v.Name, name)
-	})
-}
-
-// putVersion replaces the digest, which messages that were sent still refer to.
-func (m *Machine) putVersion(v Version) {
-	at, found := m.findVersion(v.Name)
-	versions := slices.Clone(m.versions)
-	if found {
-		versions[at] = v
-	} else if len(versions) < MaximumVersions {
-		versions = slices.Insert(versions, at, v)
-	}
-	m.versions = versions
-}
--- a/member/status.go
+++ b/member/status.go
@@ -14,6 +14,7 @@
 	incarnation uint64
 	since       clock.Millis // when it was suspected
 	reminders   int          // probes that told it so since then
+	run         uint64       // incarnation with which its process started, 0 if unknown
 }
 
 func (m *Machine) replacePeers(list *fleet.List) {
@@ -50,6 +51,10 @@
 	if message.Incarnation > p.incarnation {
 		m.setStatus(now, from, Update{ID: from, Status: Alive, Incarnation: message.Incarnation})
 	}
+	if message.Run != p.run {
+		p.run = message.Run
+		m.dirty = true
+	}
 	until := now - message.Age + m.quarantine
 	if _, known := m.fresh[from]; !known && until > now {
 		m.fresh[from] = until
--- a/member/view.go
+++ b/member/view.go
@@ -11,8 +11,33 @@
 	list            *fleet.List
 	down            map[fleet.ID]Status
 	quarantined     map[fleet.ID]struct{}
+	members         []Member
 }
 
+// Member is what a View says of one other VM.
+type Member struct {
+	id          fleet.ID
+	status      Status
+	quarantined bool
+	run         uint64
+}
+
+// ID returns the identity of the VM.
+func (m *Member) ID() fleet.ID { return m.id }
+
+// Status returns what is believed of the VM.
+func (m *Member) Status() Status { return m.status }
+
+// Alive tells the same as View.Alive.
+func (m *Member) Alive() bool { return m.status < Unreachable }
+
+// Quarantined tells the same as View.Quarantined.
+func (m *Member) Quarantined() bool { return m.quarantined }
+
+// Run returns the incarnation with which the VM's process started, 0 while unknown. A
+// change means that the VM has lost its records.
+func (m *Member) Run() uint64 { return m.run }
+
 // Version rises with every change of the view.
 func (v *View) Version() uint64 { return v.version }
 
@@ -47,11 +72,16 @@
 	return Alive
 }
 
+// Members returns the other listed VMs that are not marked lost, in the order of the
+// list. Callers must not change the slice.
+func (v *View) Members() []Member { return v.members }
+
 // View returns the current snapshot.
 func (m *Machine) View() *View {
 	if !m.dirty {
 		return m.view
 	}
+	m.dirty = false
 	v := &View{
 		version:         1,
 		self:            m.self,
@@ -63,15 +93,29 @@
 	if m.view != nil {
 		v.version = m.view.version + 1
 	}
-	for id, p := range m.peers {
-		if p.status != Alive {
-			v.down[id] = p.status
-		}
-	}
 	for id := range m.fresh {
 		v.quarantined[id] = struct{}{}
 	}
+	v.addMembers(m.peers)
 	m.view = v
-	m.dirty = false
 	return v
 }
+
+func (v *View) addMembers(peers map[fleet.ID]*peer) {
+	if v.list == nil {
+		return
+	}
+	v.members = make([]Member, 0, len(peers))
+	vms := v.list.VMs()
+	for i := range vms {
+		id := vms[i].ID()
+		p := peers[id]
+		if p == nil {
+			continue
+		}
+		if p.status != Alive {
+			v.down[id] = p.status
+		}
+		v.members = append(v.members, Member{id: id, status: p.status, quarantined: v.Quarantined(id), run: p.run})
+	}
+}
--- a/member/world_test.go
+++ b/member/world_test.go
@@ -203,7 +203,7 @@
 		if e.Name == ListName {
 			n.machine.SetList(n.now(), from.machine.list)
 		} else {
-			n.machine.SetVersions(n.now(), from.machine.versions)
+			n.machine.SetVersions(n.now(), from.machine.versions.digest(from.now()))
 		}
 	}
 }
