Carry messages between daemons over grpc with mutual TLS

Cause: membership, pulls of documents and repair need a transport that nobody off the fleet can enter and whose bytes are counted. Change: package peers holds the protocol, client, server, keys that are replaced while running, deltas of documents and a driver of the machine; bytes are counted at the sockets and charged to the budget.

--- a/member/budget.go
+++ b/member/budget.go
@@ -65,6 +65,7 @@
 	updated  clock.Millis
 	spent    [classCount]uint64
 	rejected [classCount]uint64
+	framing  uint64
 }
 
 // NewBudget returns a full bucket for a rate in bytes a second.
@@ -102,6 +103,29 @@
 	b.spent[class] += uint64(bytes)
 }
 
+// Reconcile charges the bytes by which everything that was sent, counted at the sockets,
+// exceeds what was granted so far.
+func (b *Budget) Reconcile(now clock.Millis, sent uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	granted := b.framing
+	for _, spent := range b.spent {
+		granted += spent
+	}
+	if sent > granted {
+		b.tokens -= int64(sent-granted) * perMille
+		b.framing += sent - granted
+	}
+}
+
+// Framing returns the bytes that Reconcile charged since the start.
+func (b *Budget) Framing() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.framing
+}
+
 // Spent returns the bytes that a class was granted since the start.
 func (b *Budget) Spent(class Class) uint64 {
 	b.mu.Lock()
--- a/member/machine_test.go
+++ b/member/machine_test.go
@@ -167,4 +167,8 @@
 	is.True(!b.Allow(100, ClassVersions, 1)) // the debt is paid first
 	is.True(b.Allow(101, ClassVersions, 1))
 	is.Equal(b.Spent(ClassVersions), uint64(301))
+	b.Reconcile(101, 2111)
+	is.Equal(b.Framing(), uint64(10))
+	b.Reconcile(101, 2111)
+	is.Equal(b.Framing(), uint64(10)) // charged once
 }
--- /dev/null
+++ b/peers/driver_test.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/member"
+)
+
+// daemon is a driver with its server, as a daemon puts them together.
+type daemon struct {
+	*Driver
+	echo
+	name    string
+	budget  *member.Budget
+	traffic *Traffic
+	events  chan member.Event
+	pulled  chan string
+}
+
+func (d *daemon) Exchange(ctx context.Context, from fleet.ID, m *member.Message) *member.Message {
+	return d.Driver.Exchange(ctx, from, m)
+}
+
+func (d *daemon) Ticked(clock.Millis, *member.Machine)                       {}
+func (d *daemon) Received(clock.Millis, fleet.ID, *member.Message)           {}
+func (d *daemon) Pull(_ context.Context, _ *fleet.VM, name string, _ uint64) { d.pulled <- name }
+
+func (d *daemon) Event(e member.Event) {
+	select {
+	case d.events <- e:
+	default:
+	}
+}
+
+// startDaemon starts a daemon on a free port and returns its VM.
+func startDaemon(tb testing.TB, c clock.Clock, name string, keys *Keys) (*daemon, fleet.VM) {
+	tb.Helper()
+	d := &daemon{
+		name: name, budget: member.NewBudget(c.Now(), member.DefaultBudgetRate), traffic: &Traffic{},
+		events: make(chan member.Event, 1000), pulled: make(chan string, 10),
+	}
+	settings := []Option{WithBudget(c, d.budget), WithTraffic(d.traffic)}
+	client := NewClient(fleet.NewID(name), keys, settings...)
+	tb.Cleanup(client.Close)
+	d.Driver = NewDriver(c, client, d, func(now clock.Millis, sink member.Sink) *member.Machine {
+		random := rand.New(rand.NewPCG(1, uint64(fleet.NewID(name))))
+		return member.New(fleet.NewID(name), 1, now, random, sink, member.WithBudget(d.budget))
+	})
+	go d.Run(tb.Context())
+	return d, serve(tb, name, keys, d, settings...)
+}
+
+func TestDaemonsHearEachOther(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	c := clock.NewSystem()
+	first, vm1 := startDaemon(t, c, "vm-1", NewKeys(ca.issue(t, "vm-1", ca)))
+	second, vm2 := startDaemon(t, c, "vm-2", NewKeys(ca.issue(t, "vm-2", ca)))
+	is.True(first.SetList(t.Context(), fleet.NewList(1, []fleet.VM{vm1, vm2})))
+	is.True(second.SetList(t.Context(), fleet.NewList(2, []fleet.VM{vm1, vm2})))
+	is.Equal(<-first.pulled, member.ListName) // learned from the second daemon's digest
+
+	client := NewClient(vm2.ID(), NewKeys(ca.issue(t, "vm-2", ca)))
+	defer client.Close()
+	answer, err := client.Exchange(t.Context(), &vm1, &member.Message{Kind: member.Probe, Sequence: 9})
+	is.NoErr(err)
+	is.Equal(answer.Kind, member.Answer)
+	is.Equal(answer.Sequence, uint64(9))
+	is.Equal(answer.List, uint64(1))
+}
+
+// BenchmarkSteadyTraffic reports the bytes a second of one of 8 daemons over loopback
+// with mutual TLS, sent and received, and the bound.
+func BenchmarkSteadyTraffic(b *testing.B) {
+	const count = 8
+	warmUp, span := 5*time.Second, 20*time.Second
+	for b.Loop() {
+		ca := newAuthority(b)
+		c := clock.NewSystem()
+		var daemons []*daemon
+		var vms []fleet.VM
+		for i := range count {
+			name := fmt.Sprintf("vm-%d", i)
+			d, vm := startDaemon(b, c, name, NewKeys(ca.issue(b, name, ca)))
+			daemons = append(daemons, d)
+			vms = append(vms, vm)
+		}
+		for _, d := range daemons {
+			d.SetList(b.Context(), fleet.NewList(1, vms))
+			d.Do(b.Context(), func(now clock.Millis, m *member.Machine) {
+				m.SetVersions(now, []member.Version{{Name: "tables", Number: 1, Confirmed: true}})
+				m.SetCounts(make([]byte, member.MaximumCountsBytes))
+			})
+		}
+		time.Sleep(warmUp)
+		var sent, received uint64
+		for _, d := range daemons {
+			sent -= d.traffic.Sent()
+			received -= d.traffic.Received()
+		}
+		time.Sleep(span)
+		var granted uint64
+		for _, d := range daemons {
+			sent += d.traffic.Sent()
+			received += d.traffic.Received()
+			granted += d.budget.Framing()
+		}
+		perVM := count * span.Seconds()
+		b.ReportMetric(float64(sent)/perVM, "sent_B/s")
+		b.ReportMetric(float64(received)/perVM, "received_B/s")
+		b.ReportMetric(float64(granted)/perVM, "unforeseen_B/s")
+		b.ReportMetric(member.DefaultBudgetRate, "bound_B/s")
+	}
+}
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,287 @@
+package peers
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"flag"
+	"math/big"
+	mathrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/member"
+	"github.com/almondflow/almondflow/result"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// authority signs certificates of test daemons.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+type identity struct {
+	certificate tls.Certificate
+	pool        *x509.CertPool
+}
+
+func (i *identity) Certificate() tls.Certificate { return i.certificate }
+func (i *identity) Authorities() *x509.CertPool  { return i.pool }
+
+func newAuthority(tb testing.TB) *authority {
+	tb.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return &authority{certificate, key}
+}
+
+// issue returns the identity of a VM that trusts the given authorities.
+func (a *authority) issue(tb testing.TB, name string, trusted ...*authority) *identity {
+	tb.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	i := &identity{certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool: x509.NewCertPool()}
+	for _, t := range trusted {
+		i.pool.AddCert(t.certificate)
+	}
+	return i
+}
+
+// echo is a Handler that answers with what it got.
+type echo struct {
+	from    fleet.ID
+	history History
+	records [][]byte
+}
+
+func (e *echo) Exchange(_ context.Context, from fleet.ID, m *member.Message) *member.Message {
+	e.from = from
+	return m
+}
+
+func (e *echo) Document(name string, since uint64) (Document, bool) {
+	if name != "tables" {
+		return Document{}, false
+	}
+	return e.history.Since(since)
+}
+
+func (e *echo) Repair(_ fleet.ID, records [][]byte) int {
+	e.records = records
+	return len(records)
+}
+
+// serve starts a server on a free port and returns its VM.
+func serve(tb testing.TB, name string, keys *Keys, handler Handler, settings ...Option) fleet.VM {
+	tb.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	s := NewServer(keys, handler, settings...)
+	go s.Serve(listener) //nolint:errcheck // ends with Stop
+	tb.Cleanup(s.Stop)
+	return fleet.NewVM(name, "domain", netip.AddrPort{}, netip.MustParseAddrPort(listener.Addr().String()), fleet.Serving)
+}
+
+func codeOf(err error) result.Code {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code()
+	}
+	return result.OK
+}
+
+func TestExchangeOverMutualTLS(t *testing.T) {
+	ca, foreign := newAuthority(t), newAuthority(t)
+	tests := []struct {
+		name   string
+		self   string
+		server *identity
+		client *identity
+		want   result.Code
+	}{
+		{"both of the fleet", "a", ca.issue(t, "b", ca), ca.issue(t, "a", ca), result.OK},
+		{"server is another VM", "a", ca.issue(t, "c", ca), ca.issue(t, "a", ca), result.DaemonUnreachable},
+		{"client claims another name", "z", ca.issue(t, "b", ca), ca.issue(t, "a", ca), result.KeyInvalid},
+		{"client of a foreign authority", "a", ca.issue(t, "b", ca), foreign.issue(t, "a", ca), result.DaemonUnreachable},
+		{"server of a foreign authority", "a", foreign.issue(t, "b", ca), ca.issue(t, "a", ca), result.DaemonUnreachable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			handler := &echo{}
+			vm := serve(t, "b", NewKeys(test.server), handler)
+			client := NewClient(fleet.NewID(test.self), NewKeys(test.client))
+			defer client.Close()
+			reply, err := client.Exchange(t.Context(), &vm, message())
+			is.Equal(codeOf(err), test.want)
+			if test.want == result.OK {
+				is.NoErr(err)
+				is.Equal(reply, message()) // nothing is lost on the wire
+				is.Equal(handler.from, fleet.NewID("a"))
+			} else {
+				is.Equal(handler.from, fleet.ID(0)) // the handler was not reached
+			}
+		})
+	}
+}
+
+func message() *member.Message {
+	return &member.Message{
+		Kind: member.ProbeRequest, Sequence: 1 << 60, Subject: 3, Incarnation: 4, Run: 5, Age: 6, List: 7,
+		Previous: 8, Settled: 9, Established: true, Counts: []byte{10},
+		Versions: []member.Version{{Name: "tables", Number: 11, Confirmed: true}, {Name: "list", Number: 12}},
+		Updates:  []member.Update{{ID: 13, Status: member.Left, Incarnation: 14}},
+	}
+}
+
+func TestKeysAreReplacedWithoutRestart(t *testing.T) {
+	is := is.New(t)
+	old, next := newAuthority(t), newAuthority(t)
+	serverKeys := NewKeys(old.issue(t, "b", old))
+	clientKeys := NewKeys(old.issue(t, "a", old))
+	vm := serve(t, "b", serverKeys, &echo{})
+	client := NewClient(fleet.NewID("a"), clientKeys)
+	defer client.Close()
+	exchange := func() error {
+		_, err := client.Exchange(t.Context(), &vm, message())
+		return err
+	}
+	is.NoErr(exchange())
+	clientKeys.Replace(old.issue(t, "a", old, next)) // trust both
+	serverKeys.Replace(old.issue(t, "b", old, next))
+	is.NoErr(exchange())
+	serverKeys.Replace(next.issue(t, "b", old, next)) // change over
+	clientKeys.Replace(next.issue(t, "a", old, next))
+	is.NoErr(exchange())
+	serverKeys.Replace(next.issue(t, "b", next)) // drop the old one
+	clientKeys.Replace(next.issue(t, "a", next))
+	is.NoErr(exchange())
+	clientKeys.Replace(old.issue(t, "a", next))
+	is.Equal(codeOf(exchange()), result.DaemonUnreachable)
+}
+
+func TestWithoutKeysOnlyLoopbackIsUsed(t *testing.T) {
+	is := is.New(t)
+	vm := fleet.NewVM("b", "domain", netip.AddrPort{}, netip.MustParseAddrPort("192.0.2.1:7000"), fleet.Serving)
+	_, err := NewClient(1, nil).Exchange(t.Context(), &vm, message())
+	is.Equal(codeOf(err), result.KeyInvalid)
+	is.Equal(codeOf(NewServer(nil, &echo{}).Serve(anywhere{})), result.KeyInvalid)
+	loopback := serve(t, "b", nil, &echo{})
+	_, err = NewClient(1, nil).Exchange(t.Context(), &loopback, message())
+	is.NoErr(err)
+}
+
+// anywhere is a listener on all addresses.
+type anywhere struct{ net.Listener }
+
+func (anywhere) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4zero, Port: 7000} }
+
+func TestPullAndRepair(t *testing.T) {
+	is := is.New(t)
+	random := mathrand.New(mathrand.NewPCG(1, 1))
+	first := make([]byte, 5*chunkBytes)
+	for i := range first {
+		first[i] = byte(random.Uint32())
+	}
+	second := append([]byte("changed"), first[100:]...)
+	handler := &echo{}
+	budget := member.NewBudget(0, 1_000_000)
+	traffic := &Traffic{}
+	vm := serve(t, "b", nil, handler, WithBudget(&clock.Fake{}, budget), WithTraffic(traffic))
+	client := NewClient(1, nil, WithBudget(&clock.Fake{}, member.NewBudget(0, 1000)))
+	defer client.Close()
+
+	_, err := client.Pull(t.Context(), &vm, "tables", 0)
+	is.Equal(codeOf(err), result.NotFound)
+	handler.history.Add(3, first)
+	document, err := client.Pull(t.Context(), &vm, "tables", 0)
+	is.NoErr(err)
+	whole, err := document.Whole(nil)
+	is.NoErr(err)
+	is.Equal(whole, first)
+
+	handler.history.Add(5, second)
+	sent := traffic.Sent()
+	document, err = client.Pull(t.Context(), &vm, "tables", 3)
+	is.NoErr(err)
+	is.Equal(document.Version(), uint64(5))
+	is.Equal(document.Base(), uint64(3))
+	is.True(traffic.Sent()-sent < uint64(chunkBytes)) // the change, not the document
+	whole, err = document.Whole(first)
+	is.NoErr(err)
+	is.Equal(whole, second)
+	_, err = document.Whole(second)
+	is.Equal(err, ErrMismatch)
+	_, err = client.Pull(t.Context(), &vm, "tables", 5)
+	is.Equal(codeOf(err), result.NotFound)
+
+	accepted, err := client.Repair(t.Context(), &vm, [][]byte{{1}, {2, 3}})
+	is.NoErr(err)
+	is.Equal(accepted, 2)
+	is.Equal(handler.records, [][]byte{{1}, {2, 3}})
+	_, err = client.Repair(t.Context(), &vm, [][]byte{make([]byte, 2000)})
+	is.Equal(err, ErrOverBudget)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	client := NewClient(1, nil)
+	defer client.Close()
+	for i := range maximumConnections + 10 {
+		vm := fleet.NewVM(string(rune('a'+i)), "d", netip.AddrPort{}, netip.MustParseAddrPort("127.0.0.1:9"), fleet.Serving)
+		_, err := client.peer(&vm)
+		is.NoErr(err)
+	}
+	is.Equal(len(client.connections), maximumConnections)
+	is.True(client.connections[fleet.NewID("a")] == nil) // the oldest went first
+}
