--- a/demo/feed.go
+++ b/demo/feed.go
@@ -26,6 +26,7 @@
 	opened   atomic.Int64
 	broken   atomic.Int64
 	unopened atomic.Int64
+	count    int
 	running  sync.WaitGroup
 }
 
--- a/demo/report.go
+++ b/demo/report.go
@@ -37,7 +37,9 @@
 	// every entry VM had it in force.
 	ConvergeMilliseconds int64 `json:"converge_milliseconds"`
 
-	broken []string
+	// lateWork is the number of connections that a leaving target got too late.
+	lateWork int64
+	broken   []string
 }
 
 // Broken returns one line for each promise that was broken, and nothing when all held.
@@ -55,6 +57,7 @@
 	check(r.HoldsDoubled == 0, "%d holds run more than once", r.HoldsDoubled)
 	check(r.HoldsRefusedButRun == 0, "%d holds refused as not run, but run", r.HoldsRefusedButRun)
 	check(r.Misrouted == 0, "%d packets or answers misrouted", r.Misrouted)
+	check(r.lateWork == 0, "%d connections to a leaving target after %v", r.lateWork, leavingDeadline)
 	check(r.UploadsSent > 0, "no upload was sent")
 	check(r.UploadsWhole == r.UploadsSent, "%d of %d uploads not whole", r.UploadsSent-r.UploadsWhole, r.UploadsSent)
 }
