--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/core"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/member"
+	"github.com/almondflow/almondflow/operator"
+	"github.com/almondflow/almondflow/placement"
+	"github.com/almondflow/almondflow/platform"
+)
+
+// Daemon is the process of one entry VM. New binds its sockets, Run serves until its
+// context ends and then leaves gracefully.
+type Daemon struct {
+	config      Config
+	log         *slog.Logger
+	clock       clock.Clock
+	started     clock.Millis
+	self        fleet.ID
+	incarnation uint64
+	*sockets
+	fabric    *net.UDPAddr
+	addresses atomic.Pointer[map[fleet.ID]*net.UDPAddr]
+	counters  counters
+	node      *core.Node
+	placer    *placement.Placer
+	budget    *member.Budget
+	store     *platform.Store
+	runner    *platform.Runner
+	client    *platform.Client
+	control   *control
+	trail     *operator.Trail
+	metrics   *operator.Metrics
+	operator  *operator.Server
+	leaving   atomic.Bool
+	killed    chan struct{}
+	kill      sync.Once
+}
+
+// Option changes a Daemon.
+type Option func(*Daemon)
+
+// WithLogger sets the logger of a Daemon.
+func WithLogger(log *slog.Logger) Option {
+	return func(d *Daemon) { d.log = log }
+}
+
+// New binds the sockets of a daemon. When one cannot be bound nothing stays open and the
+// error has the code PortInUse.
+func New(config Config, options ...Option) (*Daemon, error) {
+	d := &Daemon{
+		config:      config.withDefaults(),
+		log:         slog.Default(),
+		clock:       clock.NewSystem(),
+		self:        fleet.NewID(config.Name),
+		incarnation: uint64(time.Now().UnixMilli()),
+		fabric:      net.UDPAddrFromAddrPort(config.FabricAddress),
+		store:       platform.NewStore(),
+		killed:      make(chan struct{}),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	d.started = d.clock.Now()
+	client, err := platform.NewClient(config.PlatformEndpoints)
+	if err != nil {
+		return nil, err
+	}
+	d.client = client
+	if d.sockets, err = bind(&d.config); err != nil {
+		return nil, err
+	}
+	d.assemble()
+	return d, nil
+}
+
+// assemble builds the parts that the sockets feed.
+func (d *Daemon) assemble() {
+	random := rand.New(rand.NewPCG(uint64(d.self), d.incarnation))
+	d.addresses.Store(&map[fleet.ID]*net.UDPAddr{})
+	d.budget = member.NewBudget(d.started, d.config.ControlRate)
+	d.placer = placement.New()
+	d.node = core.New(core.Options{
+		Self:            d.self,
+		Incarnation:     d.incarnation,
+		Seed:            d.config.HashSeed,
+		Flows:           d.config.MaxFlows,
+		Started:         d.started,
+		OpeningLifetime: d.config.OpeningLifetime,
+		Placer:          d.placer,
+		Budget: func(now clock.Millis, bytes int) bool {
+			return d.budget.Allow(now, member.ClassRepair, bytes)
+		},
+	})
+	d.trail = operator.NewTrail(operator.DefaultTrailSize, d.log, time.Now)
+	d.metrics = operator.NewMetrics(map[string]string{"vm": d.config.Name, "domain": d.config.Domain})
+	d.control = newControl(d, random)
+	d.runner = platform.NewRunner(d.client, d.store, d.clock, d.log, random, d.self, d.config.FleetSize)
+	d.store.Listen(func(c platform.Change) { d.control.changes.push(c) })
+}
+
+// Run serves until ctx ends, hands over and returns. It returns early after Kill.
+func (d *Daemon) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.trail.Add(operator.ChangedState, d.config.Name, "stopped", "serving", "start")
+	d.trail.Add(operator.ChangedSettings, d.config.Name, "", d.describe(), "settings")
+	d.operator = operator.NewServer(d.operatorListener, d, d.trail, d.metrics)
+	var running sync.WaitGroup
+	for range d.config.Workers {
+		running.Go(newWorker(d).run)
+	}
+	running.Go(func() { d.runner.Run(serving) })
+	running.Go(func() { d.control.run(serving) })
+	select {
+	case <-ctx.Done():
+		d.leave()
+	case <-d.killed:
+	}
+	stop()
+	d.close()
+	running.Wait()
+	d.metrics.Close()
+	return nil
+}
+
+func (d *Daemon) describe() string {
+	return "domain=" + d.config.Domain + " data_address=" + d.DataAddress().String() +
+		" peer_address=" + d.PeerAddress().String() + " control_rate=" + strconv.Itoa(d.config.ControlRate)
+}
+
+// Kill ends the daemon abruptly, as a crash does: nothing is handed over.
+func (d *Daemon) Kill() {
+	d.kill.Do(func() {
+		close(d.killed)
+		d.sockets.close()
+	})
+}
+
+// close frees everything that the daemon holds.
+func (d *Daemon) close() {
+	d.sockets.close()
+	d.operator.Close()
+	d.client.Close()
+}
+
+// DataAddress returns where the daemon takes Geneve datagrams.
+func (d *Daemon) DataAddress() netip.AddrPort { return d.data.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// PeerAddress returns where the daemon takes calls of other daemons.
+func (d *Daemon) PeerAddress() netip.AddrPort {
+	return d.peerListener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// OperatorAddress returns where the daemon answers operators.
+func (d *Daemon) OperatorAddress() netip.AddrPort {
+	return d.operatorListener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Versions returns the versions of the tables and of the list that are in force, or 0.
+func (d *Daemon) Versions() (tables, list uint64) {
+	return d.control.tables.Load(), d.control.list.Load()
+}
+
+// Voting reports whether the daemon places flows that may not be repeated.
+func (d *Daemon) Voting() bool { return d.control.voting.Load() }
+
+// addressOf returns the data address of another entry VM, or nil when it is not known.
+func (d *Daemon) addressOf(id fleet.ID) *net.UDPAddr {
+	return (*d.addresses.Load())[id]
+}
--- a/operator/trail.go
+++ b/operator/trail.go
@@ -107,3 +107,10 @@
 	}
 	return records
 }
+
+// Added returns the number of records since the start, kept or not.
+func (t *Trail) Added() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next
+}
