--- a/demo/demo.go
+++ b/demo/demo.go
@@ -58,8 +58,11 @@
 	if err := s.startAll(); err != nil {
 		return fmt.Errorf("entry VMs: %w", err)
 	}
-	list := s.publish()
-	if _, err := s.converge(ctx, versions{tables: s.world.tables.Version, list: list}); err != nil {
+	list, err := s.publish()
+	if err != nil {
+		return err
+	}
+	if _, err = s.converge(ctx, versions{tables: s.world.tables.Version, list: list}); err != nil {
 		return err
 	}
 	s.spray()
--- a/demo/script.go
+++ b/demo/script.go
@@ -106,7 +106,11 @@
 }
 
 func (s *script) publishList(ctx context.Context) error {
-	return s.await(ctx, versions{list: s.vms.publish()})
+	version, err := s.vms.publish()
+	if err != nil {
+		return err
+	}
+	return s.await(ctx, versions{list: version})
 }
 
 func (s *script) await(ctx context.Context, want versions) error {
--- a/demo/vms.go
+++ b/demo/vms.go
@@ -52,11 +52,7 @@
 
 // start starts one VM. It is not in the list before publish.
 func (s *vms) start(name, domain string) (*vm, error) {
-	settings, err := s.world.settings(name, domain)
-	if err != nil {
-		return nil, err
-	}
-	daemon, err := entry.New(settings, entry.WithLogger(s.world.logger.With("vm", name)))
+	daemon, err := entry.New(s.world.config(name, domain), entry.WithLogger(s.world.logger.With("vm", name)))
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +78,7 @@
 }
 
 // publish publishes the list of all VMs.
-func (s *vms) publish() uint64 {
+func (s *vms) publish() (uint64, error) {
 	var listed []fleet.VM
 	for _, v := range s.live() {
 		listed = append(listed, v.listed())
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -108,12 +108,19 @@
 		Separator:              prometheus.DefaultSeparator,
 		Tags:                   tags,
 		CachedReporter:         reporter,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{scope: scope, closer: closer, reporter: reporter}
 }
 
+// sanitizer keeps the characters that names of entry VMs and domains may have.
+func sanitizer() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters.Characters = []rune{'_', '-', '.'}
+	return &options
+}
+
 // Handler returns the handler that answers scrapes.
 func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
 
