--- a/demo/client.go
+++ b/demo/client.go
@@ -18,10 +18,10 @@
 
 // Spans of the connections of clients.
 const (
-	dialTimeout      = 8 * time.Second
-	keepAlivePeriod  = 2 * time.Second
-	clientMaxIdle    = 8 * time.Second
-	noError          = 0
+	dialTimeout     = 8 * time.Second
+	keepAlivePeriod = 2 * time.Second
+	clientMaxIdle   = 8 * time.Second
+	noError         = 0
 )
 
 // errRefused says that an entry VM answered that the flow was not run.
--- a/demo/tables.go
+++ b/demo/tables.go
@@ -8,11 +8,14 @@
 	"github.com/almondflow/almondflow/standin"
 )
 
-// Addresses that clients send from. The source prefix of holds tells their route.
+// Loopback addresses of the clients and the destinations. The source prefix of holds tells their route.
 const (
 	clientAddress = "127.0.0.1"
 	holdAddress   = "127.2.0.1"
 	holdPrefix    = "127.2.0.0/16"
+	// Destinations must not share an address with a host.
+	bookingAddress = "127.10.0.1"
+	photosAddress  = "127.10.0.2"
 )
 
 const (
--- a/demo/world.go
+++ b/demo/world.go
@@ -85,10 +85,10 @@
 	if err != nil {
 		return err
 	}
-	if w.booking, err = w.fabric.Route(anyPort); err != nil {
+	if w.booking, err = w.fabric.Route(bookingAddress + ":0"); err != nil {
 		return err
 	}
-	if w.photos, err = w.fabric.Route(anyPort); err != nil {
+	if w.photos, err = w.fabric.Route(photosAddress + ":0"); err != nil {
 		return err
 	}
 	w.tables = newTables(w.deployment, w.booking, w.photos)
--- a/entry/control.go
+++ b/entry/control.go
@@ -80,8 +80,10 @@
 		case <-leave:
 			leave = nil
 			c.machine.Leave(c.daemon.clock.Now())
+		case outcome := <-c.daemon.health.runner.Outcomes():
+			c.daemon.health.monitor.Probed(c.daemon.clock.Now(), outcome.ID(), outcome.Passed())
 		case <-ticker.C:
-			c.tick(c.daemon.clock.Now())
+			c.tick(ctx, c.daemon.clock.Now())
 		}
 		c.apply()
 		c.out.flush()
@@ -100,9 +102,10 @@
 	c.publish(now)
 }
 
-func (c *control) tick(now clock.Millis) {
+func (c *control) tick(ctx context.Context, now clock.Millis) {
 	c.machine.Tick(now)
 	c.publish(now)
+	c.daemon.health.tick(ctx, now)
 	c.daemon.node.Tick(now, c.out)
 	if now-c.sampled >= sampleInterval {
 		c.sampled = now
@@ -143,6 +146,7 @@
 	if tables := change.Tables(); tables != nil {
 		// The placer comes first, so that it knows every route that the core asks about.
 		c.daemon.placer.SetTables(now, tables)
+		c.daemon.health.monitor.SetTables(now, tables)
 		c.daemon.node.SetTables(now, tables)
 		c.machine.SetVersions(now, []member.Version{{Name: platform.Tables, Number: tables.Version()}})
 		c.tables.Store(tables.Version())
@@ -169,6 +173,7 @@
 	}
 	c.daemon.addresses.Store(&addresses)
 	c.ranking = fleet.NewRanking(list, fleet.WithPrevious(c.ranking))
+	c.daemon.health.monitor.SetList(now, list)
 	c.machine.SetList(now, list)
 	c.publish(now)
 	c.daemon.node.SetList(now, c.ranking)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -39,6 +39,8 @@
 	store     *platform.Store
 	runner    *platform.Runner
 	client    *platform.Client
+	peers     transport
+	health    *health
 	control   *control
 	trail     *operator.Trail
 	metrics   *operator.Metrics
@@ -105,6 +107,9 @@
 	})
 	d.trail = operator.NewTrail(operator.DefaultTrailSize, d.log, time.Now)
 	d.metrics = operator.NewMetrics(map[string]string{"vm": d.config.Name, "domain": d.config.Domain})
+	d.peers = noPeers{d}
+	registry.Store(d.self, d)
+	d.health = newHealth(d)
 	d.control = newControl(d, random)
 	d.runner = platform.NewRunner(d.client, d.store, d.clock, d.log, random, d.self, d.config.FleetSize)
 	d.store.Listen(func(c platform.Change) { d.control.changes.push(c) })
@@ -129,6 +134,7 @@
 	case <-d.killed:
 	}
 	stop()
+	registry.Delete(d.self)
 	d.close()
 	running.Wait()
 	d.metrics.Close()
