--- a/cmd/checkcmd.go
+++ b/cmd/checkcmd.go
@@ -11,6 +11,7 @@
 
 	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/result"
+	"github.com/almondflow/almondflow/settings"
 	"github.com/almondflow/almondflow/strictjson"
 	"github.com/almondflow/almondflow/table"
 )
@@ -115,6 +116,14 @@
 	return c, oops.Code(problems.Code()).Errorf("%s: rejected with %d problems", file, len(c.Problems))
 }
 
+func checkSettings(document []byte) (string, error) {
+	s, err := settings.Parse(document)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("entry VM %s in domain %s", s.Name(), s.Domain()), nil
+}
+
 func checkTables(document []byte) (string, error) {
 	snapshot, err := table.Parse(document)
 	if err != nil {
--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/netip"
+	"os"
 
 	"github.com/samber/oops"
 	"github.com/urfave/cli/v3"
 
+	"github.com/almondflow/almondflow/platform"
 	"github.com/almondflow/almondflow/result"
 	"github.com/almondflow/almondflow/standin"
 )
@@ -26,6 +29,48 @@
 	}
 }
 
+func newStandInPlatformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve the tables and the list over HTTP; publish later versions with PUT /control/values/NAME",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Usage: "serve at `ADDRESS:PORT`", Value: "127.0.0.1:8090"},
+			&cli.StringFlag{Name: "tables", Usage: "publish the routes and pools in `FILE`"},
+			&cli.StringFlag{Name: "list", Usage: "publish the list of entry VMs in `FILE`"},
+		},
+		Action: runStandInPlatform,
+	}
+}
+
+func runStandInPlatform(ctx context.Context, command *cli.Command) error {
+	stand := standin.NewPlatform()
+	for _, name := range []string{platform.Tables, platform.List} {
+		if err := publishFile(stand, name, command.String(name)); err != nil {
+			return err
+		}
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", command.String("address"))
+	if err != nil {
+		return oops.Code(result.PortInUse).Wrapf(err, "--address")
+	}
+	_, _ = fmt.Fprintf(command.Root().Writer, "platform http://%s\n", listener.Addr())
+	return stand.Serve(ctx, listener)
+}
+
+func publishFile(stand *standin.Platform, name, file string) error {
+	if file == "" {
+		return nil
+	}
+	document, err := os.ReadFile(file)
+	if err != nil {
+		return oops.Code(result.FileUnreadable).Wrapf(err, "--%s", name)
+	}
+	if err = stand.Publish(name, document); err != nil {
+		return oops.Code(result.Usage).Wrapf(err, "--%s %s", name, file)
+	}
+	return nil
+}
+
 func newStandInFabricCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "fabric",
--- a/demo/config.go
+++ b/demo/config.go
@@ -12,6 +12,9 @@
 // openingLifetime is above the span for which a client of the demo tries to connect.
 const openingLifetime = 9 * clock.Second
 
+// fabricMTU leaves room for the encapsulation of the packets that clients send.
+const fabricMTU = 9000
+
 const secretSize = 32
 
 // config returns what the daemon of one entry VM is told. Its ports are free ones.
@@ -27,6 +30,7 @@
 		PlatformEndpoints: []string{w.platformAt},
 		Keys:              w.keys,
 		HashSeed:          w.seed,
+		MTU:               fabricMTU,
 		Workers:           1,
 		OpeningLifetime:   openingLifetime,
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -5,6 +5,8 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/geneve"
+	"github.com/almondflow/almondflow/operator"
+	"github.com/almondflow/almondflow/peers"
 )
 
 // Config is what a daemon knows before it has heard anything. Addresses with port 0
@@ -28,8 +30,13 @@
 	FleetSize int
 	// Network is the Geneve network of the fabric.
 	Network geneve.VNI
+	// MTU is the largest IP packet in bytes that the fabric carries.
+	MTU int
 	// Keys sign and check what daemons send each other.
 	Keys *geneve.Keys
+	// PeerKeys are what daemons prove themselves to each other with. With nil they trust
+	// every caller and use loopback addresses only.
+	PeerKeys *peers.Keys
 	// HashSeed is the seed of flow hashes, the same at every daemon of the fleet.
 	HashSeed uint64
 	// Workers is the number of goroutines that read datagrams.
@@ -44,10 +51,13 @@
 	OpeningLifetime clock.Millis
 	// StopTimeout is the longest span that a graceful stop takes.
 	StopTimeout clock.Millis
+	// AuditEntries is the number of changes that the audit trail keeps.
+	AuditEntries int
 }
 
 // Defaults of a Config.
 const (
+	DefaultMTU             = 1500
 	DefaultWorkers         = 2
 	DefaultMaxFlows        = 1_000_000
 	DefaultControlRate     = 24_000
@@ -58,12 +68,14 @@
 
 // withDefaults fills in what is not set.
 func (c Config) withDefaults() Config {
+	fill(&c.MTU, DefaultMTU)
 	fill(&c.Workers, DefaultWorkers)
 	fill(&c.MaxFlows, DefaultMaxFlows)
 	fill(&c.ControlRate, DefaultControlRate)
 	fill(&c.FleetSize, DefaultFleetSize)
 	fill(&c.OpeningLifetime, DefaultOpeningLifetime)
 	fill(&c.StopTimeout, DefaultStopTimeout)
+	fill(&c.AuditEntries, operator.DefaultTrailSize)
 	return c
 }
 
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -11,12 +11,9 @@
 
 // counters are totals since the start of the daemon, updated by all goroutines.
 type counters struct {
-	datagramsRead    atomic.Uint64
-	datagramsWritten atomic.Uint64
-	datagramsLost    atomic.Uint64
-	// repairBytes went to other entry VMs without a packet of a client or target.
-	repairBytes atomic.Uint64
-	// codes count datagrams that never reached the core.
+	// controlBytes went to other entry VMs without a packet of a client or target.
+	controlBytes atomic.Uint64
+	// codes count packets by the code that their decision ended in.
 	codes [maxCode]atomic.Uint64
 }
 
@@ -28,10 +25,9 @@
 func (d *Daemon) results() map[result.Code]uint64 {
 	results := make(map[result.Code]uint64)
 	for _, e := range result.All() {
-		if e.Code() < result.Forwarded {
-			continue
+		if e.Code() >= result.Forwarded {
+			results[e.Code()] = d.counters.codes[e.Code()%maxCode].Load()
 		}
-		results[e.Code()] = d.node.Count(e.Code()) + d.counters.codes[e.Code()%maxCode].Load()
 	}
 	return results
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -13,9 +13,11 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/core"
+	"github.com/almondflow/almondflow/fabric"
 	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/member"
 	"github.com/almondflow/almondflow/operator"
+	"github.com/almondflow/almondflow/peers"
 	"github.com/almondflow/almondflow/placement"
 	"github.com/almondflow/almondflow/platform"
 )
@@ -30,24 +32,26 @@
 	self        fleet.ID
 	incarnation uint64
 	*sockets
-	fabric    *net.UDPAddr
-	addresses atomic.Pointer[map[fleet.ID]*net.UDPAddr]
-	counters  counters
-	node      *core.Node
-	placer    *placement.Placer
-	budget    *member.Budget
-	store     *platform.Store
-	runner    *platform.Runner
-	client    *platform.Client
-	peers     transport
-	health    *health
-	control   *control
-	trail     *operator.Trail
-	metrics   *operator.Metrics
-	operator  *operator.Server
-	leaving   atomic.Bool
-	killed    chan struct{}
-	kill      sync.Once
+	gateway  *fabric.Gateway
+	counters counters
+	node     *core.Node
+	placer   *placement.Placer
+	budget   *member.Budget
+	store    *platform.Store
+	runner   *platform.Runner
+	client   *platform.Client
+	driver   *peers.Driver
+	peers    *peers.Client
+	server   *peers.Server
+	traffic  *peers.Traffic
+	health   *health
+	control  *control
+	trail    *operator.Trail
+	metrics  *operator.Metrics
+	operator *operator.Server
+	leaving  atomic.Bool
+	killed   chan struct{}
+	kill     sync.Once
 }
 
 // Option changes a Daemon.
@@ -67,7 +71,6 @@
 		clock:       clock.NewSystem(),
 		self:        fleet.NewID(config.Name),
 		incarnation: uint64(time.Now().UnixMilli()),
-		fabric:      net.UDPAddrFromAddrPort(config.FabricAddress),
 		store:       platform.NewStore(),
 		killed:      make(chan struct{}),
 	}
@@ -90,7 +93,8 @@
 // assemble builds the parts that the sockets feed.
 func (d *Daemon) assemble() {
 	random := rand.New(rand.NewPCG(uint64(d.self), d.incarnation))
-	d.addresses.Store(&map[fleet.ID]*net.UDPAddr{})
+	d.gateway = fabric.NewGateway(d.self, d.config.FabricAddress, d.config.Keys,
+		fabric.WithVNI(d.config.Network), fabric.WithMTU(d.config.MTU), fabric.WithCount(d.count))
 	d.budget = member.NewBudget(d.started, d.config.ControlRate)
 	d.placer = placement.New()
 	d.node = core.New(core.Options{
@@ -105,16 +109,27 @@
 			return d.budget.Allow(now, member.ClassRepair, bytes)
 		},
 	})
-	d.trail = operator.NewTrail(operator.DefaultTrailSize, d.log, time.Now)
+	d.trail = operator.NewTrail(d.config.AuditEntries, d.log, time.Now)
 	d.metrics = operator.NewMetrics(map[string]string{"vm": d.config.Name, "domain": d.config.Domain})
-	d.peers = noPeers{d}
-	registry.Store(d.self, d)
 	d.health = newHealth(d)
-	d.control = newControl(d, random)
+	d.control = newControl(d)
+	d.assemblePeers(random)
 	d.runner = platform.NewRunner(d.client, d.store, d.clock, d.log, random, d.self, d.config.FleetSize)
 	d.store.Listen(func(c platform.Change) { d.control.changes.push(c) })
 }
 
+// assemblePeers builds what talks to the other daemons.
+func (d *Daemon) assemblePeers(random *rand.Rand) {
+	d.traffic = &peers.Traffic{}
+	options := []peers.Option{peers.WithBudget(d.clock, d.budget), peers.WithTraffic(d.traffic)}
+	d.peers = peers.NewClient(d.self, d.config.PeerKeys, options...)
+	d.server = peers.NewServer(d.config.PeerKeys, &handler{daemon: d}, options...)
+	d.driver = peers.NewDriver(d.clock, d.peers, d.control, func(now clock.Millis, sink member.Sink) *member.Machine {
+		return member.New(d.self, d.incarnation, now, random, sink,
+			member.WithBudget(d.budget), member.WithQuarantine(d.config.OpeningLifetime))
+	})
+}
+
 // Run serves until ctx ends, hands over and returns. It returns early after Kill.
 func (d *Daemon) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -123,18 +138,20 @@
 	d.trail.Add(operator.ChangedSettings, d.config.Name, "", d.describe(), "settings")
 	d.operator = operator.NewServer(d.operatorListener, d, d.trail, d.metrics)
 	var running sync.WaitGroup
-	for range d.config.Workers {
-		running.Go(newWorker(d).run)
+	for _, conn := range d.data {
+		running.Go(func() { d.serve(conn) })
 	}
 	running.Go(func() { d.runner.Run(serving) })
-	running.Go(func() { d.control.run(serving) })
+	running.Go(func() { _ = d.server.Serve(d.peerListener) })
+	running.Go(func() { d.driver.Run(serving) })
+	running.Go(func() { d.control.follow(serving) })
+	running.Go(func() { d.health.follow(serving) })
 	select {
 	case <-ctx.Done():
-		d.leave()
+		d.leave(serving)
 	case <-d.killed:
 	}
 	stop()
-	registry.Delete(d.self)
 	d.close()
 	running.Wait()
 	d.metrics.Close()
@@ -159,10 +176,12 @@
 	d.sockets.close()
 	d.operator.Close()
 	d.client.Close()
+	d.peers.Close()
+	d.server.Stop()
 }
 
 // DataAddress returns where the daemon takes Geneve datagrams.
-func (d *Daemon) DataAddress() netip.AddrPort { return d.data.LocalAddr().(*net.UDPAddr).AddrPort() }
+func (d *Daemon) DataAddress() netip.AddrPort { return d.data[0].Address() }
 
 // PeerAddress returns where the daemon takes calls of other daemons.
 func (d *Daemon) PeerAddress() netip.AddrPort {
@@ -181,8 +200,3 @@
 
 // Voting reports whether the daemon places flows that may not be repeated.
 func (d *Daemon) Voting() bool { return d.control.voting.Load() }
-
-// addressOf returns the data address of another entry VM, or nil when it is not known.
-func (d *Daemon) addressOf(id fleet.ID) *net.UDPAddr {
-	return (*d.addresses.Load())[id]
-}
--- a/entry/events.go
+++ b/entry/events.go
@@ -6,12 +6,7 @@
 	"github.com/almondflow/almondflow/operator"
 )
 
-// Send hands a message of the membership to the transport. It implements member.Sink.
-func (c *control) Send(to fleet.ID, m *member.Message) {
-	c.daemon.peers.Send(to, m)
-}
-
-// Event acts on what the membership reports. It implements member.Sink.
+// Event acts on what the membership reports. It implements peers.Observer.
 func (c *control) Event(e member.Event) {
 	switch e.Kind {
 	case member.StatusChanged:
@@ -21,8 +16,6 @@
 		c.daemon.trail.Add(operator.ChangedPeer, c.daemon.config.Name, "suspected", "refuted", "membership")
 	case member.Paused, member.Resumed, member.Established:
 		c.daemon.trail.Add(operator.ChangedState, c.daemon.config.Name, "", e.Kind.String(), "membership")
-	case member.PullWanted:
-		c.daemon.pull(e.Member, e.Name, e.Version)
 	default:
 	}
 }
--- a/entry/health.go
+++ b/entry/health.go
@@ -5,6 +5,7 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/member"
 	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/table"
 	"github.com/almondflow/almondflow/targets"
@@ -16,6 +17,8 @@
 	monitor *targets.Monitor
 	runner  *targets.Runner
 	ejected map[flow.TargetID]bool
+	// due passes probes from the control goroutine to the one that starts them.
+	due *queue[targets.Probe]
 }
 
 func newHealth(d *Daemon) *health {
@@ -24,13 +27,33 @@
 		monitor: targets.New(d.self),
 		runner:  targets.NewRunner(&targets.ConnectProber{}),
 		ejected: make(map[flow.TargetID]bool),
+		due:     newQueue[targets.Probe](maxQueued),
 	}
 }
 
-// tick starts probes that are due and tells the placer which targets not to use.
-func (h *health) tick(ctx context.Context, now clock.Millis) {
+// follow starts probes and hands their outcomes to the control goroutine until ctx ends.
+func (h *health) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			h.runner.Wait()
+			return
+		case <-h.due.ready:
+			h.runner.Start(ctx, h.due.drain())
+		case outcome := <-h.runner.Outcomes():
+			h.daemon.driver.Do(ctx, func(now clock.Millis, _ *member.Machine) {
+				h.monitor.Probed(now, outcome.ID(), outcome.Passed())
+			})
+		}
+	}
+}
+
+// tick asks for the probes that are due and tells the placer which targets not to use.
+func (h *health) tick(now clock.Millis) {
 	h.monitor.Evidence(now, h.daemon.placer.CollectEvidence())
-	h.runner.Start(ctx, h.monitor.Due(now))
+	for _, probe := range h.monitor.Due(now) {
+		h.due.push(probe)
+	}
 	ejected, changed := h.monitor.Tick(now)
 	if !changed {
 		return
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/almondflow/almondflow/clock"
@@ -18,18 +19,18 @@
 
 // leave tells the peers, hands records over and goes on serving for a while. It ends
 // within the configured time whatever is left.
-func (d *Daemon) leave() {
+func (d *Daemon) leave(serving context.Context) {
 	d.leaving.Store(true)
 	d.trail.Add(operator.ChangedState, d.config.Name, "serving", "leaving", "signal")
-	close(d.control.leave)
-	out := newOutbox(d)
+	d.driver.Do(serving, func(now clock.Millis, m *member.Machine) { m.Leave(now) })
+	out := d.newSink()
 	begin := d.clock.Now()
 	quiet := begin
 	left := 0
 	for {
 		now := d.clock.Now()
 		left = d.node.HandOver(now, out, d.mayHandOver)
-		out.flush()
+		out.Flush()
 		if left > 0 {
 			quiet = now
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -1,39 +1,57 @@
 package entry
 
 import (
-	"sync"
+	"context"
 
 	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/member"
+	"github.com/almondflow/almondflow/peers"
 )
 
-// transport carries messages of the membership to other daemons.
-type transport interface {
-	// Send hands over a message, which may be lost.
-	Send(to fleet.ID, m *member.Message)
-	// Traffic returns the bytes sent and received since the start.
-	Traffic() (sent, received uint64)
+// handler answers the calls of other daemons. It implements peers.Handler.
+type handler struct {
+	daemon *Daemon
 }
 
-// pull fetches a version of a document from a peer in the background.
-func (d *Daemon) pull(from fleet.ID, name string, version uint64) {
-	d.log.Debug("pull", "from", from, "name", name, "version", version)
+// Exchange hands a message to the membership and returns its answer.
+func (h *handler) Exchange(ctx context.Context, from fleet.ID, m *member.Message) *member.Message {
+	return h.daemon.driver.Exchange(ctx, from, m)
 }
 
-// controlTraffic returns the bytes of control traffic sent and received.
-func (d *Daemon) controlTraffic() (sent, received uint64) {
-	sent, received = d.peers.Traffic()
-	return sent + d.counters.repairBytes.Load(), received
+// Document returns a document in force that is newer than the caller's.
+func (h *handler) Document(name string, since uint64) (peers.Document, bool) {
+	version, document, ok := h.daemon.store.Document(h.daemon.clock.Now(), name)
+	if !ok || version <= since {
+		return peers.Document{}, false
+	}
+	return peers.NewDocument(version, document), true
 }
 
-var registry sync.Map
-
-type noPeers struct{ self *Daemon }
-
-func (n noPeers) Send(to fleet.ID, m *member.Message) {
-	if peer, ok := registry.Load(to); ok {
-		c := *m
-		peer.(*Daemon).control.inbox.push(received{n.self.self, &c})
+// Repair takes no records, since they travel with the datagrams of the data path.
+func (h *handler) Repair(fleet.ID, [][]byte) int { return 0 }
+
+// Pull fetches a document from a peer and offers it to the store. It implements
+// peers.Observer.
+func (c *control) Pull(ctx context.Context, from *fleet.VM, name string, _ uint64) {
+	d := c.daemon
+	document, err := d.peers.Pull(ctx, from, name, d.store.State(name).Version())
+	if err != nil {
+		d.log.Debug("pull failed", "peer", from.Name(), "name", name, "error", err)
+		return
+	}
+	whole, err := document.Whole(nil)
+	if err != nil {
+		d.log.Warn("pull useless", "peer", from.Name(), "name", name, "error", err)
+		return
 	}
+	verdict, err := d.store.Offer(d.clock.Now(), from.Name(), name, document.Version(), whole)
+	if err != nil {
+		d.log.Error("version refused", "peer", from.Name(), "name", name, "version", document.Version(),
+			"verdict", verdict.String(), "error", err)
+	}
+}
+
+// controlTraffic returns the bytes of control traffic sent and received.
+func (d *Daemon) controlTraffic() (sent, received uint64) {
+	return d.traffic.Sent() + d.counters.controlBytes.Load(), d.traffic.Received()
 }
-func (noPeers) Traffic() (uint64, uint64) { return 0, 0 }
--- a/entry/sample.go
+++ b/entry/sample.go
@@ -17,20 +17,17 @@
 	}
 	sent, received := d.controlTraffic()
 	d.metrics.Report(operator.Sample{
-		Results:          d.results(),
-		DatagramsRead:    d.counters.datagramsRead.Load(),
-		DatagramsWritten: d.counters.datagramsWritten.Load(),
-		DatagramsLost:    d.counters.datagramsLost.Load(),
-		ControlSent:      sent,
-		ControlReceived:  received,
-		PlatformCalls:    uint64(d.runner.Counters().Calls),
-		AuditRecords:     d.trail.Added(),
-		Flows:            d.node.Flows(),
-		TableVersion:     tables,
-		ListVersion:      list,
-		PeersAlive:       alive,
-		PeersSuspected:   suspected,
-		Voting:           d.Voting(),
+		Results:         d.results(),
+		ControlSent:     sent,
+		ControlReceived: received,
+		PlatformCalls:   uint64(d.runner.Counters().Calls),
+		AuditRecords:    d.trail.Added(),
+		Flows:           d.node.Flows(),
+		TableVersion:    tables,
+		ListVersion:     list,
+		PeersAlive:      alive,
+		PeersSuspected:  suspected,
+		Voting:          d.Voting(),
 	})
 }
 
--- a/entry/sockets.go
+++ b/entry/sockets.go
@@ -3,19 +3,17 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 
 	"github.com/samber/oops"
 
+	"github.com/almondflow/almondflow/fabric"
 	"github.com/almondflow/almondflow/result"
 )
 
-// socketBuffer is the size asked of the kernel for the buffers of the data socket, in
-// bytes.
-const socketBuffer = 4 << 20
-
 // sockets are what a daemon binds before it does anything else.
 type sockets struct {
-	data             *net.UDPConn
+	data             []*fabric.UDP
 	peerListener     net.Listener
 	operatorListener net.Listener
 }
@@ -23,38 +21,46 @@
 // bind binds all sockets or none.
 func bind(config *Config) (*sockets, error) {
 	s := &sockets{}
-	listen := net.ListenConfig{}
 	ctx := context.Background()
-	data, err := listen.ListenPacket(ctx, "udp", config.DataAddress.String())
-	if err != nil {
-		return nil, portInUse(err, "data_address", config.DataAddress.String())
+	if err := s.bindData(ctx, config); err != nil {
+		return nil, portInUse(err, "data_address", config.DataAddress)
 	}
-	s.data = data.(*net.UDPConn)
-	_ = s.data.SetReadBuffer(socketBuffer)
-	_ = s.data.SetWriteBuffer(socketBuffer)
+	listen := net.ListenConfig{}
+	var err error
 	if s.peerListener, err = listen.Listen(ctx, "tcp", config.PeerAddress.String()); err != nil {
 		s.close()
-		return nil, portInUse(err, "peer_address", config.PeerAddress.String())
+		return nil, portInUse(err, "peer_address", config.PeerAddress)
 	}
 	if s.operatorListener, err = listen.Listen(ctx, "tcp", config.OperatorAddress.String()); err != nil {
 		s.close()
-		return nil, portInUse(err, "operator_address", config.OperatorAddress.String())
+		return nil, portInUse(err, "operator_address", config.OperatorAddress)
 	}
 	return s, nil
 }
 
-func portInUse(err error, field, address string) error {
-	return oops.Code(result.PortInUse).With("field", field).Wrapf(err, "settings: $.%s = %q", field, address)
+// bindData first binds a socket of its own, since the sockets of the workers share their
+// port, also with those of another daemon.
+func (s *sockets) bindData(ctx context.Context, config *Config) error {
+	exclusive, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp", config.DataAddress.String())
+	if err != nil {
+		return err
+	}
+	_ = exclusive.Close()
+	s.data, err = fabric.Listen(ctx, config.DataAddress, config.Workers)
+	return err
+}
+
+func portInUse(err error, field string, address netip.AddrPort) error {
+	return oops.Code(result.PortInUse).With("field", field).Wrapf(err, "settings: $.%s = %q", field, address.String())
 }
 
 func (s *sockets) close() {
-	if s.data != nil {
-		_ = s.data.Close()
-	}
-	if s.peerListener != nil {
-		_ = s.peerListener.Close()
+	for _, conn := range s.data {
+		_ = conn.Close()
 	}
-	if s.operatorListener != nil {
-		_ = s.operatorListener.Close()
+	for _, listener := range []net.Listener{s.peerListener, s.operatorListener} {
+		if listener != nil {
+			_ = listener.Close()
+		}
 	}
 }
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -49,46 +49,40 @@
 const reportInterval = time.Second
 
 var (
-	packets          = Metric{"packets", Counter, "packets", "Packets by the result code that their decision ended in (tag result)."}
-	datagramsRead    = Metric{"datagrams_received", Counter, "datagrams", "Geneve datagrams read from the fabric and from entry VMs."}
-	datagramsWritten = Metric{"datagrams_sent", Counter, "datagrams", "Geneve datagrams written to the fabric and to entry VMs."}
-	datagramsLost    = Metric{"datagrams_send_failed", Counter, "datagrams", "Geneve datagrams that the kernel did not take."}
-	controlSent      = Metric{"control_sent", Counter, "bytes", "Bytes of control traffic sent to other daemons and the platform."}
-	controlReceived  = Metric{"control_received", Counter, "bytes", "Bytes of control traffic received from other daemons and the platform."}
-	platformCalls    = Metric{"platform_calls", Counter, "calls", "Calls of the platform's service, a waiting watch counted as one."}
-	auditRecords     = Metric{"audit_records", Counter, "records", "Changes in force that the audit trail recorded."}
-	flowsHeld        = Metric{"flows", Gauge, "flows", "Flows that the daemon holds a record of."}
-	tableVersion     = Metric{"table_version", Gauge, "version", "Version of the tables in force."}
-	listVersion      = Metric{"list_version", Gauge, "version", "Version of the list of entry VMs in force."}
-	peersAlive       = Metric{"peers_alive", Gauge, "vms", "Other entry VMs of the list believed alive."}
-	peersSuspected   = Metric{"peers_suspected", Gauge, "vms", "Other entry VMs of the list suspected of being gone."}
-	votingMetric     = Metric{"voting", Gauge, "boolean", "1 while the daemon places flows that may not be repeated, else 0."}
+	packets         = Metric{"packets", Counter, "packets", "Packets by the result code that their decision ended in (tag result)."}
+	controlSent     = Metric{"control_sent", Counter, "bytes", "Bytes of control traffic sent to other daemons and the platform."}
+	controlReceived = Metric{"control_received", Counter, "bytes", "Bytes of control traffic received from other daemons and the platform."}
+	platformCalls   = Metric{"platform_calls", Counter, "calls", "Calls of the platform's service, a waiting watch counted as one."}
+	auditRecords    = Metric{"audit_records", Counter, "records", "Changes in force that the audit trail recorded."}
+	flowsHeld       = Metric{"flows", Gauge, "flows", "Flows that the daemon holds a record of."}
+	tableVersion    = Metric{"table_version", Gauge, "version", "Version of the tables in force."}
+	listVersion     = Metric{"list_version", Gauge, "version", "Version of the list of entry VMs in force."}
+	peersAlive      = Metric{"peers_alive", Gauge, "vms", "Other entry VMs of the list believed alive."}
+	peersSuspected  = Metric{"peers_suspected", Gauge, "vms", "Other entry VMs of the list suspected of being gone."}
+	votingMetric    = Metric{"voting", Gauge, "boolean", "1 while the daemon places flows that may not be repeated, else 0."}
 )
 
 // AllMetrics returns the description of every metric.
 func AllMetrics() []Metric {
 	return []Metric{
-		packets, datagramsRead, datagramsWritten, datagramsLost, controlSent, controlReceived, platformCalls,
+		packets, controlSent, controlReceived, platformCalls,
 		auditRecords, flowsHeld, tableVersion, listVersion, peersAlive, peersSuspected, votingMetric,
 	}
 }
 
 // Sample holds the values of one daemon at one moment. Counters are totals.
 type Sample struct {
-	Results          map[result.Code]uint64
-	DatagramsRead    uint64
-	DatagramsWritten uint64
-	DatagramsLost    uint64
-	ControlSent      uint64
-	ControlReceived  uint64
-	PlatformCalls    uint64
-	AuditRecords     uint64
-	Flows            int
-	TableVersion     uint64
-	ListVersion      uint64
-	PeersAlive       int
-	PeersSuspected   int
-	Voting           bool
+	Results         map[result.Code]uint64
+	ControlSent     uint64
+	ControlReceived uint64
+	PlatformCalls   uint64
+	AuditRecords    uint64
+	Flows           int
+	TableVersion    uint64
+	ListVersion     uint64
+	PeersAlive      int
+	PeersSuspected  int
+	Voting          bool
 }
 
 // Metrics exposes samples through a tally scope. Report is called by one goroutine.
@@ -133,9 +127,6 @@
 		scope := m.scope.Tagged(map[string]string{"result": code.String()})
 		scope.Counter(packets.name).Inc(int64(count - m.before.Results[code]))
 	}
-	m.count(datagramsRead, s.DatagramsRead, m.before.DatagramsRead)
-	m.count(datagramsWritten, s.DatagramsWritten, m.before.DatagramsWritten)
-	m.count(datagramsLost, s.DatagramsLost, m.before.DatagramsLost)
 	m.count(controlSent, s.ControlSent, m.before.ControlSent)
 	m.count(controlReceived, s.ControlReceived, m.before.ControlReceived)
 	m.count(platformCalls, s.PlatformCalls, m.before.PlatformCalls)
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -22,7 +22,9 @@
 // fakeDaemon answers with fixed values.
 type fakeDaemon struct{}
 
-func (fakeDaemon) Status() operator.Status { return operator.Status{Name: "kadikoy-1", TableVersion: 7} }
+func (fakeDaemon) Status() operator.Status {
+	return operator.Status{Name: "kadikoy-1", TableVersion: 7}
+}
 
 func (fakeDaemon) Flows(limit int) []operator.Flow { return make([]operator.Flow, limit) }
 
@@ -76,7 +78,7 @@
 	_, wrongSource := client.Explain(ctx, "udp", "here", "203.0.113.10:443")
 	_, wrongLimit := client.Flows(ctx, 10_001)
 	_, unreachable := operator.NewClient("127.0.0.1:1").Status(ctx)
-	_, notDaemon := operator.NewClient(address+"/elsewhere").Status(ctx)
+	_, notDaemon := operator.NewClient(address + "/elsewhere").Status(ctx)
 	tests := []struct {
 		name string
 		err  error
