--- a/cmd/checkcmd.go
+++ b/cmd/checkcmd.go
@@ -97,7 +97,7 @@
 }
 
 func checkFile(file string, check checker) (fileCheck, error) {
-	document, err := os.ReadFile(file)
+	document, err := os.ReadFile(file) //nolint:gosec // the operator names the file
 	if err != nil {
 		return fileCheck{File: file}, oops.Code(result.FileUnreadable).Wrap(err)
 	}
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(command.Root().ErrWriter, &slog.HandlerOptions{Level: s.LogLevel()}))
-	daemon, err := entry.New(config, entry.WithLogger(log))
+	daemon, err := entry.New(ctx, config, entry.WithLogger(log))
 	if err != nil {
 		return err
 	}
--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -61,7 +61,7 @@
 	if file == "" {
 		return nil
 	}
-	document, err := os.ReadFile(file)
+	document, err := os.ReadFile(file) //nolint:gosec // the operator names the file
 	if err != nil {
 		return oops.Code(result.FileUnreadable).Wrapf(err, "--%s", name)
 	}
@@ -94,7 +94,7 @@
 		vms = append(vms, vm)
 	}
 	log := slog.New(slog.NewTextHandler(command.Root().ErrWriter, nil))
-	fabric, err := standin.StartFabric(command.String("address"), log)
+	fabric, err := standin.StartFabric(ctx, command.String("address"), log)
 	if err != nil {
 		return oops.Code(result.PortInUse).Wrapf(err, "--address")
 	}
@@ -103,7 +103,7 @@
 	w := command.Root().Writer
 	_, _ = fmt.Fprintf(w, "geneve %s\n", fabric.Address())
 	for _, text := range command.StringSlice("route") {
-		destination, err := fabric.Route(text)
+		destination, err := fabric.Route(ctx, text)
 		if err != nil {
 			return oops.Code(result.PortInUse).Wrapf(err, "--route")
 		}
@@ -135,7 +135,7 @@
 	if err != nil {
 		return oops.Code(result.KeyInvalid).Wrap(err)
 	}
-	target, err := standin.StartTarget(command.String("pool"), command.String("name"),
+	target, err := standin.StartTarget(ctx, command.String("pool"), command.String("name"),
 		command.String("address"), command.Int("slots"), certificates, standin.NewLedger())
 	if err != nil {
 		return oops.Code(result.PortInUse).Wrapf(err, "--address")
--- a/demo/client.go
+++ b/demo/client.go
@@ -83,18 +83,19 @@
 		return nil, err
 	}
 	c := &client{socket: socket, refusals: d.refusals, transport: &quic.Transport{Conn: socket}}
-	c.ctx, c.cancel = context.WithCancelCause(parent)
+	ctx, cancel := context.WithCancelCause(parent)
+	c.ctx, c.cancel = ctx, cancel
 	c.address = socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	d.refusals.watch(c.address, c.cancel)
-	if err = c.connect(d.certificates.Client(), to); err != nil {
+	if err = c.connect(ctx, d.certificates.Client(), to); err != nil {
 		c.close()
 		return nil, err
 	}
 	return c, nil
 }
 
-func (c *client) connect(tlsSettings *tls.Config, to netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
+func (c *client) connect(parent context.Context, tlsSettings *tls.Config, to netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(parent, dialTimeout)
 	defer cancel()
 	settings := &quic.Config{
 		HandshakeIdleTimeout: dialTimeout,
@@ -117,6 +118,9 @@
 	return err
 }
 
+// cause returns why the client's work was ended, or nil.
+func (c *client) cause() error { return context.Cause(c.ctx) }
+
 // do sends a request. The error is errRefused when an entry VM refused the flow.
 func (c *client) do(request *http.Request) (*http.Response, error) {
 	response, err := c.http.RoundTrip(request.WithContext(c.ctx))
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -37,7 +37,7 @@
 	}
 	log := newProgress(options.Progress)
 	logger := slog.New(slog.NewTextHandler(options.Progress, &slog.HandlerOptions{Level: slog.LevelError}))
-	w, err := newWorld(d, options.Seed, log, logger)
+	w, err := newWorld(ctx, d, options.Seed, log, logger)
 	if err != nil {
 		return nil, fmt.Errorf("stand-ins: %w", err)
 	}
@@ -55,7 +55,7 @@
 	if _, err := s.world.editTables(func(*tablesDocument) {}); err != nil {
 		return err
 	}
-	if err := s.startAll(); err != nil {
+	if err := s.startAll(ctx); err != nil {
 		return fmt.Errorf("entry VMs: %w", err)
 	}
 	list, err := s.publish()
--- a/demo/feed.go
+++ b/demo/feed.go
@@ -87,7 +87,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	if cause := context.Cause(c.ctx); cause != nil {
+	if cause := c.cause(); cause != nil {
 		return cause
 	}
 	if lines.Err() != nil {
--- a/demo/script.go
+++ b/demo/script.go
@@ -68,7 +68,7 @@
 // changeTargets marks one target as leaving and lets another join.
 func (s *script) changeTargets(ctx context.Context) error {
 	pool := s.world.deployment.booking
-	joining, err := s.world.addTarget(pool.pool, pool.hosts, "joining")
+	joining, err := s.world.addTarget(ctx, pool.pool, pool.hosts, "joining")
 	if err != nil {
 		return err
 	}
@@ -127,7 +127,7 @@
 func (s *script) replaceVM(ctx context.Context) error {
 	all := s.vms.live()
 	old := all[s.world.random.IntN(len(all))]
-	fresh, err := s.vms.start(old.domain+"-new", old.domain)
+	fresh, err := s.vms.start(ctx, old.domain+"-new", old.domain)
 	if err != nil {
 		return err
 	}
--- a/demo/vms.go
+++ b/demo/vms.go
@@ -38,11 +38,11 @@
 }
 
 // startAll starts the VMs of the deployment.
-func (s *vms) startAll() error {
+func (s *vms) startAll(ctx context.Context) error {
 	d := s.world.deployment
 	for _, domain := range d.domains {
 		for i := range d.vmsPerDomain {
-			if _, err := s.start(fmt.Sprintf("%s-%d", domain, i+1), domain); err != nil {
+			if _, err := s.start(ctx, fmt.Sprintf("%s-%d", domain, i+1), domain); err != nil {
 				return err
 			}
 		}
@@ -51,19 +51,19 @@
 }
 
 // start starts one VM. It is not in the list before publish.
-func (s *vms) start(name, domain string) (*vm, error) {
-	daemon, err := entry.New(s.world.config(name, domain), entry.WithLogger(s.world.logger.With("vm", name)))
+func (s *vms) start(ctx context.Context, name, domain string) (*vm, error) {
+	daemon, err := entry.New(ctx, s.world.config(name, domain), entry.WithLogger(s.world.logger.With("vm", name)))
 	if err != nil {
 		return nil, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	v := &vm{
 		name: name, domain: domain, daemon: daemon, stop: stop, done: make(chan struct{}),
 		state: fleet.Serving, start: time.Now(),
 	}
 	go func() {
 		defer close(v.done)
-		_ = daemon.Run(ctx)
+		_ = daemon.Run(serving)
 	}()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/demo/world.go
+++ b/demo/world.go
@@ -47,7 +47,7 @@
 	domains map[string]string
 }
 
-func newWorld(d deployment, seed uint64, log *progress, logger *slog.Logger) (*world, error) {
+func newWorld(ctx context.Context, d deployment, seed uint64, log *progress, logger *slog.Logger) (*world, error) {
 	certificates, err := standin.NewCertificates()
 	if err != nil {
 		return nil, err
@@ -68,7 +68,7 @@
 		dialer:       &dialer{certificates: certificates, refusals: newRefusals()},
 		domains:      make(map[string]string),
 	}
-	if err = w.open(); err != nil {
+	if err = w.open(ctx); err != nil {
 		w.close()
 		return nil, err
 	}
@@ -76,25 +76,25 @@
 }
 
 // open starts the platform, the fabric and the first targets.
-func (w *world) open() (err error) {
-	if err = w.openPlatform(); err != nil {
+func (w *world) open(ctx context.Context) (err error) {
+	if err = w.openPlatform(ctx); err != nil {
 		return err
 	}
-	w.fabric, err = standin.StartFabric(anyPort, w.logger,
+	w.fabric, err = standin.StartFabric(ctx, anyPort, w.logger,
 		standin.WithFabricSeed(w.seed), standin.WithAllowed(w.allowed), standin.WithRefused(w.dialer.refusals.refuse))
 	if err != nil {
 		return err
 	}
-	if w.booking, err = w.fabric.Route(bookingAddress + ":0"); err != nil {
+	if w.booking, err = w.fabric.Route(ctx, bookingAddress+":0"); err != nil {
 		return err
 	}
-	if w.photos, err = w.fabric.Route(photosAddress + ":0"); err != nil {
+	if w.photos, err = w.fabric.Route(ctx, photosAddress+":0"); err != nil {
 		return err
 	}
 	w.tables = newTables(w.deployment, w.booking, w.photos)
 	for _, s := range []service{w.deployment.booking, w.deployment.photos} {
 		for i := range s.hosts {
-			if _, err = w.addTarget(s.pool, i, "serving"); err != nil {
+			if _, err = w.addTarget(ctx, s.pool, i, "serving"); err != nil {
 				return err
 			}
 		}
@@ -102,23 +102,23 @@
 	return nil
 }
 
-func (w *world) openPlatform() error {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", anyPort)
+func (w *world) openPlatform(ctx context.Context) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", anyPort)
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	w.platform = standin.NewPlatform()
 	w.platformAt = "http://" + listener.Addr().String()
 	w.stopPlatform = stop
-	go func() { _ = w.platform.Serve(ctx, listener) }()
+	go func() { _ = w.platform.Serve(serving, listener) }()
 	return nil
 }
 
 // addTarget starts a target and adds it to the tables, which are not published yet.
-func (w *world) addTarget(pool string, number int, mark string) (*standin.Target, error) {
+func (w *world) addTarget(ctx context.Context, pool string, number int, mark string) (*standin.Target, error) {
 	name := fmt.Sprintf("%s-%02d", pool, number+1)
-	target, err := standin.StartTarget(pool, name, anyPort, slotsPerHost, w.certificates, w.ledger)
+	target, err := standin.StartTarget(ctx, pool, name, anyPort, slotsPerHost, w.certificates, w.ledger)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -64,7 +64,7 @@
 
 // New binds the sockets of a daemon. When one cannot be bound nothing stays open and the
 // error has the code PortInUse.
-func New(config Config, options ...Option) (*Daemon, error) {
+func New(ctx context.Context, config Config, options ...Option) (*Daemon, error) {
 	d := &Daemon{
 		config:      config.withDefaults(),
 		log:         slog.Default(),
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	d.client = client
-	if d.sockets, err = bind(&d.config); err != nil {
+	if d.sockets, err = bind(ctx, &d.config); err != nil {
 		return nil, err
 	}
 	d.assemble()
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -26,7 +26,7 @@
 	out := d.newSink()
 	begin := d.clock.Now()
 	quiet := begin
-	left := 0
+	var left int
 	for {
 		now := d.clock.Now()
 		left = d.node.HandOver(now, out, d.mayHandOver)
--- a/entry/sample.go
+++ b/entry/sample.go
@@ -20,7 +20,7 @@
 		Results:         d.results(),
 		ControlSent:     sent,
 		ControlReceived: received,
-		PlatformCalls:   uint64(d.runner.Counters().Calls),
+		PlatformCalls:   d.runner.Counters().Calls,
 		AuditRecords:    d.trail.Added(),
 		Flows:           d.node.Flows(),
 		TableVersion:    tables,
--- a/operator/trail.go
+++ b/operator/trail.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"context"
 	"log/slog"
 	"sync"
 	"time"
@@ -89,9 +88,8 @@
 		t.ring[(r.Sequence-1)%uint64(cap(t.ring))] = r
 	}
 	t.mu.Unlock()
-	t.log.LogAttrs(context.Background(), slog.LevelInfo, "change",
-		slog.Uint64("sequence", r.Sequence), slog.String("kind", string(kind)), slog.String("subject", subject),
-		slog.String("before", before), slog.String("after", after), slog.String("source", source))
+	t.log.Info("change", "sequence", r.Sequence, "kind", string(kind), "subject", subject,
+		"before", before, "after", after, "source", source)
 }
 
 // Records returns the records kept after the sequence number, oldest first.
