--- a/geneve/geneve_test.go
+++ b/geneve/geneve_test.go
@@ -212,6 +212,19 @@
 	is.Equal(code(err), result.DroppedBadTag) // the first key is in force no more
 }
 
+func TestDatagramsDoNotAllocate(t *testing.T) {
+	is := is.New(t)
+	keys := ring(t, 1, 2)
+	encoder, decoder := geneve.NewEncoder(vni, keys), geneve.NewDecoder(self, vni, keys)
+	m := steer.Message{Kind: steer.Copy, From: 1, Target: flow.NewTarget(3, flow.Endpoint{})}
+	room := make([]byte, 0, 2000)
+	allocations := testing.AllocsPerRun(10, func() {
+		_, err := decoder.Decode(encoder.AppendPeer(room, self, &m, inner))
+		is.NoErr(err)
+	})
+	is.Equal(allocations, 0.0)
+}
+
 func TestKeysAreChecked(t *testing.T) {
 	is := is.New(t)
 	_, err := geneve.NewKey(1, make([]byte, 31))
