Show what entry VMs know of a feed that broke

The demo now prints holders, owner and target of such a flow at each entry VM. Conclusion: the fault is rare and not yet explained.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -43,6 +43,7 @@
 	}
 	defer w.close()
 	s := &vms{world: w}
+	w.vms = s
 	defer s.stopAll()
 	if err = s.begin(ctx); err != nil {
 		return nil, err
--- a/demo/feed.go
+++ b/demo/feed.go
@@ -50,6 +50,7 @@
 	if err = f.read(ctx, c, response); err != nil && ctx.Err() == nil {
 		f.broken.Add(1)
 		f.log.printf("feed %s broke: %v", c.address, err)
+		f.world.explain(c.address, f.world.booking)
 	}
 }
 
--- a/demo/world.go
+++ b/demo/world.go
@@ -40,6 +40,7 @@
 	crossed      atomic.Int64
 
 	mu      sync.RWMutex
+	vms     *vms
 	tables  *tablesDocument
 	list    *fleet.List
 	targets []*standin.Target
