--- a/table/bench_test.go
+++ b/table/bench_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/almondflow/almondflow/strictjson"
 	"github.com/almondflow/almondflow/table"
 )
 
@@ -76,6 +78,31 @@
 	}
 }
 
+// BenchmarkReplaceParts measures an edit of one host as a reader of split tables meets
+// it: one part of many is replaced.
+func BenchmarkReplaceParts(b *testing.B) {
+	const pools = 100 // of one part
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			old, err := table.Parse(s.document(1, 0))
+			if err != nil {
+				b.Fatal(err)
+			}
+			removed, added := s.part(0, pools, 1), s.part(0, pools, 2)
+			b.ResetTimer()
+			for b.Loop() {
+				if _, err := old.ReplaceParts(2, removed, added); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/1e6, "replace_ms")
+			b.ReportMetric(float64(len(added[0].Document())), "part_B")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // BenchmarkRetained measures the bytes of state that each further version costs while
 // the versions before it are kept.
 func BenchmarkRetained(b *testing.B) {
@@ -86,20 +113,13 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			var deltas [][]byte
-			for version := 2; version < 2+versions; version++ {
-				next, err := first.Apply(edit(first, s, version))
-				if err != nil {
-					b.Fatal(err)
-				}
-				deltas = append(deltas, next.Delta(first))
-			}
 			before := heap()
 			kept := []*table.Snapshot{first}
 			for b.Loop() {
 				kept = kept[:1]
-				for _, delta := range deltas {
-					next, err := first.Apply(delta)
+				for version := 2; version < 2+versions; version++ {
+					last := kept[len(kept)-1]
+					next, err := last.ReplaceParts(uint64(version), s.part(version, version+1, 1), s.part(version, version+1, version))
 					if err != nil {
 						b.Fatal(err)
 					}
@@ -107,16 +127,17 @@
 				}
 			}
 			b.ReportMetric(float64(heap()-before)/versions, "state_B/version")
+			b.ReportMetric(0, "ns/op")
 			runtime.KeepAlive(kept)
 		})
 	}
 }
 
-// edit returns a delta that gives one pool another generation.
-func edit(base *table.Snapshot, s size, version int) []byte {
-	next, err := table.Parse(s.document(version, version))
-	if err != nil {
-		panic(err)
+// part returns one part with the pools of a range, the first with the generation.
+func (s size) part(from, to, generation int) []strictjson.Part {
+	pools := []string{s.poolText(from, generation)}
+	for i := from + 1; i < to; i++ {
+		pools = append(pools, s.poolText(i, 1))
 	}
-	return next.Delta(base)
+	return []strictjson.Part{strictjson.NewPart("part", []byte(`{"pools":[`+strings.Join(pools, ",")+`]}`))}
 }
