--- a/core/bus_test.go
+++ b/core/bus_test.go
@@ -115,10 +115,10 @@
 		placer.SetTables(0, tables)
 		b.placers = append(b.placers, placer)
 		id := fleet.NewID(name)
-		node := core.New(core.Options{Self: id, Incarnation: 1, Seed: 5, Shards: 2, Placer: placer, OpeningLifetime: testLifetime})
+		node := core.New(core.Options{Self: id, Incarnation: 1, Seed: 5, Shards: 2, Placer: placer, OpeningLifetime: testLifetime, PauseGap: clock.Hour})
 		node.SetTables(0, tables)
 		node.SetList(0, ranking)
-		node.SetVoting(0, core.Voting{List: 1, Until: clock.Hour})
+		node.SetVoting(0, core.Voting{List: 1, Settled: 1, Until: clock.Hour})
 		b.nodes[id] = node
 	}
 	b.now = 10 * clock.Minute
@@ -256,7 +256,7 @@
 	is := is.New(t)
 	b := newBus(t, eight...)
 	for _, node := range b.nodes {
-		node.SetVoting(b.now, core.Voting{List: 1, Until: b.now}) // the lease ran out
+		node.SetVoting(b.now, core.Voting{List: 1, Settled: 1, Until: b.now}) // the lease ran out
 	}
 	for n := range 50 {
 		is.Equal(b.client(n, hold(n)), flow.Endpoint{}) // neither placed nor refused
--- a/core/node.go
+++ b/core/node.go
@@ -88,7 +88,7 @@
 	view    atomic.Pointer[view]
 	shards  []shard
 	codes   [maxCode]atomic.Uint64
-	ticked  clock.Millis
+	ticked  atomic.Int64
 }
 
 // New returns a Node that drops everything until it has tables and a list.
@@ -108,11 +108,12 @@
 	if options.Copies <= 0 {
 		options.Copies = fleet.HolderCount - 1
 	}
-	n := &Node{options: options, shards: make([]shard, options.Shards), ticked: options.Started}
+	n := &Node{options: options, shards: make([]shard, options.Shards)}
+	n.ticked.Store(int64(options.Started))
 	for i := range n.shards {
 		n.shards[i].init(n)
 	}
-	n.view.Store(&view{peers: NewPeers(nil), unsureSince: options.Started})
+	n.view.Store(&view{unsureSince: options.Started})
 	return n
 }
 
@@ -187,14 +188,25 @@
 	n.change(func(v *view) { v.unsureSince = now })
 }
 
+// SetPaused tells the Node that the process was paused and has not heard its peers since.
+// Until it has, known flows are served and no new one is placed.
+func (n *Node) SetPaused(_ clock.Millis, paused bool) {
+	n.change(func(v *view) { v.paused = paused })
+}
+
+// isPaused also notices a pause that the control goroutine has not come to report.
+func (n *Node) isPaused(now clock.Millis, v *view) bool {
+	return v.paused || now-clock.Millis(n.ticked.Load()) > n.options.PauseGap
+}
+
 // Tick expires and repairs. It is called every 100 ms or so; a longer gap than the
 // option PauseGap counts as a pause of the process, after which nothing is taken for
 // granted.
 func (n *Node) Tick(now clock.Millis, sink Sink) {
-	if now-n.ticked > n.options.PauseGap {
+	if now-clock.Millis(n.ticked.Load()) > n.options.PauseGap {
 		n.Doubt(now)
 	}
-	n.ticked = now
+	n.ticked.Store(int64(now))
 	v := n.view.Load()
 	if !v.ready() {
 		return
--- a/core/register.go
+++ b/core/register.go
@@ -79,7 +79,38 @@
 		return true
 	}
 	voting := a.view.voting
-	return voting.List == a.view.list().Version() && a.now < voting.Until
+	if voting.List != a.view.list().Version() || a.now >= voting.Until {
+		return false
+	}
+	return s.isSettled(a, voting.Settled)
+}
+
+// isSettled reports whether the flow has the same holders under every list that an entry
+// VM may still act on, so that all who vote on it ask the same ones.
+func (s *shard) isSettled(a *arrival, settled uint64) bool {
+	for _, e := range a.view.epochs[1:] {
+		if a.view.list().Version() == settled || e.ranking.List().Version() < settled {
+			return true
+		}
+		if e.ranking.Holders(a.hash, fleet.EachDomain) != a.holders {
+			return false
+		}
+		if e.ranking.List().Version() == settled {
+			return true
+		}
+	}
+	return a.view.list().Version() == settled
+}
+
+// sharesHolders reports whether the sender of a message acts on the same holders of the
+// flow as this VM, whatever the versions of their lists.
+func (s *shard) sharesHolders(a *arrival, m *steer.Message) bool {
+	for i, e := range a.view.epochs {
+		if e.ranking.List().Version() == m.List {
+			return i == 0 || e.ranking.Holders(a.hash, fleet.EachDomain) == a.holders
+		}
+	}
+	return false
 }
 
 // knowsHistory reports whether this VM saw every list under which a target may have been
@@ -265,7 +296,7 @@
 	if r := s.flows.Get(a.hash, &a.key); r != nil && r.has(decided) {
 		return s.reply(a, m.From, steer.Message{Kind: steer.Promise, Ballot: m.Ballot, Target: r.target, Decided: true})
 	}
-	if m.List != a.view.list().Version() || s.isQuarantined(a, s.self()) {
+	if !s.sharesHolders(a, m) || s.isQuarantined(a, s.self()) {
 		return s.reply(a, m.From, steer.Message{Kind: steer.Reject})
 	}
 	if a.holders.Rank(s.self()) >= 0 {
@@ -339,7 +370,7 @@
 		}
 	}
 	r := g.read
-	if r.ballot != g.promised || !s.canVote(a) || r.ballot.List != a.view.list().Version() {
+	if r.ballot != g.promised || !s.canVote(a) || r.sets[0].holders != a.holders {
 		return result.DroppedUndetermined
 	}
 	g.read = nil
@@ -395,7 +426,7 @@
 }
 
 func (s *shard) mayAccept(a *arrival, m *steer.Message) bool {
-	if m.List != a.view.list().Version() || a.holders.Rank(s.self()) < 0 || !s.canVote(a) {
+	if !s.sharesHolders(a, m) || a.holders.Rank(s.self()) < 0 || !s.canVote(a) {
 		return false
 	}
 	if m.Ballot.IsZero() && !s.isUnchanged(a) {
--- a/core/view.go
+++ b/core/view.go
@@ -7,7 +7,7 @@
 )
 
 // maxEpochs bounds the earlier lists whose holders are still asked.
-const maxEpochs = 4
+const maxEpochs = 32
 
 // epoch is a list that is or was in force.
 type epoch struct {
@@ -28,8 +28,8 @@
 	Incarnation uint64
 }
 
-// Peers is an immutable picture of the other entry VMs. VMs that are not in it count as
-// alive, since the published list says so.
+// Peers is an immutable picture of the entry VMs of the list in force. A VM that is not in
+// it has left the list and counts as gone.
 type Peers struct {
 	byID map[fleet.ID]Peer
 }
@@ -43,18 +43,21 @@
 	return p
 }
 
+// find returns what is known of a VM. Before anything is known, all count as alive.
 func (p *Peers) find(id fleet.ID) Peer {
-	peer, ok := p.byID[id]
-	if !ok {
+	if p == nil {
 		return Peer{ID: id, Alive: true}
 	}
-	return peer
+	return p.byID[id]
 }
 
 // Voting is the permission to decide the targets of flows that may not be repeated.
 type Voting struct {
 	// List is the version of the list the permission is for.
 	List uint64
+	// Settled is the version below which no entry VM decides any more. Flows whose
+	// holders changed since then have to wait.
+	Settled uint64
 	// Until is the point from which on the permission has run out.
 	Until clock.Millis
 }
@@ -66,6 +69,7 @@
 	peers       *Peers
 	voting      Voting
 	unsureSince clock.Millis // when this VM last lost sight of the others or its records
+	paused      bool         // no peer was heard since a pause of the process
 	epochsLost  clock.Millis // when an epoch was dropped for want of room, or 0
 }
 
@@ -78,7 +82,7 @@
 }
 
 // signature changes when a holder changes, restarts or comes back, which is when records
-// have to be copied again.
+// have to be copied again. A holder in quarantine has restarted of late.
 func (v *view) signature(holders *fleet.Holders) uint32 {
 	var s uint64
 	for i := range holders.Len() {
@@ -87,6 +91,9 @@
 		if peer.Alive {
 			s = s*31 + (uint64(id) ^ peer.Incarnation*0x9e3779b97f4a7c15)
 		}
+		if peer.Quarantined {
+			s++
+		}
 	}
 	return uint32(s ^ s>>32)
 }
--- a/fleet/ranking.go
+++ b/fleet/ranking.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -183,7 +184,7 @@
 func bucketOf(hash uint64) uint64 { return hash >> 16 }
 
 func rankDomain(list *List, name string, o rankingOptions) domainRanking {
-	d := domainRanking{id: NewID(name), name: name, buckets: make([]top, o.buckets)}
+	d := domainRanking{id: NewID(name), name: name}
 	for i := range list.vms {
 		if v := &list.vms[i]; v.domain == name && v.state == Serving {
 			d.vms = append(d.vms, v.id)
@@ -191,11 +192,17 @@
 	}
 	old := o.previous.find(name, o.buckets)
 	if old == nil {
+		d.buckets = make([]top, o.buckets)
 		for b := range d.buckets {
 			d.buckets[b] = d.rankAll(uint64(b))
 		}
 		return d
 	}
+	if slices.Equal(d.vms, old.vms) {
+		d.buckets = old.buckets // shared, as nothing changes them any more
+		return d
+	}
+	d.buckets = make([]top, o.buckets)
 	d.rankFrom(old)
 	return d
 }
