--- a/faults/target_test.go
+++ b/faults/target_test.go
@@ -12,17 +12,16 @@
 
 // target is one port of one host.
 type target struct {
-	world     *world
-	kind      kind
-	host      string
-	domain    string
-	endpoint  flow.Endpoint
-	up        bool
-	mark      string
-	markedAt  clock.Millis
-	flows     map[flow.Endpoint]bool
-	openings  int
-	firstFlow clock.Millis
+	world    *world
+	kind     kind
+	host     string
+	domain   string
+	endpoint flow.Endpoint
+	up       bool
+	mark     string
+	markedAt clock.Millis
+	flows    map[flow.Endpoint]bool
+	openings int
 }
 
 // attachTargets brings the targets in line with the published tables.
--- a/faults/vm_test.go
+++ b/faults/vm_test.go
@@ -53,7 +53,7 @@
 }
 
 // boot starts a process on a VM, without memory of an earlier one.
-func (w *world) boot(name, domain string) *vm {
+func (w *world) boot(name, domain string) {
 	v := &vm{world: w, name: name, domain: domain, id: fleet.NewID(name), up: true, booted: w.now}
 	if w.config.skew > 0 {
 		v.drift = w.random.IntN(2*w.config.skew+1) - w.config.skew
@@ -79,7 +79,6 @@
 	w.after(clock.Millis(w.random.Int64N(int64(tickPeriod))), v.tick)
 	w.after(v.readDelay(), v.readPlatform)
 	w.tracef("%s booted", name)
-	return v
 }
 
 // local is the VM's own clock.
