Script the commands and refuse where a pool has no host left

A table whose only host is marked leaving made the placer index an empty slice, so that one edit ended every daemon; the script of a daemon found it. The placer now refuses such flows.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -4,23 +4,35 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/entry"
 	"github.com/almondflow/almondflow/geneve"
 	"github.com/almondflow/almondflow/peers"
 	"github.com/almondflow/almondflow/settings"
 )
 
+const defaultStartTimeout = 30 * time.Second
+
 func newEntryCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
 		Usage: "run the daemon of one entry VM until SIGTERM or SIGINT",
 		Description: "The daemon binds its sockets, reads the platform and serves. On a signal it leaves:\n" +
-			"it tells its peers, hands its flows over and exits within the configured time.",
+			"it tells its peers, hands its flows over and exits within the configured time.\n" +
+			"SIGHUP makes it read its key files again.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
+			&cli.DurationFlag{
+				Name: "start-timeout", Value: defaultStartTimeout,
+				Usage: "exit when neither tables nor list were read within this `SPAN`",
+			},
 		},
 		Action: runEntry,
 	}
@@ -36,20 +48,52 @@
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(command.Root().ErrWriter, &slog.HandlerOptions{Level: s.LogLevel()}))
+	config.StartTimeout = clock.FromDuration(command.Duration("start-timeout"))
 	daemon, err := entry.New(ctx, config, entry.WithLogger(log))
 	if err != nil {
 		return err
 	}
+	go reloadKeys(ctx, daemon, s.Files(), log)
 	return daemon.Run(ctx)
 }
 
+// reloadKeys takes changed key files into use on SIGHUP. Faulty files change nothing.
+func reloadKeys(ctx context.Context, daemon *entry.Daemon, files settings.Files, log *slog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		if err := reloadOnce(daemon, files); err != nil {
+			log.Error("keys_refused", "error", err)
+		}
+	}
+}
+
+func reloadOnce(daemon *entry.Daemon, files settings.Files) error {
+	ring, err := loadKeys(files)
+	if err != nil {
+		return err
+	}
+	identity, err := files.LoadIdentity()
+	if err != nil {
+		return err
+	}
+	daemon.ReplaceKeys(ring, identity)
+	return nil
+}
+
 // newConfig reads the key files that the settings name.
 func newConfig(s *settings.Settings) (entry.Config, error) {
 	seed, err := s.Files().LoadHashSeed()
 	if err != nil {
 		return entry.Config{}, err
 	}
-	keys, err := loadKeys(s.Files())
+	ring, err := loadKeys(s.Files())
 	if err != nil {
 		return entry.Config{}, err
 	}
@@ -68,7 +112,7 @@
 		FleetSize:         s.FleetSize(),
 		Network:           geneve.VNI(s.GeneveNetwork()),
 		MTU:               s.MTU(),
-		Keys:              keys,
+		Keys:              geneve.NewKeys(ring),
 		PeerKeys:          peers.NewKeys(identity),
 		HashSeed:          seed,
 		Workers:           s.Workers(),
@@ -80,7 +124,7 @@
 	}, nil
 }
 
-func loadKeys(files settings.Files) (*geneve.Keys, error) {
+func loadKeys(files settings.Files) (*geneve.KeyRing, error) {
 	loaded, err := files.LoadSteeringKeys()
 	if err != nil {
 		return nil, err
@@ -97,9 +141,5 @@
 		}
 		accepted = append(accepted, key)
 	}
-	ring, err := geneve.NewKeyRing(current, accepted...)
-	if err != nil {
-		return nil, err
-	}
-	return geneve.NewKeys(ring), nil
+	return geneve.NewKeyRing(current, accepted...)
 }
--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -25,6 +25,10 @@
 			newStandInPlatformCommand(),
 			newStandInFabricCommand(),
 			newStandInTargetCommand(),
+			newStandInKeysCommand(),
+			newStandInPublishCommand(),
+			newStandInFaultCommand(),
+			newStandInCallsCommand(),
 		},
 	}
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -51,6 +51,9 @@
 	OpeningLifetime clock.Millis
 	// StopTimeout is the longest span that a graceful stop takes.
 	StopTimeout clock.Millis
+	// StartTimeout is the longest span that a daemon waits for the first tables and the
+	// first list. Zero means without end.
+	StartTimeout clock.Millis
 	// AuditEntries is the number of changes that the audit trail keeps.
 	AuditEntries int
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -12,6 +12,7 @@
 	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/placement"
 	"github.com/almondflow/almondflow/platform"
+	"github.com/almondflow/almondflow/table"
 )
 
 const (
@@ -31,6 +32,8 @@
 	// changes are versions that the store accepted and that are not in force yet.
 	changes *queue[platform.Change]
 	ranking *fleet.Ranking
+	// snapshot are the tables in force.
+	snapshot *table.Snapshot
 	// lists are the list in force, last, and those before it.
 	lists []*fleet.List
 	// view is the version of the membership that the core has.
@@ -125,6 +128,8 @@
 		c.daemon.node.SetTables(now, tables)
 		m.SetVersions(now, []member.Version{{Name: platform.Tables, Number: tables.Version()}})
 		c.tables.Store(tables.Version())
+		recordMarks(c.daemon.trail, c.snapshot, tables)
+		c.snapshot = tables
 	}
 	if list := change.List(); list != nil {
 		kind = operator.ChangedList
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/core"
 	"github.com/almondflow/almondflow/fabric"
@@ -20,6 +23,7 @@
 	"github.com/almondflow/almondflow/peers"
 	"github.com/almondflow/almondflow/placement"
 	"github.com/almondflow/almondflow/platform"
+	"github.com/almondflow/almondflow/result"
 )
 
 // Daemon is the process of one entry VM. New binds its sockets, Run serves until its
@@ -146,16 +150,45 @@
 	running.Go(func() { d.driver.Run(serving) })
 	running.Go(func() { d.control.follow(serving) })
 	running.Go(func() { d.health.follow(serving) })
-	select {
-	case <-ctx.Done():
+	err := d.await(ctx)
+	if err == nil {
 		d.leave(serving)
-	case <-d.killed:
 	}
 	stop()
 	d.close()
 	running.Wait()
 	d.metrics.Close()
-	return nil
+	if errors.Is(err, errKilled) {
+		return nil
+	}
+	return err
+}
+
+var errKilled = errors.New("killed")
+
+// await returns nil when ctx ends, and an error when the daemon was killed or found no
+// platform.
+func (d *Daemon) await(ctx context.Context) error {
+	var late <-chan time.Time
+	if d.config.StartTimeout > 0 {
+		timer := time.NewTimer(d.config.StartTimeout.Duration())
+		defer timer.Stop()
+		late = timer.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.killed:
+			return errKilled
+		case <-late:
+			if tables, list := d.Versions(); tables == 0 || list == 0 {
+				return oops.Code(result.PlatformUnreachable).Errorf(
+					"settings: $.platform_endpoints = %q: tables version %d and list version %d after %v, both are needed to serve",
+					d.config.PlatformEndpoints, tables, list, d.config.StartTimeout.Duration())
+			}
+		}
+	}
 }
 
 func (d *Daemon) describe() string {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/geneve"
 	"github.com/almondflow/almondflow/member"
+	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/peers"
 )
 
@@ -51,6 +54,17 @@
 	}
 }
 
+// ReplaceKeys takes a new ring of steering keys and a new identity into use.
+func (d *Daemon) ReplaceKeys(ring *geneve.KeyRing, identity peers.Identity) {
+	before := d.config.Keys.Ring().Current().ID()
+	d.config.Keys.Set(ring)
+	if d.config.PeerKeys != nil {
+		d.config.PeerKeys.Replace(identity)
+	}
+	d.trail.Add(operator.ChangedKey, "steering key", strconv.FormatUint(uint64(before), 10),
+		strconv.FormatUint(uint64(ring.Current().ID()), 10), "key files")
+}
+
 // controlTraffic returns the bytes of control traffic sent and received.
 func (d *Daemon) controlTraffic() (sent, received uint64) {
 	return d.traffic.Sent() + d.counters.controlBytes.Load(), d.traffic.Received()
--- a/placement/rebuild.go
+++ b/placement/rebuild.go
@@ -188,6 +188,9 @@
 
 // limit sets this VM's share of the limits of each candidate.
 func (p *Placer) limit(groups []group, parts []part) {
+	if len(groups) == 0 {
+		return
+	}
 	shares := p.fleet.shares(groups)
 	for i := range groups {
 		share := min(1, shares[i]*parts[i].whole)
