Let lists settle when daemons skipped versions

Change: probes ask for members of unknown older lists, VMs of older lists are still probed and believed until settled, and messages say which versions a process was on, with an anchor that covers restarts. Voting and Permission share one count.

--- a/member/lease.go
+++ b/member/lease.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
@@ -21,14 +22,17 @@
 	sent        clock.Millis // when the probe was sent
 	age         clock.Millis // of the answering process
 	list        uint64
-	previous    uint64
+	anchor      uint64
+	visited     uint64
 	established bool
 }
 
-// predecessor is an older list under which somebody may still vote.
-type predecessor struct {
-	version uint64
-	members []fleet.ID // sorted
+// passedOver tells whether the member went to its list without ever being on a version.
+func (e *evidence) passedOver(version uint64) bool {
+	if e.anchor == 0 || e.anchor >= version || version >= e.list || e.list-version > visitedBits {
+		return false
+	}
+	return e.visited&(1<<(e.list-1-version)) == 0
 }
 
 // lease is the state behind Voting. docs/decisions/lease.md gives the rules and why
@@ -37,10 +41,13 @@
 	evidence    map[fleet.ID]evidence
 	established bool
 	// settled is the highest version below which nobody votes any more, 0 if unknown.
-	settled  uint64
-	previous uint64
-	stack    []predecessor // ascending versions
-	lost     map[fleet.ID]struct{}
+	settled uint64
+	anchor  uint64
+	visited uint64
+	// stack holds the older lists under which somebody may still vote, as far as they
+	// are known, in ascending order of versions.
+	stack []Predecessor
+	lost  map[fleet.ID]struct{}
 	// moved tells that enough members of all predecessors were heard on the list.
 	moved   bool
 	movedAt clock.Millis
@@ -57,37 +64,15 @@
 		return Voting{}
 	}
 	version := m.listVersion()
-	needed := m.electorate()/2 + 1 - 1 // this daemon is one of them
-	if needed == 0 {
-		return m.votingUntil(now, now+m.leaseSpan)
-	}
-	var sent []clock.Millis
-	for id, e := range m.lease.evidence {
-		if e.established && e.list == version && m.isElector(id) {
-			sent = append(sent, e.sent)
-		}
-	}
-	if len(sent) < needed {
-		return Voting{}
-	}
-	slices.Sort(sent)
-	return m.votingUntil(now, sent[len(sent)-needed]+m.leaseSpan)
-}
-
-// votingUntil ends the permission early when the daemon stops ticking, so that a process
-// that wakes from a pause does not vote before it noticed.
-func (m *Machine) votingUntil(now, until clock.Millis) Voting {
-	until = min(until, m.lastTick+pauseGap)
+	until := m.majorityUntil(now, func(e *evidence) bool { return e.list == version })
 	if until <= now {
 		return Voting{}
 	}
-	return Voting{List: m.listVersion(), Until: until}
+	return Voting{List: version, Until: until}
 }
 
 func (m *Machine) mayVote(now clock.Millis) bool {
-	return m.list != nil && m.listed && m.isElector(m.self) &&
-		m.lease.established && m.lease.settled == m.listVersion() &&
-		now-m.started >= m.quarantine && !m.paused && !m.leaving && now-m.lastTick <= pauseGap
+	return m.mayTakePart(now) && m.lease.settled == m.listVersion()
 }
 
 // isElector tells whether a VM counts under the list in force.
@@ -118,7 +103,8 @@
 		sent:        sent,
 		age:         message.Age,
 		list:        message.List,
-		previous:    message.Previous,
+		anchor:      message.Anchor,
+		visited:     message.Visited,
 		established: message.Established,
 	}
 }
@@ -140,15 +126,31 @@
 		l.rememberLost(list)
 		return
 	}
-	l.previous = 0
-	if l.established {
-		l.previous = m.list.Version()
+	old := m.list.Version()
+	l.visited = shift(l.visited<<1|1, list.Version()-old-1)
+	l.remember(Predecessor{Version: old, Members: memberIDs(m.list)})
+	l.rememberLost(list)
+}
+
+func shift(bits, by uint64) uint64 {
+	if by >= visitedBits {
+		return 0
 	}
-	l.stack = append(l.stack, predecessor{version: m.list.Version(), members: memberIDs(m.list)})
+	return bits << by
+}
+
+// remember keeps the members of an older list.
+func (l *lease) remember(p Predecessor) {
+	at, found := slices.BinarySearchFunc(l.stack, p.Version, func(p Predecessor, v uint64) int {
+		return cmp.Compare(p.Version, v)
+	})
+	if found || p.Version < l.settled {
+		return
+	}
+	l.stack = slices.Insert(l.stack, at, p)
 	if len(l.stack) > maximumStack {
 		l.stack = slices.Delete(l.stack, 0, 1)
 	}
-	l.rememberLost(list)
 }
 
 func memberIDs(list *fleet.List) []fleet.ID {
@@ -175,13 +177,8 @@
 		}
 	}
 	for id := range l.lost {
-		if !slices.ContainsFunc(l.stack, func(p predecessor) bool { return p.names(id) }) {
+		if !slices.ContainsFunc(l.stack, func(p Predecessor) bool { return p.names(id) }) {
 			delete(l.lost, id)
 		}
 	}
 }
-
-func (p *predecessor) names(id fleet.ID) bool {
-	_, found := slices.BinarySearch(p.members, id)
-	return found
-}
--- a/member/machine.go
+++ b/member/machine.go
@@ -125,6 +125,7 @@
 	m.pruneEvidence(now)
 	m.establish(now)
 	m.settle(now)
+	m.anchor()
 	m.requestPulls(now)
 	m.expireQuarantines(now)
 }
@@ -138,9 +139,12 @@
 	if _, known := m.peers[from]; known {
 		m.hear(now, from, message)
 	}
+	m.hearSettled(now, from, message)
 	switch message.Kind {
 	case Probe:
-		m.send(now, from, m.compose(now, Answer, from, message.Sequence))
+		answer := m.compose(now, Answer, from, message.Sequence)
+		answer.Predecessor = m.predecessor(now, message.Wanted)
+		m.send(now, from, answer)
 	case Answer:
 		m.receiveAnswer(now, from, message)
 	case ProbeRequest:
@@ -183,7 +187,6 @@
 		m.applyUpdate(now, u)
 	}
 	m.hearVersions(now, from, message)
-	m.hearSettled(now, message)
 }
 
 // compose builds a message with everything that the budget lets ride on it.
@@ -195,7 +198,8 @@
 		Run:         m.run,
 		Age:         now - m.started,
 		List:        m.listVersion(),
-		Previous:    m.lease.previous,
+		Anchor:      m.lease.anchor,
+		Visited:     m.visitedSinceSettled(),
 		Settled:     m.lease.settled,
 		Established: m.lease.established,
 		Versions:    m.versions.digest(now),
@@ -236,7 +240,8 @@
 	if message.Kind == ProbeRequest || message.Kind == ProbeReport {
 		class = ClassSuspicion
 	}
-	base := message.Size() - len(message.Counts) - len(message.Updates)*updateBytes
+	base := message.Size() - len(message.Counts) - len(message.Updates)*updateBytes -
+		len(message.Predecessor.Members)*memberBytes
 	if !m.budget.Allow(now, class, base) {
 		return false
 	}
--- a/member/message.go
+++ b/member/message.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"slices"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/fleet"
 )
@@ -16,6 +18,8 @@
 	MaximumCountsBytes = 512
 	// MaximumVersions is the number of versions in a digest.
 	MaximumVersions = 32
+	// MaximumPredecessor is the number of members of an older list.
+	MaximumPredecessor = 96
 )
 
 // Sizes from which the bytes of a message on the wire are estimated.
@@ -23,6 +27,7 @@
 	messageOverheadBytes = 96
 	versionBytes         = 12
 	updateBytes          = 22
+	memberBytes          = 8
 )
 
 // Kind says what a message is for.
@@ -90,6 +95,17 @@
 	ConfirmedAge clock.Millis
 }
 
+// Predecessor names the members of an older version of the list.
+type Predecessor struct {
+	Version uint64
+	Members []fleet.ID // sorted, without those marked lost
+}
+
+func (p *Predecessor) names(id fleet.ID) bool {
+	_, found := slices.BinarySearch(p.Members, id)
+	return found
+}
+
 // Message is what daemons exchange. Every message carries the sender's versions and
 // what its peers need for their leases.
 type Message struct {
@@ -105,9 +121,12 @@
 	Age clock.Millis
 	// List is the version of the list that the sender is on, 0 before the first.
 	List uint64
-	// Previous is the version that the sender was on, as an established member,
-	// directly before List. It is 0 when there was none in this process.
-	Previous uint64
+	// Anchor is the first settled version on which the sender heard half of the members
+	// on no newer list. It is 0 before that.
+	Anchor uint64
+	// Visited has bit i set when the sender was on version List-1-i, as far back as
+	// Settled.
+	Visited uint64
 	// Settled is the highest version of which the sender knows that no daemon votes
 	// under any lower one, now or later.
 	Settled uint64
@@ -115,13 +134,17 @@
 	Established bool
 	Versions    []Version
 	Updates     []Update
+	// Wanted is an older version of the list whose members the sender of a Probe does not
+	// know, 0 for none. An Answer names them in Predecessor if it can.
+	Wanted      uint64
+	Predecessor Predecessor
 	// Counts are load counts that only the placement policy can read.
 	Counts []byte
 }
 
 // Size estimates the bytes of the message on the wire with all framing.
 func (m *Message) Size() int {
-	size := messageOverheadBytes + len(m.Updates)*updateBytes + len(m.Counts)
+	size := messageOverheadBytes + len(m.Updates)*updateBytes + len(m.Counts) + len(m.Predecessor.Members)*memberBytes
 	for i := range m.Versions {
 		size += versionBytes + len(m.Versions[i].Name)
 	}
--- a/member/probe.go
+++ b/member/probe.go
@@ -65,6 +65,8 @@
 		}
 		m.partners = insertPartner(m.partners, &scores, id, fleet.Score(uint64(m.self), id))
 	}
+	formers := m.formers()
+	m.partners = append(m.partners, formers[:min(len(formers), maximumPartners)]...)
 	m.random.Shuffle(len(m.partners), func(i, j int) {
 		m.partners[i], m.partners[j] = m.partners[j], m.partners[i]
 	})
@@ -94,7 +96,9 @@
 	m.sequence++
 	p.sequence = m.sequence
 	p.sent = now
-	if m.send(now, p.target, m.compose(now, Probe, p.target, p.sequence)) {
+	message := m.compose(now, Probe, p.target, p.sequence)
+	message.Wanted = m.wanted()
+	if m.send(now, p.target, message) {
 		m.outstanding = append(m.outstanding, p)
 	}
 }
@@ -120,7 +124,7 @@
 }
 
 func (m *Machine) askOthers(now clock.Millis, target fleet.ID, sequence uint64) {
-	if m.peers[target].status != Alive {
+	if p := m.peers[target]; p == nil || p.status != Alive {
 		return
 	}
 	asked := 0
@@ -142,7 +146,7 @@
 // randomAlive returns a random member, or 0 when it is not alive.
 func (m *Machine) randomAlive() fleet.ID {
 	id := m.partners[m.random.IntN(len(m.partners))]
-	if m.peers[id].status != Alive {
+	if p := m.peers[id]; p == nil || p.status != Alive {
 		return 0
 	}
 	return id
@@ -167,6 +171,7 @@
 	m.outstanding = slices.Delete(m.outstanding, at, at+1)
 	m.resume(now)
 	m.record(now, from, p.sent, message)
+	m.learnPredecessor(&message.Predecessor)
 	if p.requester != 0 && m.peers[p.requester] != nil {
 		report := m.compose(now, ProbeReport, p.requester, p.requested)
 		report.Subject = from
--- a/member/settle.go
+++ b/member/settle.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
 )
 
 // coldFraction is the part of the list that must have started afresh for a cold start.
@@ -12,10 +13,10 @@
 	coldDenominator = 4
 )
 
-// hearSettled takes over what an established member found out: that nobody votes under
-// lower lists stays true for good, so it may be passed on.
-func (m *Machine) hearSettled(now clock.Millis, message *Message) {
-	if message.Established {
+// hearSettled takes over what an established member, also of an older list, found out:
+// that nobody votes under lower lists stays true for good, so it may be passed on.
+func (m *Machine) hearSettled(now clock.Millis, from fleet.ID, message *Message) {
+	if message.Established && (m.peers[from] != nil || m.lease.isFormer(from)) {
 		m.raiseSettled(now, message.Settled)
 	}
 }
@@ -26,7 +27,8 @@
 		return
 	}
 	l.settled = version
-	l.stack = slices.DeleteFunc(l.stack, func(p predecessor) bool { return p.version < version })
+	l.stack = slices.DeleteFunc(l.stack, func(p Predecessor) bool { return p.Version < version })
+	m.choosePartners()
 	m.sink.Event(Event{At: now, Kind: ListSettled, Name: ListName, Version: version})
 }
 
@@ -46,6 +48,7 @@
 	case m.faults.noRecovery || m.heardColdStart():
 		if l.settled == 0 {
 			m.raiseSettled(now, m.listVersion())
+			l.anchor = m.listVersion()
 		}
 	default:
 		return
@@ -88,6 +91,16 @@
 	return count*coldDenominator >= m.electorate()*coldNumerator
 }
 
+// anchor notes the first settled list on which half of the members were heard on no newer
+// one. No earlier process of this VM can have been counted on a version that this process
+// passes over later.
+func (m *Machine) anchor() {
+	l := &m.lease
+	if l.anchor == 0 && l.established && m.listed && l.settled == m.listVersion() && m.heardEstablished() {
+		l.anchor = l.settled
+	}
+}
+
 // settle finds out that nobody votes under an older list any more: enough members of
 // every older list were heard on this one, and the leases that they may have supported
 // before have run out.
@@ -116,22 +129,20 @@
 	if version-l.settled > maximumStack {
 		return false
 	}
+	onList := func(e *evidence) bool { return e.list == version }
 	for v := l.settled; v < version; v++ {
 		p := l.find(v)
-		if p != nil {
-			if !m.mostOf(p, func(e evidence) bool { return e.list == version }) {
-				return false
-			}
-			continue
+		if p == nil && (v == l.settled || !m.neverSettled(v)) {
+			return false
 		}
-		if v == l.settled || !m.neverSettled(v) {
+		if p != nil && !m.mostOf(p, onList) {
 			return false
 		}
 	}
 	return true
 }
 
-// neverSettled tells whether a version that this daemon was never on can have been voted
+// neverSettled tells whether a version whose members are unknown cannot have been voted
 // under. Whoever wanted to would have needed more than half of each earlier list on it,
 // but more than half passed it over.
 func (m *Machine) neverSettled(skipped uint64) bool {
@@ -139,15 +150,10 @@
 		return true
 	}
 	version := m.listVersion()
+	passedOver := func(e *evidence) bool { return e.list == version && e.passedOver(skipped) }
 	for i := range m.lease.stack {
 		p := &m.lease.stack[i]
-		if p.version > skipped {
-			break
-		}
-		passedOver := func(e evidence) bool {
-			return e.list == version && e.previous != 0 && e.previous < skipped
-		}
-		if !m.mostOf(p, passedOver) {
+		if p.Version < skipped && !m.mostOf(p, passedOver) {
 			return false
 		}
 	}
@@ -156,12 +162,12 @@
 
 // mostOf tells whether more than half of an older list said something. VMs that the
 // operator marked lost are left out.
-func (m *Machine) mostOf(p *predecessor, said func(evidence) bool) bool {
-	if 2*(len(m.lease.evidence)+1) <= len(p.members)-len(m.lease.lost) {
+func (m *Machine) mostOf(p *Predecessor, said func(*evidence) bool) bool {
+	if 2*(len(m.lease.evidence)+1) <= len(p.Members)-len(m.lease.lost) {
 		return false
 	}
 	total, count := 0, 0
-	for _, id := range p.members {
+	for _, id := range p.Members {
 		if _, lost := m.lease.lost[id]; lost {
 			continue
 		}
@@ -170,7 +176,7 @@
 		if id == m.self {
 			e, heard = m.ownEvidence(), true
 		}
-		if heard && said(e) {
+		if heard && said(&e) {
 			count++
 		}
 	}
@@ -178,14 +184,20 @@
 }
 
 func (m *Machine) ownEvidence() evidence {
-	return evidence{list: m.listVersion(), previous: m.lease.previous, established: m.lease.established}
+	l := &m.lease
+	return evidence{list: m.listVersion(), anchor: l.anchor, visited: l.visited, established: l.established}
 }
 
-func (l *lease) find(version uint64) *predecessor {
+func (l *lease) find(version uint64) *Predecessor {
 	for i := range l.stack {
-		if l.stack[i].version == version {
+		if l.stack[i].Version == version {
 			return &l.stack[i]
 		}
 	}
 	return nil
 }
+
+// isFormer tells whether a VM is named by an older list that is not settled.
+func (l *lease) isFormer(id fleet.ID) bool {
+	return slices.ContainsFunc(l.stack, func(p Predecessor) bool { return p.names(id) })
+}
--- a/member/status.go
+++ b/member/status.go
@@ -145,7 +145,7 @@
 }
 
 // probesAll tells whether all members are partners, so that a probe opens no connection.
-func (m *Machine) probesAll() bool { return len(m.partners) == len(m.peers) }
+func (m *Machine) probesAll() bool { return len(m.peers) <= maximumPartners }
 
 // suspicionTimeout grows with the logarithm of the fleet, as the time does in which a
 // suspicion reaches its subject and the refutation comes back.
--- a/member/world_test.go
+++ b/member/world_test.go
@@ -103,6 +103,7 @@
 	lossPer   int           // lost messages in a hundred
 	doublePer int           // doubled messages in a hundred
 	delay     clock.Millis  // longest delay
+	reticent  bool          // the budget lets nobody name predecessors
 	options   []Option
 }
 
@@ -114,6 +115,9 @@
 	if !w.reach(w.byID[from], w.byID[to]) {
 		return
 	}
+	if w.reticent {
+		m.Predecessor = Predecessor{}
+	}
 	copies := 1
 	if w.random.IntN(100) < w.doublePer {
 		copies++
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"slices"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/member"
@@ -16,11 +18,17 @@
 		Run:             m.Run,
 		AgeMilliseconds: uint64(max(m.Age, 0)),
 		List:            m.List,
-		Previous:        m.Previous,
+		Anchor:          m.Anchor,
+		Visited:         m.Visited,
+		Wanted:          m.Wanted,
 		Settled:         m.Settled,
 		Established:     m.Established,
 		Counts:          m.Counts,
 	}
+	g.PredecessorVersion = m.Predecessor.Version
+	for _, id := range m.Predecessor.Members {
+		g.PredecessorMembers = append(g.PredecessorMembers, uint64(id))
+	}
 	for _, v := range m.Versions {
 		wire := &DocumentVersion{Name: v.Name, Number: v.Number}
 		if v.Confirmed {
@@ -45,7 +53,9 @@
 		Run:         g.GetRun(),
 		Age:         millis(g.GetAgeMilliseconds()),
 		List:        g.GetList(),
-		Previous:    g.GetPrevious(),
+		Anchor:      g.GetAnchor(),
+		Visited:     g.GetVisited(),
+		Wanted:      g.GetWanted(),
 		Settled:     g.GetSettled(),
 		Established: g.GetEstablished(),
 	}
@@ -65,9 +75,24 @@
 			ID: fleet.ID(u.GetId()), Status: memberStatus(u.GetStatus()), Incarnation: u.GetIncarnation(),
 		})
 	}
+	decodePredecessor(g, &m.Predecessor)
 	return m
 }
 
+// decodePredecessor takes the members of an older list as a whole or not at all, since
+// majorities are counted of them.
+func decodePredecessor(g *Gossip, p *member.Predecessor) {
+	members := g.GetPredecessorMembers()
+	if g.GetPredecessorVersion() == 0 || len(members) > member.MaximumPredecessor {
+		return
+	}
+	p.Version = g.GetPredecessorVersion()
+	for _, id := range members {
+		p.Members = append(p.Members, fleet.ID(id))
+	}
+	slices.Sort(p.Members)
+}
+
 func firstOf[T any](all []T, most int) []T { return all[:min(len(all), most)] }
 
 // longestAge keeps ages that a faulty peer sends from overflowing.
--- a/peers/driver.go
+++ b/peers/driver.go
@@ -18,6 +18,8 @@
 	// maximumCalls bounds the exchanges in progress; further messages are dropped.
 	maximumCalls = 64
 	maximumPulls = 4
+	// rememberedLists is the number of lists whose VMs can still be called.
+	rememberedLists = 8
 )
 
 // Observer takes what the control goroutine of a Driver reports.
@@ -42,7 +44,7 @@
 	inbox    chan func(now clock.Millis)
 	calls    chan struct{}
 	pulls    chan struct{}
-	list     *fleet.List // of the control goroutine
+	lists    []*fleet.List // newest first, of the control goroutine
 	dropped  atomic.Uint64
 	ctx      context.Context // ends the calls in progress when Run ends
 
@@ -114,8 +116,8 @@
 // SetList puts a list in force, with the addresses that messages go to.
 func (d *Driver) SetList(ctx context.Context, list *fleet.List) bool {
 	return d.Do(ctx, func(now clock.Millis, m *member.Machine) {
-		if d.list == nil || list.Version() > d.list.Version() {
-			d.list = list
+		if len(d.lists) == 0 || list.Version() > d.lists[0].Version() {
+			d.lists = firstOf(append([]*fleet.List{list}, d.lists...), rememberedLists)
 		}
 		m.SetList(now, list)
 	})
@@ -176,11 +178,15 @@
 	}
 }
 
+// find looks a VM up in the newest list that names it. VMs of older lists are still asked
+// while a change of the list is under way.
 func (d *Driver) find(id fleet.ID) (*fleet.VM, bool) {
-	if d.list == nil || d.ctx == nil {
-		return nil, false
+	for _, list := range d.lists {
+		if vm, listed := list.Find(id); listed && d.ctx != nil {
+			return vm, true
+		}
 	}
-	return d.list.Find(id)
+	return nil, false
 }
 
 func (d *Driver) pull(ctx context.Context, vm *fleet.VM, e member.Event) {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -178,7 +178,9 @@
 func message() *member.Message {
 	return &member.Message{
 		Kind: member.ProbeRequest, Sequence: 1 << 60, Subject: 3, Incarnation: 4, Run: 5, Age: 6, List: 7,
-		Previous: 8, Settled: 9, Established: true, Counts: []byte{10},
+		Anchor: 8, Settled: 9, Visited: 15, Wanted: 16,
+		Predecessor: member.Predecessor{Version: 17, Members: []fleet.ID{18, 19}},
+		Established: true, Counts: []byte{10},
 		Versions: []member.Version{{Name: "tables", Number: 11, Confirmed: true}, {Name: "list", Number: 12}},
 		Updates:  []member.Update{{ID: 13, Status: member.Left, Incarnation: 14}},
 	}
