Hand the daemon's core the permission to decide

Cause: the daemon passed on Voting, which names no settled list, so that no flow that may not be repeated could be decided. Change: it passes on Permission.

--- a/entry/control.go
+++ b/entry/control.go
@@ -93,8 +93,8 @@
 		c.daemon.node.SetPeers(now, c.peers(view))
 		c.daemon.placer.SetFleet(now, placement.NewFleet(c.ranking.List(), c.daemon.self, view.Alive))
 	}
-	voting := m.Voting(now)
-	c.daemon.node.SetVoting(now, core.Voting{List: voting.List, Until: voting.Until})
+	voting := m.Permission(now)
+	c.daemon.node.SetVoting(now, core.Voting{List: voting.List, Settled: voting.Settled, Until: voting.Until})
 	if may := voting.List != 0; c.voting.Swap(may) != may {
 		c.daemon.trail.Add(operator.ChangedVoting, c.daemon.config.Name, strconv.FormatBool(!may), strconv.FormatBool(may), "membership")
 	}
