Hand deltas and retired hosts to peers, and hear of their versions

A daemon that starts anew took the tables from the platform and never learned of hosts that had left them, so their open flows lost replies there. The platform's reader gets random numbers of its own, which it had shared with the membership's goroutine.

--- a/core/node.go
+++ b/core/node.go
@@ -127,11 +127,12 @@
 }
 
 // SetTables puts tables in force. Versions only rise: it reports false and changes
-// nothing for a version that is not above the one in force.
+// nothing for a version that is not above the one in force. The same tables may come
+// again with more hosts that have left them.
 func (n *Node) SetTables(_ clock.Millis, tables *table.Snapshot) bool {
 	accepted := false
 	n.change(func(v *view) {
-		newer := v.tables == nil || tables.Version() > v.tables.Version()
+		newer := v.tables == nil || tables.Version() > v.tables.Version() || tables.Digest() == v.tables.Digest()
 		if newer || n.options.Breakage == BreakVersions {
 			v.tables = tables
 			accepted = true
--- a/entry/control.go
+++ b/entry/control.go
@@ -36,6 +36,10 @@
 	snapshot *table.Snapshot
 	// lists are the list in force, last, and those before it.
 	lists []*fleet.List
+	// asked are the peers named in retired, which the daemon learns of hosts from that
+	// have left the tables.
+	asked   map[fleet.ID]bool
+	retired chan *fleet.VM
 	// view is the version of the membership that the core has.
 	view    uint64
 	sampled clock.Millis
@@ -47,7 +51,13 @@
 }
 
 func newControl(d *Daemon) *control {
-	return &control{daemon: d, out: d.newSink(), changes: newQueue[platform.Change](maxQueued)}
+	return &control{
+		daemon:  d,
+		out:     d.newSink(),
+		changes: newQueue[platform.Change](maxQueued),
+		asked:   make(map[fleet.ID]bool),
+		retired: make(chan *fleet.VM, retiredPeers),
+	}
 }
 
 // follow puts versions in force as they come, until ctx ends.
@@ -78,12 +88,10 @@
 	if now-c.sampled >= sampleInterval {
 		c.sampled = now
 		c.daemon.sample()
+		m.SetVersions(now, c.confirmed(now))
 	}
 }
 
-// Received takes what rides on messages of peers. It implements peers.Observer.
-func (c *control) Received(clock.Millis, fleet.ID, *member.Message) {}
-
 // publish hands the core what the membership believes and permits.
 func (c *control) publish(now clock.Millis, m *member.Machine) {
 	view := m.View()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -118,7 +118,8 @@
 	d.health = newHealth(d)
 	d.control = newControl(d)
 	d.assemblePeers(random)
-	d.runner = platform.NewRunner(d.client, d.store, d.clock, d.log, random, d.self, d.config.FleetSize)
+	calls := rand.New(rand.NewPCG(d.incarnation, uint64(d.self)))
+	d.runner = platform.NewRunner(d.client, d.store, d.clock, d.log, calls, d.self, d.config.FleetSize)
 	d.store.Listen(func(c platform.Change) { d.control.changes.push(c) })
 }
 
@@ -149,6 +150,7 @@
 	running.Go(func() { _ = d.server.Serve(d.peerListener) })
 	running.Go(func() { d.driver.Run(serving) })
 	running.Go(func() { d.control.follow(serving) })
+	running.Go(func() { d.control.followRetired(serving) })
 	running.Go(func() { d.health.follow(serving) })
 	err := d.await(ctx)
 	if err == nil {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,6 +9,7 @@
 	"github.com/almondflow/almondflow/member"
 	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/peers"
+	"github.com/almondflow/almondflow/platform"
 )
 
 // handler answers the calls of other daemons. It implements peers.Handler.
@@ -23,8 +24,9 @@
 
 // Document returns a document in force that is newer than the caller's.
 func (h *handler) Document(name string, since uint64) (peers.Document, bool) {
-	version, document, ok := h.daemon.store.Document(h.daemon.clock.Now(), name)
-	if !ok || version <= since {
+	have := platform.NewState(since, platform.Digest{})
+	version, document, ok := h.daemon.store.Since(h.daemon.clock.Now(), name, have)
+	if !ok {
 		return peers.Document{}, false
 	}
 	return peers.NewDocument(version, document), true
@@ -33,24 +35,12 @@
 // Repair takes no records, since they travel with the datagrams of the data path.
 func (h *handler) Repair(fleet.ID, [][]byte) int { return 0 }
 
-// Pull fetches a document from a peer and offers it to the store. It implements
-// peers.Observer.
+// Pull fetches a document from a peer and offers it to the store, the whole when a delta
+// does not fit. It implements peers.Observer.
 func (c *control) Pull(ctx context.Context, from *fleet.VM, name string, _ uint64) {
-	d := c.daemon
-	document, err := d.peers.Pull(ctx, from, name, d.store.State(name).Version())
-	if err != nil {
-		d.log.Debug("pull failed", "peer", from.Name(), "name", name, "error", err)
-		return
-	}
-	whole, err := document.Whole(nil)
-	if err != nil {
-		d.log.Warn("pull useless", "peer", from.Name(), "name", name, "error", err)
-		return
-	}
-	verdict, err := d.store.Offer(d.clock.Now(), from.Name(), name, document.Version(), whole)
-	if err != nil {
-		d.log.Error("version refused", "peer", from.Name(), "name", name, "version", document.Version(),
-			"verdict", verdict.String(), "error", err)
+	since := c.daemon.store.State(name).Version()
+	if c.pull(ctx, from, name, since) == platform.NeedsWhole && since > 0 {
+		c.pull(ctx, from, name, 0)
 	}
 }
 
--- a/table/document.go
+++ b/table/document.go
@@ -14,6 +14,11 @@
 	Retired []retiredMessage `json:"retired,omitempty"`
 }
 
+type retiredListMessage struct {
+	Version uint64           `json:"version"`
+	Retired []retiredMessage `json:"retired"`
+}
+
 type routeMessage struct {
 	Name               string `json:"name"`
 	Destination        string `json:"destination"`
@@ -69,13 +74,25 @@
 // left to each, so that a daemon without memory learns them from its peers.
 func (s *Snapshot) Handover(now clock.Millis) []byte {
 	m := s.message()
+	m.Retired = s.retiredMessages(now)
+	return encode(m)
+}
+
+// RetiredDocument returns the hosts that are retired at now and the span left to each,
+// for a daemon that has the tables already. AddRetired takes it.
+func (s *Snapshot) RetiredDocument(now clock.Millis) []byte {
+	return encode(&retiredListMessage{Version: s.version, Retired: s.retiredMessages(now)})
+}
+
+func (s *Snapshot) retiredMessages(now clock.Millis) []retiredMessage {
+	messages := make([]retiredMessage, 0, len(s.retired))
 	for i := range s.retired {
 		r := &s.retired[i]
 		remaining := (r.until + s.base(now) - now) / clock.Second
 		if remaining < 1 {
 			continue
 		}
-		m.Retired = append(m.Retired, retiredMessage{
+		messages = append(messages, retiredMessage{
 			Pool:             r.pool,
 			Name:             r.name,
 			Generation:       r.generation,
@@ -87,7 +104,7 @@
 			RemainingSeconds: int64(remaining),
 		})
 	}
-	return encode(m)
+	return messages
 }
 
 func (s *Snapshot) message() *documentMessage {
--- a/table/parse.go
+++ b/table/parse.go
@@ -16,6 +16,9 @@
 //go:embed table_part.schema.json
 var partSchemaText []byte
 
+//go:embed retired.schema.json
+var retiredSchemaText []byte
+
 // schemas are the compiled forms of the embedded schemas.
 type schemas struct {
 	table   *strictjson.Schema
@@ -25,6 +28,8 @@
 	host    *strictjson.Schema
 	retired *strictjson.Schema
 	delta   *strictjson.Schema
+	// retiredList is the schema of what RetiredDocument returns.
+	retiredList *strictjson.Schema
 }
 
 var compiled = sync.OnceValue(func() *schemas {
@@ -36,6 +41,8 @@
 		host:    strictjson.MustCompileDefinition(tableSchemaText, "host"),
 		retired: strictjson.MustCompileDefinition(tableSchemaText, "retired"),
 		delta:   strictjson.MustCompile(deltaSchemaText),
+
+		retiredList: strictjson.MustCompile(retiredSchemaText),
 	}
 })
 
--- a/table/retired.go
+++ b/table/retired.go
@@ -102,6 +102,18 @@
 	return &s
 }
 
+// AddRetired returns the snapshot at now with the retired hosts of a peer besides its own.
+// It takes what RetiredDocument returns; the error is a *ProblemsError.
+func (s *Snapshot) AddRetired(document []byte, now clock.Millis) (*Snapshot, error) {
+	d := newDraft()
+	if _, ok := compiled().retiredList.ReadElements("$", document, d.problems, d.elements()); !ok || d.problems.Len() > 0 {
+		return nil, d.problems.Err()
+	}
+	next := s.WithoutRetired()
+	next.setHanded(d.retired)
+	return Succeed(s, next, now), nil
+}
+
 // base is the point that the ends of retention count from.
 func (s *Snapshot) base(now clock.Millis) clock.Millis {
 	if s.isHanded {
