Ask every list in between before acting while the list changes

Cause: random scenario 1758 had daemons act on list 5 while others, which had skipped it, took list 6 for settled: a skipped list is found never to be voted under, but a permission needs no settled list. Change: a permission needs more than half of each list from the settled one on, and that the daemon was on each of them. Conclusion: the two rules now rest on the same members.

--- a/member/lease.go
+++ b/member/lease.go
@@ -32,7 +32,12 @@
 	if e.anchor == 0 || e.anchor >= version || version >= e.list || e.list-version > visitedBits {
 		return false
 	}
-	return e.visited&(1<<(e.list-1-version)) == 0
+	return !e.visitedList(version)
+}
+
+// visitedList tells whether the member was on an older version, at most visitedBits back.
+func (e *evidence) visitedList(version uint64) bool {
+	return version < e.list && e.visited&(1<<(e.list-1-version)) != 0
 }
 
 // lease is the state behind Voting. docs/decisions/lease.md gives the rules and why
@@ -47,7 +52,9 @@
 	// stack holds the older lists under which somebody may still vote, as far as they
 	// are known, in ascending order of versions.
 	stack []Predecessor
-	lost  map[fleet.ID]struct{}
+	// current is the list in force.
+	current Predecessor
+	lost    map[fleet.ID]struct{}
 	// moved tells that enough members of all predecessors were heard on the list.
 	moved   bool
 	movedAt clock.Millis
@@ -64,7 +71,7 @@
 		return Voting{}
 	}
 	version := m.listVersion()
-	until := m.majorityUntil(now, func(e *evidence) bool { return e.list == version })
+	until := m.majorityUntil(now, &m.lease.current, func(e *evidence) bool { return e.list == version })
 	if until <= now {
 		return Voting{}
 	}
@@ -122,13 +129,11 @@
 func (m *Machine) changeLeaseList(list *fleet.List) {
 	l := &m.lease
 	l.moved = false
-	if m.list == nil {
-		l.rememberLost(list)
-		return
+	if m.list != nil {
+		l.visited = shift(l.visited<<1|1, list.Version()-m.list.Version()-1)
+		l.remember(l.current)
 	}
-	old := m.list.Version()
-	l.visited = shift(l.visited<<1|1, list.Version()-old-1)
-	l.remember(Predecessor{Version: old, Members: memberIDs(m.list)})
+	l.current = Predecessor{Version: list.Version(), Members: memberIDs(list)}
 	l.rememberLost(list)
 }
 
@@ -182,3 +187,8 @@
 		}
 	}
 }
+
+func (l *lease) isLost(id fleet.ID) bool {
+	_, lost := l.lost[id]
+	return lost
+}
--- a/member/lease_test.go
+++ b/member/lease_test.go
@@ -36,6 +36,17 @@
 	return 0, nil, nil
 }
 
+// TestRecordedScenarios replays seeds that once failed. At 1758 a daemon acted on a list
+// that another had found never to be voted under, since it skipped it.
+func TestRecordedScenarios(t *testing.T) {
+	for _, seed := range []uint64{1758} {
+		s := newScenario(randomChooser(seed), faults{})
+		if err := s.play(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 func TestMoreLeaseScenarios(t *testing.T) {
 	seed, s, err := breach(uint64(*leaseSeeds), faults{})
 	if err != nil {
--- a/member/predecessor.go
+++ b/member/predecessor.go
@@ -43,7 +43,7 @@
 	case known != nil:
 		p = *known
 	case m.listVersion() == wanted:
-		p = Predecessor{Version: wanted, Members: memberIDs(m.list)}
+		p = m.lease.current
 	}
 	size := len(p.Members) * memberBytes
 	if p.Version == 0 || len(p.Members) > MaximumPredecessor || !m.budget.Allow(now, ClassVersions, size) {
@@ -74,8 +74,7 @@
 	for i := range m.lease.stack {
 		for _, id := range m.lease.stack[i].Members {
 			_, isSeen := seen[id]
-			_, isLost := m.lease.lost[id]
-			if id == m.self || isSeen || isLost || m.peers[id] != nil {
+			if id == m.self || isSeen || m.lease.isLost(id) || m.peers[id] != nil {
 				continue
 			}
 			seen[id] = struct{}{}
--- a/member/settle.go
+++ b/member/settle.go
@@ -163,23 +163,18 @@
 // mostOf tells whether more than half of an older list said something. VMs that the
 // operator marked lost are left out.
 func (m *Machine) mostOf(p *Predecessor, said func(*evidence) bool) bool {
-	if 2*(len(m.lease.evidence)+1) <= len(p.Members)-len(m.lease.lost) {
+	total, count := m.electors(p), 0
+	if 2*(len(m.lease.evidence)+1) <= total {
 		return false
 	}
-	total, count := 0, 0
-	for _, id := range p.Members {
-		if _, lost := m.lease.lost[id]; lost {
-			continue
-		}
-		total++
-		e, heard := m.lease.evidence[id]
-		if id == m.self {
-			e, heard = m.ownEvidence(), true
-		}
-		if heard && said(&e) {
+	for id, e := range m.lease.evidence {
+		if p.names(id) && !m.lease.isLost(id) && said(&e) {
 			count++
 		}
 	}
+	if own := m.ownEvidence(); p.names(m.self) && said(&own) {
+		count++
+	}
 	return total == 0 || count > total/2
 }
 
