Measure what replacing every VM costs in permissions

Cause: the price of changing lists was only known as a span. Change: a benchmark replaces 8 VMs one by one; the test of settling lists checks that the last list is the one voted under, which it did not.

--- a/member/change_test.go
+++ b/member/change_test.go
@@ -65,23 +65,28 @@
 			}
 			is.NoErr(w.run(20*clock.Second, w.oneVote))
 			is.Equal(w.voters(), test.want)
+			for _, n := range w.nodes {
+				is.True(n.voting() == 0 || n.voting() == test.lists[len(test.lists)-1].Version())
+			}
 		})
 	}
 }
 
 // publish starts the new VMs of a list on it and gives it to one of the old ones.
 func (w *world) publish(list *fleet.List) {
-	vms := list.VMs()
+	given := false
 	for i := range 3 * testVMs {
-		_, listed := list.Find(fleet.NewID(vmName(i)))
-		if listed && w.byID[fleet.NewID(vmName(i))] == nil {
-			w.start(i, list)
+		id := fleet.NewID(vmName(i))
+		if _, listed := list.Find(id); !listed {
+			continue
 		}
-	}
-	for i := range vms {
-		if n := w.byID[vms[i].ID()]; n.up {
+		n := w.byID[id]
+		switch {
+		case n == nil:
+			w.start(i, list)
+		case n.up && !given:
+			given = true
 			n.machine.SetList(n.now(), list)
-			return
 		}
 	}
 }
--- a/member/machine_bench_test.go
+++ b/member/machine_bench_test.go
@@ -184,3 +184,35 @@
 	}
 	return sum
 }
+
+// BenchmarkReplacement replaces 8 VMs one after the other, every 10 s, and reports which
+// part of the time a daemon that is established may not vote, and may not even decide on
+// flows whose holders stay the same.
+func BenchmarkReplacement(b *testing.B) {
+	var time, noVoting, noPermission float64
+	seed := uint64(0)
+	for b.Loop() {
+		seed++
+		w := healthy(seed, testVMs)
+		for _, list := range rolling() {
+			w.publish(list)
+			_ = w.run(10*clock.Second, func() error {
+				for _, n := range w.nodes {
+					if _, listed := list.Find(n.id); !listed || !n.machine.lease.established {
+						continue
+					}
+					time++
+					if n.voting() == 0 {
+						noVoting++
+					}
+					if n.permitted().List == 0 {
+						noPermission++
+					}
+				}
+				return nil
+			})
+		}
+	}
+	b.ReportMetric(noVoting/time*1e6, "no_voting_ppm")
+	b.ReportMetric(noPermission/time*1e6, "no_permission_ppm")
+}
