--- a/strictjson/problem.go
+++ b/strictjson/problem.go
@@ -1,6 +1,7 @@
 package strictjson
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -100,7 +101,7 @@
 	}
 	sorted := slices.Clone(p.problems)
 	slices.SortStableFunc(sorted, func(a, b Problem) int {
-		return strings.Compare(a.path+a.reason, b.path+b.reason)
+		return cmp.Or(strings.Compare(a.path, b.path), strings.Compare(a.reason, b.reason))
 	})
 	return &ProblemsError{code: p.code, problems: slices.Compact(sorted)}
 }
