--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -201,3 +201,20 @@
 	b.ReportMetric(fullest, "limit_use")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkLostRecord reports for each policy the share of open flows that the next
+// holder would place on the same target again, had it no record of them.
+func BenchmarkLostRecord(b *testing.B) {
+	for _, policy := range []string{"naive", "hash", "two_choices", "least_loaded", "bounded_load"} {
+		b.Run(policy, func(b *testing.B) {
+			for range b.N {
+				s := newSimulation(b, newTables("flows", 14, 4), placement.WithPolicy(policy))
+				s.run(2*clock.Minute, newRate, nil)
+				s.tables.hosts[0].Mark = "leaving"
+				s.setTables()
+				b.ReportMetric(s.foundAgain(0), "found_again")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
--- a/placement/control.go
+++ b/placement/control.go
@@ -1,38 +1,94 @@
 package placement
 
 import (
-	"maps"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/flow"
 	"github.com/almondflow/almondflow/table"
 )
 
-// goneSpan is how long the load of a target without flows is kept after it left the
-// tables, for events that are still under way.
-const goneSpan = 1 * clock.Minute
-
 // SetTables puts a version of the tables in force. A version that is not above the one
 // in force is ignored. Hosts that are new to a pool, marked as joining, or back from
 // leaving begin a slow start, but for the first tables, whose serving hosts count as
-// started.
+// started. Only pools that changed cost more than a comparison.
 func (p *Placer) SetTables(now clock.Millis, snapshot *table.Snapshot) {
 	p.control.Lock()
 	defer p.control.Unlock()
 	if p.snapshot != nil && snapshot.Version() <= p.snapshot.Version() {
 		return
 	}
-	previous := p.snapshot
+	old := *p.pools.Load()
+	pools := make(map[string]*pool, len(old))
+	for _, route := range snapshot.Routes() {
+		spec := route.Pool()
+		if _, done := pools[spec.Name()]; !done {
+			pools[spec.Name()] = p.takeOver(now, old[spec.Name()], route)
+		}
+	}
 	p.snapshot = snapshot
-	p.rebuild(now, previous)
+	p.pools.Store(&pools)
+	p.sweep(now)
+}
+
+// takeOver returns the state of the pool of a route. A pool that has not changed keeps
+// its plan.
+func (p *Placer) takeOver(now clock.Millis, old *pool, route *table.Route) *pool {
+	spec := route.Pool()
+	if old != nil && old.destination == route.Destination() && isSamePool(old.spec, spec) {
+		old.spec, old.parts = spec, nil
+		return old
+	}
+	s := &pool{
+		spec:        spec,
+		destination: route.Destination(),
+		protocol:    route.Protocol(),
+		budget:      newRetryBudget(now),
+	}
+	if old != nil {
+		s.budget = old.budget
+	}
+	for i := range spec.Hosts() {
+		if h := &spec.Hosts()[i]; isColdStart(h, p.snapshot) {
+			p.loads.ensure(h.ID()).chill(now)
+		}
+	}
+	return s
 }
 
-// SetFleet tells which VMs share the flows and the limits of targets.
+// isSamePool reports whether nothing that placement depends on has changed.
+func isSamePool(a, b *table.Pool) bool {
+	return a == b || (a.Prefer() == b.Prefer() && a.Spill() == b.Spill() && a.SlowStart() == b.SlowStart() &&
+		slices.Equal(a.Hosts(), b.Hosts()))
+}
+
+// isColdStart reports whether the host begins a slow start with tables that follow the
+// previous ones.
+func isColdStart(h *table.Host, previous *table.Snapshot) bool {
+	if h.Mark() == table.Leaving {
+		return false
+	}
+	if previous == nil {
+		return h.Mark() == table.Joining
+	}
+	before, ok := previous.Host(h.ID())
+	if !ok || before.Mark() == table.Leaving {
+		return true
+	}
+	return h.Mark() == table.Joining && before.Mark() != table.Joining
+}
+
+// SetFleet tells which VMs share the flows and the limits of targets. Plans follow when
+// their pools are next used.
 func (p *Placer) SetFleet(now clock.Millis, f *Fleet) {
 	p.control.Lock()
 	defer p.control.Unlock()
+	if f.isLike(p.fleet) {
+		return
+	}
 	p.fleet = f
-	p.rebuild(now, p.snapshot)
+	p.generation.Add(1)
+	p.sweep(now)
 }
 
 // SetHealth replaces the set of targets that take no new flows because of their health.
@@ -44,112 +100,63 @@
 	fresh := make(map[flow.TargetID]bool, len(ejected))
 	for _, id := range ejected {
 		fresh[id] = true
+		if !p.ejected[id] {
+			p.invalidate(id)
+		}
 	}
-	if maps.Equal(fresh, p.ejected) {
-		return
-	}
-	loads := p.view.Load().loads
 	for id := range p.ejected {
-		if l, ok := loads[id]; ok && !fresh[id] {
-			l.chill(now)
+		if !fresh[id] {
+			p.loads.ensure(id).chill(now)
+			p.invalidate(id)
 		}
 	}
 	p.ejected = fresh
-	p.rebuild(now, p.snapshot)
 }
 
-// rebuild derives a view from the tables, fleet and health. p.control is held.
-func (p *Placer) rebuild(now clock.Millis, previous *table.Snapshot) {
-	if p.snapshot == nil {
+// invalidate drops the plan that places on the target. p.control is held.
+func (p *Placer) invalidate(id flow.TargetID) {
+	l := p.loads.get(id)
+	if l == nil {
 		return
 	}
-	p.strayLock.Lock()
-	defer p.strayLock.Unlock()
-	old := p.view.Load()
-	v := &view{pools: make(map[string]*pool), loads: make(map[flow.TargetID]*load)}
-	for _, route := range p.snapshot.Routes() {
-		name := route.Pool().Name()
-		if _, done := v.pools[name]; done {
-			continue
-		}
-		v.pools[name] = newPool(now, route, old.pools[name])
-		p.addLoads(now, v, old, route.Pool(), previous)
-	}
-	p.keepLoads(now, v, old)
-	for _, s := range v.pools {
-		s.plan.Store(p.planWith(now, s, v.loads))
-	}
-	p.view.Store(v)
-}
-
-func newPool(now clock.Millis, route *table.Route, old *pool) *pool {
-	s := &pool{
-		spec:        route.Pool(),
-		destination: route.Destination(),
-		protocol:    route.Protocol(),
-		budget:      newRetryBudget(now),
-	}
-	if old != nil {
-		s.budget = old.budget
-	}
-	return s
-}
-
-// addLoads adds the loads of the hosts of a pool that this VM places on.
-func (p *Placer) addLoads(now clock.Millis, v, old *view, spec *table.Pool, previous *table.Snapshot) {
-	for _, part := range p.parts(spec) {
-		for _, h := range part.hosts {
-			l := old.loads[h.ID()]
-			if l == nil {
-				l = p.adopt(h.ID())
-			}
-			l.goneSince = 0
-			if isColdStart(h, previous) {
-				l.chill(now)
-			}
-			v.loads[h.ID()] = l
-		}
+	if s, ok := (*p.pools.Load())[l.pool]; ok {
+		s.plan.Store(nil)
 	}
 }
 
-// adopt returns the load of a stray, which is none any more, or a new one.
-func (p *Placer) adopt(id flow.TargetID) *load {
-	l, ok := p.strays[id]
-	if !ok {
-		return newLoad(id)
-	}
-	delete(p.strays, id)
-	return l
-}
+const (
+	// sweepSpan is the time between two sweeps.
+	sweepSpan = 1 * clock.Minute
+	// coldLife is how long the slow start of a target that takes no flows is remembered.
+	coldLife = 10 * clock.Minute
+)
 
-// isColdStart reports whether the host begins a slow start with the tables in force.
-func isColdStart(h *table.Host, previous *table.Snapshot) bool {
-	if previous == nil {
-		return h.Mark() == table.Joining
-	}
-	before, ok := previous.Host(h.ID())
-	if !ok || before.Mark() == table.Leaving {
-		return true
+// sweep forgets plans that were not used since the last sweep, and loads without flows
+// that no plan uses, so that a daemon's memory follows the pools that it serves and not
+// those that the tables name. p.control is held.
+func (p *Placer) sweep(now clock.Millis) {
+	if now-p.swept < sweepSpan {
+		return
 	}
-	return h.Mark() == table.Joining && before.Mark() != table.Joining
-}
-
-// keepLoads keeps the loads of targets that left the tables while they have flows.
-func (p *Placer) keepLoads(now clock.Millis, v, old *view) {
-	for id, l := range old.loads {
-		if _, done := v.loads[id]; done {
+	p.swept = now
+	planned := make(map[*load]bool)
+	for _, s := range *p.pools.Load() {
+		current := s.plan.Load()
+		if current == nil {
 			continue
 		}
-		if l.goneSince == 0 {
-			l.goneSince = now
+		if !current.used.Swap(false) {
+			s.plan.Store(nil)
+			continue
 		}
-		if l.active.Load() > 0 || now-l.goneSince < goneSpan {
-			v.loads[id] = l
+		for i := range current.groups {
+			current.groups[i].each(func(c *candidate) { planned[c.load] = true })
 		}
 	}
-	for id, l := range p.strays {
-		l.goneSince = now
-		v.loads[id] = l
-		delete(p.strays, id)
+	for l := range p.loads.all() {
+		isCold := l.cold && now-l.started < coldLife
+		if !planned[l] && !isCold && l.active.Load() == 0 {
+			p.loads.remove(l)
+		}
 	}
 }
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -3,8 +3,8 @@
 // picks by an interchangeable policy. It reads no clock and no socket: callers pass the
 // time, so that the same calls always give the same answers.
 //
-// Locks are taken in this order: Placer.control, then Placer.strayLock. Place, Opened,
-// Closed and Observe work on an immutable view and atomic counters; they only try
-// Placer.control, never wait for it, and take Placer.strayLock only for targets that no
-// table known here has named.
+// Locks are taken in this order: Placer.control, then loadTable.writing. Place works on
+// an immutable plan and atomic counters. It waits for Placer.control only for a pool whose
+// plan the last change of tables, fleet or health has made invalid, and takes
+// loadTable.writing only for targets without state, as Opened does.
 package placement
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -10,7 +10,7 @@
 
 const (
 	// shareSamples is the number of hashes from which shares of flows are estimated.
-	shareSamples = 1024
+	shareSamples = 512
 	// evenPart is the part of every share that is spread evenly over the whole fleet,
 	// for the flows that a VM owns because others are gone.
 	evenPart = 0.05
@@ -66,6 +66,19 @@
 	return f
 }
 
+// isLike reports whether another Fleet gives the same shares and subsets, but for
+// changes in other domains that leave each of them with owners.
+func (f *Fleet) isLike(other *Fleet) bool {
+	if f == nil || other == nil {
+		return f == other
+	}
+	same := func(a, b domainOwners) bool {
+		return a.id == b.id && (a.alive == 0) == (b.alive == 0) && (a.id != f.ownDomain || a.alive == b.alive)
+	}
+	return f.ownDomain == other.ownDomain && f.place == other.place && f.count == other.count &&
+		slices.EqualFunc(f.owners, other.owners, same)
+}
+
 func (f *Fleet) countOwner(domain fleet.ID) {
 	f.alive++
 	for i := range f.owners {
--- a/placement/load.go
+++ b/placement/load.go
@@ -20,6 +20,8 @@
 	// both since the evidence was last collected.
 	fresh   atomic.Int64
 	replied atomic.Bool
+	// retired says that the load was forgotten and must not count any more.
+	retired atomic.Bool
 	// answers says that an answer of the target was ever seen.
 	answers atomic.Bool
 
@@ -27,8 +29,8 @@
 	// started is when the target began its slow start.
 	started clock.Millis
 	cold    bool
-	// goneSince is when the target left the tables, or zero.
-	goneSince clock.Millis
+	// pool is the pool that the target belongs to.
+	pool string
 	// correction multiplies the weight. It follows reports of load from elsewhere.
 	correction float64
 }
@@ -37,7 +39,8 @@
 	return &load{id: id, correction: 1}
 }
 
-// reserve counts one more flow unless limit flows are open. A limit of zero is none.
+// reserve counts one more flow unless limit flows are open or the load is retired. A
+// limit of zero is none.
 func (l *load) reserve(limit int64) bool {
 	for {
 		active := l.active.Load()
@@ -45,9 +48,14 @@
 			return false
 		}
 		if l.active.CompareAndSwap(active, active+1) {
-			return true
+			break
 		}
 	}
+	if l.retired.Load() {
+		l.active.Add(-1)
+		return false
+	}
+	return true
 }
 
 // release counts one flow less. The count never falls below zero.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -17,35 +17,37 @@
 // Placer places new flows of all pools. Place, Opened, Closed and Observe may be called
 // by any number of workers. The Set methods are called by one control goroutine.
 type Placer struct {
-	view atomic.Pointer[view]
+	pools atomic.Pointer[map[string]*pool]
+	loads loadTable
+	// generation is raised by changes that concern all plans.
+	generation atomic.Uint64
 
-	// control guards the fields below it and the control fields of loads.
+	// control guards the fields below it and the control fields of pools and loads.
 	control  sync.Mutex
 	snapshot *table.Snapshot
 	fleet    *Fleet
 	ejected  map[flow.TargetID]bool
 	policies Policies
+	// corrected names the pools whose weights the last reports moved.
+	corrected map[string]bool
 	// nextCorrection is when reports count again.
 	nextCorrection clock.Millis
-
-	// strayLock guards strays: loads of targets that no table known here has named.
-	strayLock sync.Mutex
-	strays    map[flow.TargetID]*load
-}
-
-// view is what workers see: it is immutable but for the atomic parts of pools and loads.
-type view struct {
-	pools map[string]*pool
-	loads map[flow.TargetID]*load
+	// swept is when idle state was last forgotten.
+	swept clock.Millis
 }
 
-// pool is the state of one pool that outlives plans.
+// pool is the state of one pool under one version of the tables.
 type pool struct {
-	spec        *table.Pool
 	destination flow.Endpoint
 	protocol    flow.Protocol
-	plan        atomic.Pointer[plan]
-	budget      *retryBudget
+	// plan is nil until it is needed.
+	plan   atomic.Pointer[plan]
+	budget *retryBudget
+
+	// spec and parts belong to Placer.control. Parts are those of a generation.
+	spec            *table.Pool
+	parts           []part
+	partsGeneration uint64
 }
 
 // Policies are the policies used for each preference of a pool.
@@ -91,8 +93,8 @@
 // New returns a Placer that refuses every flow until SetTables is called.
 func New(options ...Option) *Placer {
 	p := &Placer{
-		ejected: make(map[flow.TargetID]bool),
-		strays:  make(map[flow.TargetID]*load),
+		ejected:   make(map[flow.TargetID]bool),
+		corrected: make(map[string]bool),
 		policies: Policies{
 			flows:   BoundedLoad[*candidate]{Excess: boundedExcess},
 			balance: LeastLoaded[*candidate]{},
@@ -101,7 +103,7 @@
 	for _, option := range options {
 		option(p)
 	}
-	p.view.Store(&view{})
+	p.pools.Store(&map[string]*pool{})
 	return p
 }
 
@@ -110,64 +112,71 @@
 // result.Placed, result.RefusedNoTarget when no target may be used, or
 // result.RefusedFull when the limits of all of them or the retry budget are used up.
 func (p *Placer) Place(now clock.Millis, route *table.Route, hash uint64, excluded flow.TargetID) (flow.Target, result.Code) {
-	s := p.view.Load().pools[route.Pool().Name()]
+	s := (*p.pools.Load())[route.Pool().Name()]
 	if s == nil || s.destination != route.Destination() || s.protocol != route.Protocol() {
 		return flow.Target{}, result.RefusedNoTarget
 	}
 	if excluded != 0 && !s.budget.take(now) {
 		return flow.Target{}, result.RefusedFull
 	}
-	target, code := p.current(now, s).place(decision{now, hash, excluded})
+	current := p.current(now, s)
+	target, code := current.place(decision{now, hash, excluded})
+	if code != result.Placed && s.plan.Load() != current {
+		target, code = p.current(now, s).place(decision{now, hash, excluded})
+	}
 	if code == result.Placed && excluded == 0 {
 		s.budget.earn()
 	}
 	return target, code
 }
 
-// current returns the plan of the pool, made anew when it is due and no other
-// goroutine is at it.
+// current returns the plan of the pool. A plan that is out of date is made anew first;
+// one that is only due is, unless another goroutine is at it.
 func (p *Placer) current(now clock.Millis, s *pool) *plan {
-	due := s.plan.Load()
-	if now < due.until || !p.control.TryLock() {
-		return due
+	known := s.plan.Load()
+	if p.isValid(known) {
+		if now < known.until || !p.control.TryLock() {
+			return known
+		}
+	} else {
+		p.control.Lock()
 	}
 	defer p.control.Unlock()
+	if again := s.plan.Load(); again != known && p.isValid(again) {
+		return again
+	}
 	fresh := p.newPlan(now, s)
 	s.plan.Store(fresh)
 	return fresh
 }
 
+func (p *Placer) isValid(known *plan) bool {
+	return known != nil && known.generation == p.generation.Load()
+}
+
 // Opened counts a flow that another entry VM placed and that this VM owns now.
 func (p *Placer) Opened(id flow.TargetID) {
-	p.load(id).active.Add(1)
+	for {
+		l := p.loads.ensure(id)
+		l.active.Add(1)
+		if !l.retired.Load() {
+			return
+		}
+		l.active.Add(-1)
+	}
 }
 
 // Closed counts the end of a flow that Place or Opened counted. Counts never fall below
 // zero.
 func (p *Placer) Closed(id flow.TargetID) {
-	p.load(id).release()
+	if l := p.loads.get(id); l != nil {
+		l.release()
+	}
 }
 
 // Observe records what a flow's packets show about its target.
 func (p *Placer) Observe(now clock.Millis, id flow.TargetID, evidence Evidence) {
-	p.load(id).observe(now, evidence)
-}
-
-// load returns the load of a target. Targets that no table has named yet get one too,
-// since records may arrive ahead of the tables.
-func (p *Placer) load(id flow.TargetID) *load {
-	if l, ok := p.view.Load().loads[id]; ok {
-		return l
-	}
-	p.strayLock.Lock()
-	defer p.strayLock.Unlock()
-	if l, ok := p.view.Load().loads[id]; ok {
-		return l
-	}
-	l, ok := p.strays[id]
-	if !ok {
-		l = newLoad(id)
-		p.strays[id] = l
+	if l := p.loads.get(id); l != nil {
+		l.observe(now, evidence)
 	}
-	return l
 }
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -226,8 +226,8 @@
 	for range 8 {
 		workers.Go(func() { place(p, snapshot.Routes()[0], 0, clock.Minute, 1000) })
 	}
-	for range 20 {
-		p.SetTables(0, tables.parse(t))
+	for i := range 20 {
+		p.SetTables(clock.Millis(i)*clock.Hour, tables.parse(t)) // sweeps each time
 	}
 	workers.Wait()
 	for _, h := range tables.hosts {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/fleet"
@@ -77,12 +78,17 @@
 	bounds []float64
 }
 
-// plan is how the flows of one pool are placed until it is made anew. It is immutable.
+// plan is how the flows of one pool are placed until it is made anew. It is immutable but for its
+// mark of use.
 type plan struct {
 	groups []group
 	policy Policy[*candidate]
 	spill  bool
-	// until is when the plan must be made anew.
+	// generation is that of the Placer when the plan was made.
+	generation uint64
+	// used says that a flow was placed by the plan since the last sweep.
+	used atomic.Bool
+	// until is when the plan is due to be made anew.
 	until clock.Millis
 }
 
@@ -105,6 +111,9 @@
 
 // place chooses the failure domain and in it a target, and counts the flow.
 func (p *plan) place(d decision) (flow.Target, result.Code) {
+	if !p.used.Load() {
+		p.used.Store(true)
+	}
 	code := result.RefusedNoTarget
 	cost, at := math.Inf(-1), -1
 	for {
@@ -140,6 +149,16 @@
 	return cost, at
 }
 
+// each calls visit with every candidate.
+func (g *group) each(visit func(*candidate)) {
+	for _, c := range g.warm {
+		visit(c)
+	}
+	for _, c := range g.cold {
+		visit(c)
+	}
+}
+
 func (g *group) place(d decision, p *plan) (flow.Target, result.Code) {
 	if len(g.warm)+len(g.cold) == 0 {
 		return flow.Target{}, result.RefusedNoTarget
--- a/placement/rebuild.go
+++ b/placement/rebuild.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/fleet"
-	"github.com/almondflow/almondflow/flow"
 	"github.com/almondflow/almondflow/table"
 )
 
@@ -53,15 +52,24 @@
 	return parts
 }
 
-// newPlan makes the plan of a pool anew. p.control is held.
-func (p *Placer) newPlan(now clock.Millis, s *pool) *plan {
-	return p.planWith(now, s, p.view.Load().loads)
+// partsOf returns the parts of a pool, which are kept for a generation.
+func (p *Placer) partsOf(s *pool) []part {
+	if generation := p.generation.Load(); s.parts == nil || s.partsGeneration != generation {
+		s.parts, s.partsGeneration = p.parts(s.spec), generation
+	}
+	return s.parts
 }
 
-func (p *Placer) planWith(now clock.Millis, s *pool, loads map[flow.TargetID]*load) *plan {
-	parts := p.parts(s.spec)
+// newPlan makes the plan of a pool anew. p.control is held.
+func (p *Placer) newPlan(now clock.Millis, s *pool) *plan {
+	parts := p.partsOf(s)
 	useAll := p.allEjected(parts)
-	fresh := &plan{policy: p.policies.balance, spill: s.spec.Spill(), until: never}
+	fresh := &plan{
+		policy:     p.policies.balance,
+		spill:      s.spec.Spill(),
+		until:      never,
+		generation: p.generation.Load(),
+	}
 	if s.spec.Prefer() == table.PreferFlows {
 		fresh.policy = p.policies.flows
 	}
@@ -69,7 +77,7 @@
 		g := group{domain: d.domain}
 		for _, h := range d.hosts {
 			if useAll || !p.ejected[h.ID()] {
-				g.add(h, loads[h.ID()])
+				g.add(h, p.loadOf(h, s))
 			}
 			g.capacity += float64(h.Weight())
 		}
@@ -95,6 +103,13 @@
 	return true
 }
 
+// loadOf returns the load of a host of the pool.
+func (p *Placer) loadOf(h *table.Host, s *pool) *load {
+	l := p.loads.ensure(h.ID())
+	l.pool = s.spec.Name()
+	return l
+}
+
 func (g *group) add(h *table.Host, l *load) {
 	c := &candidate{
 		load:        l,
@@ -188,19 +203,25 @@
 
 // limit sets this VM's share of the limits of each candidate.
 func (p *Placer) limit(groups []group, parts []part) {
-	if len(groups) == 0 {
+	if !isLimited(groups) {
 		return
 	}
 	shares := p.fleet.shares(groups)
 	for i := range groups {
 		share := min(1, shares[i]*parts[i].whole)
-		for _, set := range [2][]*candidate{groups[i].warm, groups[i].cold} {
-			for _, c := range set {
-				c.connections = shareOf(c.connections, share)
-				c.openings = shareOf(c.openings, share)
-			}
-		}
+		groups[i].each(func(c *candidate) {
+			c.connections = shareOf(c.connections, share)
+			c.openings = shareOf(c.openings, share)
+		})
+	}
+}
+
+func isLimited(groups []group) bool {
+	limited := false
+	for i := range groups {
+		groups[i].each(func(c *candidate) { limited = limited || c.connections > 0 || c.openings > 0 })
 	}
+	return limited
 }
 
 // shareOf returns the share of a limit, at least one. Zero stays without limit.
--- a/placement/report.go
+++ b/placement/report.go
@@ -41,26 +41,43 @@
 			active[r.id] = r.active
 		}
 	}
-	v := p.view.Load()
-	for _, s := range v.pools {
-		if correct(s.plan.Load(), active) {
-			s.plan.Store(p.newPlan(now, s))
+	p.correct(now, active)
+}
+
+// correct corrects the pools that reports are about, and lets the corrections of the
+// others fade. p.control is held.
+func (p *Placer) correct(now clock.Millis, active map[flow.TargetID]int64) {
+	pools := *p.pools.Load()
+	names := p.corrected
+	p.corrected = make(map[string]bool)
+	for id := range active {
+		if l := p.loads.get(id); l != nil {
+			names[l.pool] = true
+		}
+	}
+	for name := range names {
+		s, ok := pools[name]
+		if !ok || s.plan.Load() == nil {
+			continue
+		}
+		if correctPool(s.plan.Load(), active) {
+			p.corrected[name] = true
 		}
+		s.plan.Store(p.newPlan(now, s))
 	}
 }
 
-// correct moves the corrections of a pool's targets and reports whether any changed.
-func correct(p *plan, active map[flow.TargetID]int64) bool {
+// correctPool moves the corrections of a pool's targets and reports whether any is corrected.
+func correctPool(p *plan, active map[flow.TargetID]int64) bool {
 	middle := medianReport(p, active)
-	changed := false
+	isCorrected := false
 	for i := range p.groups {
 		for _, c := range p.groups[i].warm {
-			before := c.load.correction
 			c.load.correction = corrected(c, middle, active)
-			changed = changed || before != c.load.correction
+			isCorrected = isCorrected || c.load.correction != 1
 		}
 	}
-	return changed
+	return isCorrected
 }
 
 // medianReport returns the median of the reported flows per weight. Unlike the mean it
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -213,3 +213,23 @@
 	s.run(span, rate, func() { worst = max(worst, s.imbalance()) })
 	return worst
 }
+
+// foundAgain returns the share of the flows of an owner, without those on hosts that take
+// no new flows, that their next holder would place on the same target.
+func (s *simulation) foundAgain(owner int) float64 {
+	s.gone[owner] = true
+	flows, found := 0.0, 0.0
+	for f := range s.open {
+		if f.owner != owner || f.target == s.tables.hosts[0].id() {
+			continue
+		}
+		next := s.owners[s.ownerOf(f.hash)]
+		target, _ := next.Place(s.now, s.snapshot.Routes()[0], f.hash, 0)
+		next.Closed(target.ID())
+		flows++
+		if target.ID() == f.target {
+			found++
+		}
+	}
+	return found / flows
+}
--- /dev/null
+++ b/placement/slope_test.go
@@ -0,0 +1,158 @@
+package placement_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/placement"
+	"github.com/almondflow/almondflow/result"
+	"github.com/almondflow/almondflow/table"
+)
+
+// manyPools is a table of pools with three hosts each, of which one is leaving.
+func manyPools(tb testing.TB, version, hosts, leaving int) *table.Snapshot {
+	var routes, pools []string
+	for i := range hosts / 3 {
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","destination":"11.%d.%d.1","port":443,"protocol":"tcp","pool":"p%d"}`,
+			i, i/250, i%250, i))
+		var entries []string
+		for j := range 3 {
+			mark := "serving"
+			if i*3+j == leaving {
+				mark = "leaving"
+			}
+			entries = append(entries, fmt.Sprintf(`{"name":"h%d","address":"10.%d.%d.%d","port":8443,"domain":"d%d","mark":%q,"slots":2,"connections":2000}`,
+				j, i/250, i%250, j+1, (i+j)%7, mark))
+		}
+		pools = append(pools, fmt.Sprintf(`{"name":"p%d","hosts":[%s]}`, i, strings.Join(entries, ",")))
+	}
+	document := fmt.Sprintf(`{"version":%d,"routes":[%s],"pools":[%s]}`, version, strings.Join(routes, ","), strings.Join(pools, ","))
+	snapshot, err := table.Parse([]byte(document))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return snapshot
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkTables reports what hosts cost a daemon: bytes of state a host, before and
+// after each pool was used, and the time of a table that changes one mark, of the loss of
+// a VM of the own domain, of the first flow of a pool after that, and of an ejection.
+func BenchmarkTables(b *testing.B) {
+	for _, hosts := range []int{999, 9999, 99000} {
+		first, second := manyPools(b, 1, hosts, -1), manyPools(b, 2, hosts, 5)
+		list := newList(b, 70, 7)
+		self := fleet.NewID(vmName(0))
+		whole := placement.NewFleet(list, self, allAlive)
+		reduced := placement.NewFleet(list, self, func(id fleet.ID) bool { return id != fleet.NewID(vmName(7)) })
+		before := heapBytes()
+		p := placement.New()
+		p.SetFleet(0, whole)
+		p.SetTables(0, first)
+		idle := heapBytes() - before
+		useAll := func() {
+			for i, route := range first.Routes() {
+				target, _ := p.Place(0, route, hashOf(i), 0)
+				p.Closed(target.ID())
+			}
+		}
+		useAll()
+		used := heapBytes() - before
+		name := fmt.Sprintf("/hosts=%d", hosts)
+		b.Run("state"+name, func(b *testing.B) {
+			b.ReportMetric(idle/float64(hosts), "idle_B/host")
+			b.ReportMetric(used/float64(hosts), "used_B/host")
+		})
+		b.Run("owner_lost"+name, func(b *testing.B) {
+			for i := range b.N {
+				p.SetFleet(0, []*placement.Fleet{reduced, whole}[i%2])
+			}
+		})
+		b.Run("first_flow"+name, func(b *testing.B) {
+			for i := range b.N {
+				p.SetFleet(0, []*placement.Fleet{reduced, whole}[i%2])
+				useAll()
+			}
+			b.ReportMetric(float64(b.Elapsed())/float64(b.N*len(first.Routes())), "ns/pool")
+		})
+		b.Run("ejection"+name, func(b *testing.B) {
+			ids := []flow.TargetID{first.Pools()[0].Hosts()[0].ID()}
+			for i := range b.N {
+				p.SetHealth(0, ids[:i%2])
+			}
+		})
+		b.Run("edit"+name, func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				p := placement.New()
+				p.SetTables(0, first)
+				b.StartTimer()
+				p.SetTables(0, second)
+			}
+		})
+	}
+}
+
+// BenchmarkPlace reports the time and allocations of one decision by the size of a pool.
+func BenchmarkPlace(b *testing.B) {
+	for _, prefer := range []string{"flows", "balance"} {
+		for _, hosts := range []int{14, 140, 14000} {
+			p := placement.New()
+			list := newList(b, 70, 7)
+			p.SetFleet(0, placement.NewFleet(list, fleet.NewID(vmName(0)), allAlive))
+			snapshot := newTables(prefer, hosts, 7).parse(b)
+			p.SetTables(0, snapshot)
+			route := snapshot.Routes()[0]
+			b.Run(fmt.Sprintf("%s/hosts=%d", prefer, hosts), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := range b.N {
+					target, code := p.Place(clock.Millis(i/1000), route, hashOf(i), 0)
+					if code != result.Placed {
+						b.Fatal(code)
+					}
+					p.Closed(target.ID())
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSubset reports over how many daemons of a large pool's domain the hosts are
+// spread: the mean, the fewest and the most.
+func BenchmarkSubset(b *testing.B) {
+	const vms, hosts = 2286, 14142
+	list := newList(b, vms, 1)
+	snapshot := newTables("balance", hosts, 1).parse(b)
+	for range b.N {
+		daemons := make(map[flow.TargetID]int)
+		for i := range vms {
+			p := placement.New()
+			p.SetFleet(0, placement.NewFleet(list, fleet.NewID(vmName(i)), allAlive))
+			p.SetTables(0, snapshot)
+			target, _ := p.Place(0, snapshot.Routes()[0], 1, 0)
+			p.Closed(target.ID())
+			for _, h := range p.Hosts() {
+				daemons[h]++
+			}
+		}
+		fewest, most, total := vms, 0, 0
+		for _, h := range snapshot.Pools()[0].Hosts() {
+			n := daemons[h.ID()]
+			fewest, most, total = min(fewest, n), max(most, n), total+n
+		}
+		b.ReportMetric(float64(total)/hosts, "mean")
+		b.ReportMetric(float64(fewest), "fewest")
+		b.ReportMetric(float64(most), "most")
+	}
+}
--- a/targets/monitor.go
+++ b/targets/monitor.go
@@ -20,8 +20,10 @@
 	reportLife = 30 * clock.Second
 	// reportInterval is the time after which a finding of down is reported again.
 	reportInterval = 10 * clock.Second
-	// idleLife is how long a target without evidence is remembered.
-	idleLife = 10 * clock.Minute
+	// idleLife is how long a target without evidence is remembered, and badLife the same
+	// for one that was ejected lately.
+	idleLife = 1 * clock.Minute
+	badLife  = 10 * clock.Minute
 )
 
 // Monitor joins probes, reports and evidence into verdicts. It is used by one control
@@ -81,9 +83,11 @@
 func (m *Monitor) SetList(now clock.Millis, list *fleet.List) {
 	m.list = list
 	m.domains, m.vms = make(map[string]int), 0
-	for domain, ring := range ringsOf(list) {
-		m.domains[domain] = len(ring)
-		m.vms += len(ring)
+	for i := range list.VMs() {
+		if vm := &list.VMs()[i]; vm.State() == fleet.Serving {
+			m.domains[vm.Domain()]++
+			m.vms++
+		}
 	}
 	m.reassign(now)
 }
@@ -259,7 +263,11 @@
 		t.passive.isGood = false
 		m.dirty = true
 	}
-	if now-t.touched > idleLife && !t.passive.down && len(t.findings) == 0 {
+	life := idleLife
+	if t.passive.ejections > 0 {
+		life = badLife
+	}
+	if now-t.touched > life && !t.passive.down && len(t.findings) == 0 {
 		delete(m.tracks, id)
 	}
 }
--- a/targets/passive.go
+++ b/targets/passive.go
@@ -8,7 +8,10 @@
 const (
 	// passiveOpenings is the number of openings from which a conclusion is drawn.
 	passiveOpenings = 5
-	// passiveSpan is how long openings are gathered for a conclusion.
+	// passiveGap is the least time between two conclusions, so that two bad ones in a row
+	// are more than one short disturbance.
+	passiveGap = 1 * clock.Second
+	// passiveSpan is how long openings are gathered at most.
 	passiveSpan = 30 * clock.Second
 	// passiveFall is the number of bad conclusions in a row that eject a target.
 	passiveFall = 2
@@ -31,7 +34,9 @@
 
 // passive is what the flows of one target show.
 type passive struct {
+	// since is when the counts below began, next when a conclusion may be drawn again.
 	since    clock.Millis
+	next     clock.Millis
 	answered int64
 	resets   int64
 	silences int64
@@ -89,10 +94,11 @@
 	p.silences += t.Silences()
 	failures := p.resets + p.silences
 	openings := p.answered + failures
-	if openings < passiveOpenings {
+	if openings < passiveOpenings || now < p.next {
 		return false
 	}
 	silent := p.silences > p.resets
+	p.next = now + passiveGap
 	p.clear(now)
 	switch {
 	case failures*goodDivisor <= openings:
--- a/targets/schedule.go
+++ b/targets/schedule.go
@@ -56,73 +56,66 @@
 	news    bool
 }
 
-// assign returns the hosts that the VM self probes. The hosts and the VMs of a domain
-// are laid on one ring, sorted by identity, and each host is probed by the VMs that
-// stand at its place and after it, so that all VMs have equally many to probe, give or
-// take a few.
+// assign returns the hosts that the VM self probes, sorted by identity. The hosts and the
+// VMs of a domain are laid on one ring, sorted by identity, and each host is probed by the
+// VMs that stand at its place and after it, so that all VMs have equally many to probe,
+// give or take a few. Hosts of domains without VMs are laid on the ring of all VMs.
 func assign(snapshot *table.Snapshot, list *fleet.List, self fleet.ID) []*table.Host {
-	rings := ringsOf(list)
-	everyone := allOf(rings)
-	var mine []*table.Host
-	for domain, hosts := range hostsByDomain(snapshot) {
-		ring := rings[domain]
-		if len(ring) == 0 {
-			ring = everyone
-		}
-		place, ok := slices.BinarySearch(ring, self)
-		if !ok {
-			continue
-		}
-		for i, h := range hosts {
-			first := i * len(ring) / len(hosts)
-			if behind := (place - first + len(ring)) % len(ring); behind < proberCount {
-				mine = append(mine, h)
+	vm, ok := list.Find(self)
+	if !ok {
+		return nil
+	}
+	domains := list.Domains()
+	var own, orphans []*table.Host
+	for _, p := range snapshot.Pools() {
+		for i := range p.Hosts() {
+			h := &p.Hosts()[i]
+			switch {
+			case h.Mark() == table.Leaving:
+			case h.Domain() == vm.Domain():
+				own = append(own, h)
+			case !slices.Contains(domains, h.Domain()):
+				orphans = append(orphans, h)
 			}
 		}
 	}
-	slices.SortFunc(mine, func(a, b *table.Host) int { return cmp.Compare(a.ID(), b.ID()) })
+	mine := append(onRing(own, ringOf(list, vm.Domain()), self), onRing(orphans, ringOf(list, ""), self)...)
+	sortHosts(mine)
 	return mine
 }
 
-// ringsOf returns the sorted serving VMs of each domain.
-func ringsOf(list *fleet.List) map[string][]fleet.ID {
-	rings := make(map[string][]fleet.ID)
+func sortHosts(hosts []*table.Host) {
+	slices.SortFunc(hosts, func(a, b *table.Host) int { return cmp.Compare(a.ID(), b.ID()) })
+}
+
+// ringOf returns the sorted serving VMs of a domain, or of all where it is empty.
+func ringOf(list *fleet.List, domain string) []fleet.ID {
+	var ring []fleet.ID
 	for i := range list.VMs() {
 		vm := &list.VMs()[i]
-		if vm.State() == fleet.Serving {
-			rings[vm.Domain()] = append(rings[vm.Domain()], vm.ID())
+		if vm.State() == fleet.Serving && (domain == "" || vm.Domain() == domain) {
+			ring = append(ring, vm.ID())
 		}
 	}
-	for _, ring := range rings {
-		slices.Sort(ring)
-	}
-	return rings
+	slices.Sort(ring)
+	return ring
 }
 
-func allOf(rings map[string][]fleet.ID) []fleet.ID {
-	var all []fleet.ID
-	for _, ring := range rings {
-		all = append(all, ring...)
+// onRing returns the hosts that self probes where the ring probes them.
+func onRing(hosts []*table.Host, ring []fleet.ID, self fleet.ID) []*table.Host {
+	place, ok := slices.BinarySearch(ring, self)
+	if !ok {
+		return nil
 	}
-	slices.Sort(all)
-	return all
-}
-
-// hostsByDomain returns the hosts that may take new flows, sorted by identity.
-func hostsByDomain(snapshot *table.Snapshot) map[string][]*table.Host {
-	domains := make(map[string][]*table.Host)
-	for _, p := range snapshot.Pools() {
-		for i := range p.Hosts() {
-			h := &p.Hosts()[i]
-			if h.Mark() != table.Leaving {
-				domains[h.Domain()] = append(domains[h.Domain()], h)
-			}
+	sortHosts(hosts)
+	var mine []*table.Host
+	for i, h := range hosts {
+		first := i * len(ring) / len(hosts)
+		if behind := (place - first + len(ring)) % len(ring); behind < proberCount {
+			mine = append(mine, h)
 		}
 	}
-	for _, hosts := range domains {
-		slices.SortFunc(hosts, func(a, b *table.Host) int { return cmp.Compare(a.ID(), b.ID()) })
-	}
-	return domains
+	return mine
 }
 
 // probersOf returns how many daemons probe a host of the domain.
