Return hosts that were ejected before their pool was used

A plan did not note which pool an ejected host belongs to, so that its return did not make the plan anew and the host stayed out.

--- a/placement/control.go
+++ b/placement/control.go
@@ -149,8 +149,8 @@
 			s.plan.Store(nil)
 			continue
 		}
-		for i := range current.groups {
-			current.groups[i].each(func(c *candidate) { planned[c.load] = true })
+		for _, l := range current.loads {
+			planned[l] = true
 		}
 	}
 	for l := range p.loads.all() {
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -234,3 +234,16 @@
 		is.Equal(p.Active(h.id()), int64(100)) // full, not over
 	}
 }
+
+// The stateful test found this with seed 7548558.
+func TestHostEjectedBeforeItsPoolIsUsedReturns(t *testing.T) {
+	is := is.New(t)
+	p := placement.New()
+	tables := newTables("flows", 2, 1)
+	snapshot := tables.parse(t)
+	p.SetTables(0, snapshot)
+	p.SetHealth(0, []flow.TargetID{tables.hosts[0].id()})
+	is.Equal(len(place(p, snapshot.Routes()[0], 0, 0, 100)), 1)
+	p.SetHealth(0, nil)
+	is.Equal(len(place(p, snapshot.Routes()[0], clock.Minute, 0, 100)), 2) // hosts that took flows
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -84,6 +84,8 @@
 	groups []group
 	policy Policy[*candidate]
 	spill  bool
+	// loads are those of all hosts of the plan, ejected ones too.
+	loads []*load
 	// generation is that of the Placer when the plan was made.
 	generation uint64
 	// used says that a flow was placed by the plan since the last sweep.
--- a/placement/rebuild.go
+++ b/placement/rebuild.go
@@ -76,8 +76,10 @@
 	for _, d := range parts {
 		g := group{domain: d.domain}
 		for _, h := range d.hosts {
+			l := p.loadOf(h, s)
+			fresh.loads = append(fresh.loads, l)
 			if useAll || !p.ejected[h.ID()] {
-				g.add(h, p.loadOf(h, s))
+				g.add(h, l)
 			}
 			g.capacity += float64(h.Weight())
 		}
