Find crashed VMs in two seconds

Change: probes time out after 600 ms in place of 900, of which 200 are direct, and a refutation has 800 ms in place of 1 s. Conclusion: a process that stalls for more than 1.4 s is taken for dead.

--- a/member/options.go
+++ b/member/options.go
@@ -14,10 +14,10 @@
 
 // Fixed spans of the protocol, in milliseconds.
 const (
-	directTimeout  = 300 * clock.Millisecond
-	probeTimeout   = 900 * clock.Millisecond
-	suspicionBase  = clock.Second
-	reminderPeriod = 300 * clock.Millisecond
+	directTimeout  = 200 * clock.Millisecond
+	probeTimeout   = 600 * clock.Millisecond
+	suspicionBase  = 800 * clock.Millisecond
+	reminderPeriod = 200 * clock.Millisecond
 	pauseGap       = clock.Second
 	resumeTimeout  = 2 * clock.Second
 	pullJitter     = 100 * clock.Millisecond
--- a/peers/driver.go
+++ b/peers/driver.go
@@ -12,7 +12,7 @@
 
 const (
 	tickPeriod      = 100 * time.Millisecond
-	exchangeTimeout = 800 * time.Millisecond
+	exchangeTimeout = 600 * time.Millisecond
 	pullTimeout     = 30 * time.Second
 	inboxLength     = 256
 	// maximumCalls bounds the exchanges in progress; further messages are dropped.
