Pass the findings of probes on between daemons

Only the daemons that probe a host knew of its failures: nothing carried the reports, and one that did would have reached a few partners. Nothing is sent while all hosts are up. The daemon judges the targets once a second in place of every 100 ms.

--- a/entry/control.go
+++ b/entry/control.go
@@ -82,7 +82,7 @@
 // Ticked drives everything that depends on time. It implements peers.Observer.
 func (c *control) Ticked(now clock.Millis, m *member.Machine) {
 	c.publish(now, m)
-	c.daemon.health.tick(now)
+	c.daemon.health.tick(now, m)
 	c.daemon.node.Tick(now, c.out)
 	c.out.Flush()
 	if now-c.sampled >= sampleInterval {
--- a/entry/health.go
+++ b/entry/health.go
@@ -11,12 +11,17 @@
 	"github.com/almondflow/almondflow/targets"
 )
 
+// judgeInterval is how often the evidence about targets is collected and judged.
+const judgeInterval = 1 * clock.Second
+
 // health judges the targets for the control goroutine.
 type health struct {
 	daemon  *Daemon
 	monitor *targets.Monitor
 	runner  *targets.Runner
 	ejected map[flow.TargetID]bool
+	// judged is when the targets were last judged.
+	judged clock.Millis
 	// due passes probes from the control goroutine to the one that starts them.
 	due *queue[targets.Probe]
 }
@@ -48,12 +53,26 @@
 	}
 }
 
-// tick asks for the probes that are due and tells the placer which targets not to use.
-func (h *health) tick(now clock.Millis) {
-	h.monitor.Evidence(now, h.daemon.placer.CollectEvidence())
+// receive takes the findings about targets that ride on a peer's message.
+func (h *health) receive(now clock.Millis, m *member.Message) {
+	if reports, ok := targets.DecodeReports(m.Counts); ok {
+		h.monitor.AddReports(now, reports)
+	}
+}
+
+// tick asks for the probes that are due. Once in judgeInterval it judges the targets,
+// tells the placer which ones not to use, and the peers what was found.
+func (h *health) tick(now clock.Millis, m *member.Machine) {
 	for _, probe := range h.monitor.Due(now) {
 		h.due.push(probe)
 	}
+	if now-h.judged < judgeInterval {
+		return
+	}
+	h.judged = now
+	h.monitor.Evidence(now, h.daemon.placer.CollectEvidence())
+	reports := h.monitor.Reports(now, member.MaximumCountsBytes/targets.ReportSize)
+	m.SetCounts(targets.AppendReports(nil, reports))
 	ejected, changed := h.monitor.Tick(now)
 	if !changed {
 		return
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -37,6 +37,7 @@
 
 // Received takes what rides on messages of peers. It implements peers.Observer.
 func (c *control) Received(now clock.Millis, from fleet.ID, m *member.Message) {
+	c.daemon.health.receive(now, m)
 	for _, v := range m.Versions {
 		if v.Confirmed {
 			c.daemon.runner.Heard(now, v.Name, v.Number, v.ConfirmedAge)
--- a/targets/monitor.go
+++ b/targets/monitor.go
@@ -18,8 +18,6 @@
 	probeRise = 2
 	// reportLife is how long the finding of another daemon counts.
 	reportLife = 30 * clock.Second
-	// reportInterval is the time after which a finding of down is reported again.
-	reportInterval = 10 * clock.Second
 	// idleLife is how long a target without evidence is remembered, and badLife the same
 	// for one that was ejected lately.
 	idleLife = 1 * clock.Minute
@@ -133,7 +131,7 @@
 	if !ok || !d.state.add(passed, probeRise, probeFall) {
 		return
 	}
-	d.changed, d.news = now, true
+	d.changed, d.hasFailed = now, true
 	m.track(now, id)
 	m.dirty = true
 }
@@ -174,51 +172,66 @@
 	return false
 }
 
-// Reports returns what the other daemons are to be told: news, and findings of down
-// that were not repeated for a while. limit bounds the number.
+// Reports returns what other daemons are to be told, the latest findings first: those of
+// this daemon that a host is down, or is up again, and those that it heard from others.
+// limit bounds their number.
 func (m *Monitor) Reports(now clock.Millis, limit int) []Report {
 	var reports []Report
 	for _, d := range m.duties {
-		isDue := d.news || (d.state.down && now-d.told >= reportInterval)
-		if !isDue || len(reports) >= limit {
-			continue
+		if d.state.down || (d.hasFailed && now-d.changed <= reportLife) {
+			reports = append(reports, NewReport(m.self, d.probe.id, d.state.down, 0))
+		}
+	}
+	for id, t := range m.tracks {
+		for _, f := range t.findings {
+			if now-f.at <= reportLife {
+				reports = append(reports, NewReport(f.from, id, f.down, now-f.at))
+			}
 		}
-		d.news, d.told = false, now
-		reports = append(reports, NewReport(d.probe.id, d.state.down, now-d.changed))
 	}
-	return reports
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.id, b.id), cmp.Compare(a.from, b.from))
+	})
+	return reports[:min(limit, len(reports))]
 }
 
-// AddReports takes the reports of another daemon. Findings that are older than what is
-// known, or too old to count, are ignored.
-func (m *Monitor) AddReports(now clock.Millis, from fleet.ID, reports []Report) {
+// AddReports takes the reports that another daemon sent. Findings that are older than
+// what is known, or too old to count, are ignored.
+func (m *Monitor) AddReports(now clock.Millis, reports []Report) {
+	if m.snapshot == nil {
+		return
+	}
 	for _, r := range reports {
-		if m.snapshot == nil || from == m.self {
-			return
-		}
-		if _, ok := m.snapshot.Host(r.id); !ok {
+		if r.from == m.self || r.age > reportLife {
 			continue
 		}
-		m.track(now, r.id).add(now, from, r)
-		m.dirty = true
+		if _, ok := m.snapshot.Host(r.id); ok && m.track(now, r.id).add(now, r) {
+			m.dirty = true
+		}
 	}
 }
 
-// add replaces the finding of the same daemon. A target has at most maxFindings, of
-// which the oldest goes first.
-func (t *track) add(now clock.Millis, from fleet.ID, r Report) {
+// add replaces an older finding of the same daemon, and reports whether it did. A target
+// has at most maxFindings, of which the oldest goes first.
+func (t *track) add(now clock.Millis, r Report) bool {
 	const maxFindings = 2 * proberCount
-	fresh := finding{from: from, down: r.down, at: now}
+	fresh := finding{from: r.from, down: r.down, at: now - r.age}
 	for i := range t.findings {
-		if t.findings[i].from == from {
-			t.findings[i] = fresh
-			return
+		if t.findings[i].from != r.from {
+			continue
+		}
+		if t.findings[i].at >= fresh.at {
+			return false
 		}
+		t.findings[i] = fresh
+		return true
 	}
 	if len(t.findings) >= maxFindings {
+		slices.SortFunc(t.findings, func(a, b finding) int { return cmp.Compare(a.at, b.at) })
 		t.findings = slices.Delete(t.findings, 0, 1)
 	}
 	t.findings = append(t.findings, fresh)
+	return true
 }
 
 func (m *Monitor) track(now clock.Millis, id flow.TargetID) *track {
--- a/targets/monitor_test.go
+++ b/targets/monitor_test.go
@@ -41,9 +41,10 @@
 				tallies = append(tallies, tally.WithReplies(b.placed, b.answered > 0))
 			}
 			if b.probed {
-				report := []targets.Report{targets.NewReport(hostID(b.host), !b.probesUp, 0)}
-				m.AddReports(now, vmID(4), report)
-				m.AddReports(now, vmID(5), report)
+				m.AddReports(now, []targets.Report{
+					targets.NewReport(vmID(4), hostID(b.host), !b.probesUp, 0),
+					targets.NewReport(vmID(5), hostID(b.host), !b.probesUp, 0),
+				})
 			}
 		}
 		for i := range hostCount {
@@ -131,7 +132,7 @@
 	ejected, changed := m.Tick(0)
 	is.Equal(ejected, []flow.TargetID{hostID(0)})
 	is.True(changed)
-	is.Equal(m.Reports(0, 10), []targets.Report{targets.NewReport(hostID(0), true, 0)})
+	is.Equal(m.Reports(0, 10), []targets.Report{targets.NewReport(vmID(0), hostID(0), true, 0)})
 	m.Probed(0, hostID(0), true)
 	m.Probed(0, hostID(0), true)
 	ejected, _ = m.Tick(0)
@@ -141,14 +142,18 @@
 func TestReportsExpire(t *testing.T) {
 	is := is.New(t)
 	m := newMonitor(t)
-	down := []targets.Report{targets.NewReport(hostID(0), true, 0)}
-	m.AddReports(0, vmID(4), down)
-	m.AddReports(0, vmID(4), down)
+	m.AddReports(0, []targets.Report{targets.NewReport(vmID(4), hostID(0), true, 0)})
+	m.AddReports(0, []targets.Report{targets.NewReport(vmID(4), hostID(0), true, 0)})
 	ejected, _ := m.Tick(0)
 	is.Equal(len(ejected), 0) // one daemon alone has no majority
-	m.AddReports(0, vmID(8), down)
+	passedOn := targets.NewReport(vmID(8), hostID(0), true, 20*clock.Second)
+	m.AddReports(0, []targets.Report{passedOn, targets.NewReport(vmID(8), hostID(0), false, 21*clock.Second)})
 	ejected, _ = m.Tick(0)
-	is.Equal(len(ejected), 1)
+	is.Equal(len(ejected), 1)          // the later finding counts
+	is.Equal(len(m.Reports(0, 10)), 2) // both are passed on
+	ejected, _ = m.Tick(11 * clock.Second)
+	is.Equal(len(ejected), 0) // the daemon has not confirmed it for 31 s
+	m.AddReports(11*clock.Second, []targets.Report{passedOn})
 	ejected, _ = m.Tick(31 * clock.Second)
 	is.Equal(len(ejected), 0) // nobody repeats the finding
 }
@@ -156,12 +161,15 @@
 func TestReportSurvivesEncoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		age := clock.Millis(rapid.IntRange(0, 30000).Draw(t, "age")) * 10
-		r := targets.NewReport(flow.TargetID(rapid.Uint64().Draw(t, "id")), rapid.Bool().Draw(t, "down"), age)
-		encoded := r.Append(nil)
-		got, ok := targets.DecodeReport(encoded)
-		if !ok || got != r || len(encoded) != targets.ReportSize {
+		r := targets.NewReport(fleet.ID(rapid.Uint64().Draw(t, "from")), flow.TargetID(rapid.Uint64().Draw(t, "id")), rapid.Bool().Draw(t, "down"), age)
+		encoded := targets.AppendReports(nil, []targets.Report{r, r})
+		got, ok := targets.DecodeReports(encoded)
+		if !ok || !slices.Equal(got, []targets.Report{r, r}) || len(encoded) != 2*targets.ReportSize {
 			t.Fatalf("got %+v, want %+v", got, r)
 		}
+		if _, ok := targets.DecodeReports(encoded[1:]); ok {
+			t.Fatal("truncated reports were accepted")
+		}
 	})
 }
 
@@ -237,7 +245,7 @@
 			"lie": func(t *rapid.T) {
 				i := rapid.IntRange(0, hosts-1).Draw(t, "host")
 				from := fleet.ID(rapid.IntRange(1, 3).Draw(t, "from"))
-				m.AddReports(h.now, from, []targets.Report{targets.NewReport(hostID(i), rapid.Bool().Draw(t, "down"), 0)})
+				m.AddReports(h.now, []targets.Report{targets.NewReport(from, hostID(i), rapid.Bool().Draw(t, "down"), 0)})
 			},
 			"pass": func(t *rapid.T) {
 				for range rapid.IntRange(1, 20).Draw(t, "seconds") {
--- a/targets/schedule.go
+++ b/targets/schedule.go
@@ -50,10 +50,9 @@
 	next  clock.Millis
 	round uint64
 	state hysteresis
-	// changed is when the state last changed, told when it was last reported.
-	changed clock.Millis
-	told    clock.Millis
-	news    bool
+	// changed is when the state last changed, if hasFailed says that it ever did.
+	changed   clock.Millis
+	hasFailed bool
 }
 
 // assign returns the hosts that the VM self probes, sorted by identity. The hosts and the
@@ -132,7 +131,6 @@
 // start takes up the duty at now. The first probe follows within an interval.
 func (d *duty) start(now clock.Millis, self fleet.ID) {
 	d.next = now + delay(self, d.probe.id, 0, probeInterval)
-	d.told = now
 }
 
 // advance sets the time of the next probe.
