Start from seed peers while the platform is down

A daemon without memory knew no peer until the platform gave it a list, so VMs that were replaced during an outage could not serve until its end.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,6 +14,7 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/entry"
+	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/geneve"
 	"github.com/almondflow/almondflow/peers"
 	"github.com/almondflow/almondflow/settings"
@@ -87,6 +89,14 @@
 	return nil
 }
 
+func seedPeers(s *settings.Settings) []fleet.VM {
+	var seeds []fleet.VM
+	for _, p := range s.SeedPeers() {
+		seeds = append(seeds, fleet.NewVM(p.Name(), "", netip.AddrPort{}, p.Address(), fleet.Serving))
+	}
+	return seeds
+}
+
 // newConfig reads the key files that the settings name.
 func newConfig(s *settings.Settings) (entry.Config, error) {
 	seed, err := s.Files().LoadHashSeed()
@@ -109,6 +119,7 @@
 		OperatorAddress:   s.OperatorAddress(),
 		FabricAddress:     s.FabricAddress(),
 		PlatformEndpoints: s.PlatformEndpoints(),
+		SeedPeers:         seedPeers(s),
 		FleetSize:         s.FleetSize(),
 		Network:           geneve.VNI(s.GeneveNetwork()),
 		MTU:               s.MTU(),
--- a/entry/config.go
+++ b/entry/config.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/geneve"
 	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/peers"
@@ -26,6 +27,9 @@
 	FabricAddress netip.AddrPort
 	// PlatformEndpoints are the base URLs of the platform's service.
 	PlatformEndpoints []string
+	// SeedPeers are daemons to ask when the platform gives no list. Of them the name and
+	// the peer address count.
+	SeedPeers []fleet.VM
 	// FleetSize is the number of daemons expected before the list is known.
 	FleetSize int
 	// Network is the Geneve network of the fabric.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -151,6 +151,7 @@
 	running.Go(func() { d.driver.Run(serving) })
 	running.Go(func() { d.control.follow(serving) })
 	running.Go(func() { d.control.followRetired(serving) })
+	running.Go(func() { d.control.askSeeds(serving) })
 	running.Go(func() { d.health.follow(serving) })
 	err := d.await(ctx)
 	if err == nil {
--- a/entry/retired_test.go
+++ b/entry/retired_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/almondflow/almondflow/entry"
+	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/geneve"
 	"github.com/almondflow/almondflow/platform"
 	"github.com/almondflow/almondflow/standin"
@@ -40,7 +41,7 @@
 }
 
 // runVM starts a daemon that ends with the test, and tells of log lines with the text.
-func runVM(t *testing.T, name, platformURL, text string) *fleetVM {
+func runVM(t *testing.T, name, platformURL, text string, seeds ...fleet.VM) *fleetVM {
 	t.Helper()
 	is := is.New(t)
 	key, err := geneve.NewKey(1, make([]byte, 32))
@@ -52,6 +53,7 @@
 		Name: name, Domain: "kadikoy", DataAddress: free, PeerAddress: free, OperatorAddress: free,
 		FabricAddress:     netip.MustParseAddrPort("127.0.0.1:9"),
 		PlatformEndpoints: []string{platformURL}, Keys: geneve.NewKeys(ring), MTU: 1500, StopTimeout: 1,
+		SeedPeers: seeds,
 	}
 	changes := &changeLog{text: text, seen: make(chan struct{}, 16)}
 	daemon, err := entry.New(context.Background(), config, entry.WithLogger(slog.New(slog.NewTextHandler(changes, nil))))
@@ -91,3 +93,19 @@
 	is.NoErr(stand.Publish(platform.List, fmt.Appendf(nil, `{"version":2,"vms":[%s,%s]}`, old.listed("old"), fresh.listed("fresh"))))
 	<-fresh.changes.seen // its tables know more hosts than the platform shows
 }
+
+// TestFreshDaemonStartsFromASeedPeer starts a daemon while the platform is down.
+func TestFreshDaemonStartsFromASeedPeer(t *testing.T) {
+	is := is.New(t)
+	stand := standin.NewPlatform()
+	server := httptest.NewServer(stand)
+	t.Cleanup(server.Close)
+	is.NoErr(stand.Publish(platform.Tables, []byte(`{"version":5,"routes":[],"pools":[]}`)))
+	old := runVM(t, "old", server.URL, "kind=table")
+	is.NoErr(stand.Publish(platform.List, fmt.Appendf(nil, `{"version":1,"vms":[%s]}`, old.listed("old"))))
+	<-old.changes.seen
+	stand.SetFault(standin.Down, 0)
+	seed := fleet.NewVM("old", "", netip.AddrPort{}, old.daemon.PeerAddress(), fleet.Serving)
+	fresh := runVM(t, "fresh", server.URL, "subject=tables before=0 after=5 source=old", seed)
+	<-fresh.changes.seen
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,7 @@
 	geneveNetwork     uint32
 	mtu               int
 	platformEndpoints []string
+	seedPeers         []SeedPeer
 	fleetSize         int
 	workers           int
 	maxFlows          int
@@ -43,6 +44,18 @@
 	files             Files
 }
 
+// SeedPeer is another daemon that a daemon without a list may ask.
+type SeedPeer struct {
+	name    string
+	address netip.AddrPort
+}
+
+// Name returns the name of the entry VM, which its certificate proves.
+func (p SeedPeer) Name() string { return p.name }
+
+// Address returns where the daemon takes calls of other daemons.
+func (p SeedPeer) Address() netip.AddrPort { return p.address }
+
 // Files are the paths of the files with keys, relative to the working directory.
 type Files struct {
 	hashSeed       string
@@ -79,6 +92,9 @@
 // PlatformEndpoints returns the base URLs of the platform's service.
 func (s *Settings) PlatformEndpoints() []string { return s.platformEndpoints }
 
+// SeedPeers returns the daemons to ask when the platform gives no list.
+func (s *Settings) SeedPeers() []SeedPeer { return s.seedPeers }
+
 // FleetSize returns the number of daemons expected before the list is known.
 func (s *Settings) FleetSize() int { return s.fleetSize }
 
@@ -125,6 +141,7 @@
 		geneveNetwork:     uint32(o.Integer("geneve_network", 0)),
 		mtu:               int(o.Integer("mtu", 0)),
 		platformEndpoints: endpoints(o, problems),
+		seedPeers:         seedPeers(o, problems),
 		fleetSize:         int(o.Integer("fleet_size", 0)),
 		workers:           int(o.Integer("workers", 0)),
 		maxFlows:          int(o.Integer("max_flows", 0)),
@@ -170,6 +187,14 @@
 	return texts
 }
 
+func seedPeers(o strictjson.Object, problems *strictjson.Problems) []SeedPeer {
+	var seeds []SeedPeer
+	for _, peer := range o.Objects("seed_peers") {
+		seeds = append(seeds, SeedPeer{name: peer.Text("name", ""), address: address(peer, "address", problems)})
+	}
+	return seeds
+}
+
 func endpointProblem(text string) string {
 	u, err := url.Parse(text)
 	switch {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -91,6 +91,8 @@
 			changed[name] = "warn"
 		case name == "platform_endpoints":
 			changed[name] = []string{"https://[2001:db8::1]:1"}
+		case name == "seed_peers":
+			changed[name] = []any{map[string]any{"name": "kadikoy-2", "address": "10.1.0.12:7000"}}
 		case strings.HasSuffix(name, "_address"):
 			changed[name] = "10.9.9.9:9"
 		case reflect.TypeOf(p.Default) == reflect.TypeOf(1.0):
@@ -106,7 +108,7 @@
 	is := is.New(t)
 	_, err := settings.Parse([]byte(`{"name":"","domain":"d","data_address":"localhost:1","peer_address":"10.0.0.1:2",
 "operator_address":"10.0.0.1:2","fabric_address":"10.0.0.1:0","platform_endpoints":["ftp://10.0.0.1","http://example.com","http://10.0.0.1/?a=b"],
-"workers":0,"mtu":"1500","hash_seed_file":"","extra":1}`))
+"seed_peers":[{"name":"a","address":"a:1"}],"workers":0,"mtu":"1500","hash_seed_file":"","extra":1}`))
 	var problems *settings.ProblemsError
 	is.True(errors.As(err, &problems))
 	is.Equal(problems.Code(), result.SettingsInvalid)
@@ -117,7 +119,7 @@
 	is.Equal(paths, []string{
 		"$.data_address", "$.extra", "$.fabric_address", "$.hash_seed_file", "$.mtu", "$.name",
 		"$.peer_address", "$.platform_endpoints[0]", "$.platform_endpoints[1]", "$.platform_endpoints[2]",
-		"$.steering_keys_file", "$.tls_authorities_file", "$.tls_certificate_file", "$.tls_key_file", "$.workers",
+		"$.seed_peers[0].address", "$.steering_keys_file", "$.tls_authorities_file", "$.tls_certificate_file", "$.tls_key_file", "$.workers",
 	})
 }
 
