--- a/core/copies.go
+++ b/core/copies.go
@@ -11,6 +11,13 @@
 // that a copy brings.
 const conflictSpan = 30 * clock.Second
 
+// Bits of a record's copies: those under the present state of the holders, and those
+// before it changed last.
+const (
+	currentCopies = 1<<fleet.HolderCount - 1
+	olderCopies   = 4
+)
+
 // nextCopy returns the first live holder that has no copy of a record, or 0. It starts
 // over when a holder changed and from time to time.
 func (s *shard) nextCopy(a *arrival, r *record) fleet.ID {
@@ -20,33 +27,48 @@
 	signature := a.view.signature(&a.holders)
 	if r.signature != signature {
 		r.signature = signature
-		r.copies = 0
+		r.copies <<= olderCopies
 		r.rounds = 0
 	}
 	if s.isRefreshDue(a.now, r) {
 		r.copies = 0
 	}
-	sent := 0
+	rank := s.lacking(a, r)
+	if rank < 0 {
+		return 0
+	}
+	s.noteCopy(a, r, rank)
+	return a.holders.At(rank)
+}
+
+// lacking returns the rank of a live holder without a copy, or -1. Holders that had none
+// before the last change of a holder come first, since the others may still have theirs.
+func (s *shard) lacking(a *arrival, r *record) int {
+	best, others := -1, 0
 	for i := range a.holders.Len() {
 		id := a.holders.At(i)
 		if id == s.self() {
 			continue
 		}
-		if sent == s.node.options.Copies {
-			return 0
+		if others == s.node.options.Copies {
+			break
 		}
-		sent++
+		others++
 		if r.copies&(1<<i) != 0 || !a.view.alive(id, s.self()) {
 			continue
 		}
-		s.noteCopy(a, r, i)
-		return id
+		if r.copies&(1<<(i+olderCopies)) == 0 {
+			return i
+		}
+		if best < 0 {
+			best = i
+		}
 	}
-	return 0
+	return best
 }
 
 func (s *shard) noteCopy(a *arrival, r *record, rank int) {
-	if r.copies == 0 {
+	if r.copies&currentCopies == 0 {
 		r.rounds = min(r.rounds+1, 2)
 	}
 	r.copies |= 1 << rank
@@ -54,7 +76,7 @@
 }
 
 func (s *shard) isRefreshDue(now clock.Millis, r *record) bool {
-	if r.copies == 0 {
+	if r.copies&currentCopies == 0 {
 		return false
 	}
 	if r.rounds == 1 {
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -28,6 +28,9 @@
 	key := p.Key()
 	if route := v.tables.Lookup(&key); route != nil {
 		a := arrival{now: now, view: v, packet: p, key: key, route: route, sink: sink}
+		if n.mayBeStale(&a) {
+			return result.DroppedUndetermined
+		}
 		return n.fromClient(&a)
 	}
 	if destination, ok := v.tables.Reply(key.Source(), key.Protocol()); ok {
@@ -36,6 +39,13 @@
 	return result.DroppedNoRoute
 }
 
+// mayBeStale reports whether a packet may have waited here through a pause of the process
+// for longer than the lifetime of an opening packet. Where it can open a flow that may not
+// be repeated, another VM would take it for new after the records expired.
+func (n *Node) mayBeStale(a *arrival) bool {
+	return !a.route.Repeatable() && mayOpen(a) && n.isPaused(a.now, a.view)
+}
+
 func (n *Node) locate(a *arrival) *shard {
 	a.hash = a.key.Hash(n.options.Seed)
 	a.holders = a.view.epochs[0].ranking.Holders(a.hash, spreadOf(a.route.Repeatable()))
@@ -158,6 +168,9 @@
 		return n.steeredReply(now, v, m, p, sink)
 	}
 	a := arrival{now: now, view: v, packet: p, key: key, route: route, hops: m.Hops, sink: sink}
+	if n.mayBeStale(&a) {
+		return result.DroppedUndetermined
+	}
 	s := n.locate(&a)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/core/register.go
+++ b/core/register.go
@@ -131,9 +131,10 @@
 	return s.knowsHistory(a)
 }
 
-// missUnique handles a packet without a record, of a flow that may not be repeated.
+// missUnique handles a packet without a record, of a flow that may not be repeated. While
+// this VM may not decide, another may know what was decided before.
 func (s *shard) missUnique(a *arrival) result.Code {
-	if mayOpen(a) {
+	if mayOpen(a) && s.mayPropose(a) {
 		return s.propose(a)
 	}
 	trail, count := s.candidates(a)
@@ -143,9 +144,11 @@
 	return s.ask(a, trail, count)
 }
 
+func (s *shard) mayPropose(a *arrival) bool { return s.canVote(a) && s.knowsHistory(a) }
+
 // propose brings the target of a flow nearer to its decision.
 func (s *shard) propose(a *arrival) result.Code {
-	if !s.canVote(a) || !s.knowsHistory(a) {
+	if !s.mayPropose(a) {
 		return result.DroppedUndetermined
 	}
 	g := s.registers[a.hash]
@@ -477,6 +480,17 @@
 	return result.Asked
 }
 
+// noteAcceptor counts the acceptance as the record's first copy, so that the next packet
+// takes a copy to another holder.
+func (s *shard) noteAcceptor(a *arrival, r *record, acceptor fleet.ID) {
+	rank := a.holders.Rank(acceptor)
+	if rank < 0 {
+		return
+	}
+	r.signature = a.view.signature(&a.holders)
+	s.noteCopy(a, r, rank)
+}
+
 // learnSettled notes flows that the sender of a message knows to be decided as this VM
 // proposed.
 func (n *Node) learnSettled(now clock.Millis, m *steer.Message) {
@@ -486,7 +500,8 @@
 		s.mutex.Lock()
 		if g := s.registers[hash]; g != nil && g.proposed && g.accepted == g.promised {
 			a := arrival{now: now, view: v, key: g.key, hash: hash, route: g.route}
-			s.settle(&a, g, g.target)
+			a.holders = v.epochs[0].ranking.Holders(hash, fleet.EachDomain)
+			s.noteAcceptor(&a, s.settle(&a, g, g.target), m.From)
 		}
 		s.mutex.Unlock()
 	}
