--- a/faults/client_test.go
+++ b/faults/client_test.go
@@ -37,6 +37,7 @@
 	unanswered
 	broken
 	lostTarget
+	shed // reset by a target before it was open
 )
 
 // client is one flow as its client sees it.
@@ -53,24 +54,40 @@
 	answers  int    // different packets answered
 	visited  []*target
 	ran      bool
-	watched  bool // open when the fault came
+	watched  bool   // open when the fault came
+	number   uint32 // rides in each packet and its answer
+	fastOpen bool   // its SYN carries payload
 }
 
 // start opens a flow.
 func (w *world) start(k kind, lifetime, interval clock.Millis) *client {
+	return w.startWith(k, lifetime, interval, false)
+}
+
+func (w *world) startWith(k kind, lifetime, interval clock.Millis, fastOpen bool) *client {
+	key := w.nextKey(k)
 	w.ports++
-	address := netip.AddrFrom4([4]byte{198, 18, byte(w.ports >> 22), byte(w.ports >> 14)})
-	source := flow.NewEndpoint(netip.AddrPortFrom(address, uint16(1024+w.ports%(1<<14))))
+	c := &client{
+		world: w, kind: k, key: key, started: w.now, lifetime: lifetime, interval: interval,
+		number: w.ports, fastOpen: fastOpen,
+	}
+	w.clients[key.Source()] = c
+	w.oracle.offered(c)
+	c.sendOpening()
+	return c
+}
+
+// nextKey is the flow that the next client opens.
+func (w *world) nextKey(k kind) flow.Key {
+	port := w.ports + 1
+	address := netip.AddrFrom4([4]byte{198, 18, byte(port >> 22), byte(port >> 14)})
+	source := flow.NewEndpoint(netip.AddrPortFrom(address, uint16(1024+port%(1<<14))))
 	destination := flow.NewEndpoint(netip.AddrPortFrom(netip.MustParseAddr(k.destination()), 443))
 	protocol := flow.UDP
 	if k.protocol() == "tcp" {
 		protocol = flow.TCP
 	}
-	c := &client{world: w, kind: k, key: flow.NewKey(protocol, source, destination), started: w.now, lifetime: lifetime, interval: interval}
-	w.clients[source] = c
-	w.oracle.offered(c)
-	c.sendOpening()
-	return c
+	return flow.NewKey(protocol, source, destination)
 }
 
 func (c *client) sendOpening() {
@@ -83,11 +100,12 @@
 	}
 	c.tries++
 	c.send(opens)
-	c.world.after(retransmission<<(c.tries-1), c.sendOpening)
+	c.world.after(c.world.config.spans.retransmission<<(c.tries-1), c.sendOpening)
 }
 
 func (c *client) send(what byte) {
 	payload := binary.BigEndian.AppendUint32([]byte{what}, c.sequence)
+	payload = binary.BigEndian.AppendUint32(payload, c.number)
 	var inner []byte
 	if c.key.Protocol() == flow.UDP {
 		inner = packet.AppendUDP(nil, c.key, payload)
@@ -97,10 +115,13 @@
 	c.world.fromFabric("", clientLatency, inner)
 }
 
-// segment wraps a payload. A SYN carries none.
+// segment wraps a payload. A SYN carries none, except with TCP Fast Open.
 func (c *client) segment(what byte, payload []byte) packet.Segment {
 	switch what {
 	case opens:
+		if c.fastOpen {
+			return packet.Segment{Sequence: 1, Flags: packet.SYN, Window: 1024, Payload: payload}
+		}
 		return packet.Segment{Sequence: 1, Flags: packet.SYN, Window: 1024}
 	case ends:
 		return packet.Segment{Sequence: c.sequence + 2, Flags: packet.FIN | packet.ACK, Window: 1024, Payload: payload}
@@ -134,7 +155,16 @@
 	}
 	c.tries++
 	c.send(carries)
-	c.world.after(retransmission, func() { c.sendData(sequence) })
+	c.world.after(c.retransmission(), func() { c.sendData(sequence) })
+}
+
+// retransmission is the span between two tries of a packet of an open flow. Any packet of
+// a hold may open it, so all its tries fall within the lifetime of an opening packet.
+func (c *client) retransmission() clock.Millis {
+	if c.kind == hold {
+		return c.world.config.spans.retransmission
+	}
+	return retransmission
 }
 
 // stall ends a flow whose packets are not answered any more.
@@ -180,6 +210,8 @@
 	case len(payload) == 0:
 	case key.Source() != c.key.Destination():
 		w.oracle.violate("%s got an answer from %s", c.key.String(), key.Source())
+	case binary.BigEndian.Uint32(payload[5:]) != c.number:
+		w.oracle.violate("%s got the answer to flow %d", c.key.String(), binary.BigEndian.Uint32(payload[5:]))
 	case payload[0] == resets:
 		c.reset()
 	default:
@@ -211,6 +243,7 @@
 // refusal takes the answer that the flow was refused and did not run.
 func (c *client) refusal() {
 	if c.state != waiting {
+		c.world.oracle.refusal(c)
 		if c.state == open {
 			c.world.tracef("%s cut by a reset", c.key.String())
 			c.end(broken)
@@ -222,6 +255,10 @@
 
 // reset takes the answer of a target that does not know the flow.
 func (c *client) reset() {
+	if c.state == waiting {
+		c.end(shed)
+		return
+	}
 	if c.state == open {
 		c.world.tracef("%s reset by a target, visited %d", c.key.String(), len(c.visited))
 		c.end(broken)
--- a/faults/oracle_test.go
+++ b/faults/oracle_test.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/flow"
 	"github.com/almondflow/almondflow/table"
 )
 
@@ -30,6 +31,8 @@
 	lateFlows       int // new flows of a target after it left
 	failedOpenings  int
 	converged       clock.Millis
+	exact           bool // late flows are told by who placed them alone
+	steady          bool // nothing but planned changes and crashes happens
 }
 
 func (o *oracle) violate(format string, arguments ...any) {
@@ -83,7 +86,7 @@
 		} else {
 			o.failedOpenings++
 		}
-	case waiting, open, finished:
+	case waiting, open, finished, shed:
 	}
 }
 
@@ -108,6 +111,9 @@
 	if what == opens {
 		o.checkOpening(from, c, t)
 	}
+	if o.steady && c.fastOpen && what == opens && len(c.visited) > 0 && c.visited[0] != t {
+		o.violate("%s was placed on %s after its payload went to %s", c.key.String(), t.host, c.visited[0].host)
+	}
 	if !slices.Contains(c.visited, t) {
 		c.visited = append(c.visited, t)
 		if len(c.visited) == 2 && c.kind == hold {
@@ -124,13 +130,41 @@
 	}
 	c.ran = true
 	isNew := !slices.Contains(c.visited, t) && c.started > t.markedAt+leavingSpan
-	if t.mark == "leaving" && isNew && o.hasSeen(from) {
+	if t.mark == "leaving" && isNew && !o.exact && o.hasSeen(from) {
 		o.lateFlows++
 		o.violate("%s was placed on %s, which has been leaving for %d ms, by %s",
 			c.key.String(), t.host, o.world.now-t.markedAt, from.name)
 	}
 }
 
+// placed checks a target that a VM chose for a new flow against the tables that are in
+// force there, and against the published ones where the VM could see those in time.
+func (o *oracle) placed(v *vm, chosen flow.Target) {
+	t := o.world.byTarget[chosen.Endpoint()]
+	if t == nil || v.tables == nil {
+		return
+	}
+	o.world.tracef("%s chooses %s for %s", v.name, t.host, kindNames[t.kind])
+	if t.mark == "serving" || t.mark == "joining" || o.world.now-t.markedAt <= leavingSpan {
+		return
+	}
+	if v.tables.Version() >= t.markedVersion || o.couldSee(v, t.markedAt) {
+		o.lateFlows++
+		o.violate("%s on tables %d chose %s, which has been leaving for %d ms since tables %d",
+			v.name, v.tables.Version(), t.host, o.world.now-t.markedAt, t.markedVersion)
+	}
+}
+
+// couldSee reports whether a VM was in touch with the platform, or with VMs that are,
+// for the whole of the span that a mark may take.
+func (o *oracle) couldSee(v *vm, published clock.Millis) bool {
+	w := o.world
+	if !o.steady || w.platform.down || w.platform.stale || w.cut[v.domain] {
+		return false
+	}
+	return w.now-max(v.blind, published, w.platform.blind) > leavingSpan
+}
+
 // hasSeen reports whether a VM could have seen the newest tables: it is not cut off.
 func (o *oracle) hasSeen(v *vm) bool {
 	return !o.world.cut[v.domain] && !o.world.platform.down
--- /dev/null
+++ b/faults/regression_test.go
@@ -0,0 +1,63 @@
+package faults
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/fleet"
+)
+
+// smallWorld has the pace of the fuzzer.
+func smallWorld(domains []string, perDomain int) *world {
+	c := marmara(1)
+	c.domains, c.perDomain, c.hosts, c.photos, c.trace = domains, perDomain, 4, 2, true
+	c.spans = spans{opening: fuzzOpening, lease: fuzzLease, probe: fuzzProbe, retransmission: fuzzRetransmission}
+	w := newWorld(c)
+	w.run(fuzzWarmUp)
+	w.oracle.watch()
+	return w
+}
+
+// TestPausedVMDropsStaleOpenings is what seed 315 showed: packets of a hold waited in a
+// paused VM until the records of the hold had expired, and opened it a second time.
+func TestPausedVMDropsStaleOpenings(t *testing.T) {
+	is := is.New(t)
+	w := smallWorld([]string{"kadikoy"}, 3)
+	var holds []*client
+	for range 20 {
+		holds = append(holds, w.start(hold, 2*clock.Second, 200*clock.Millisecond))
+	}
+	w.run(300 * clock.Millisecond)
+	w.vmNamed("kadikoy-1").pause(20 * clock.Second)
+	w.run(5 * clock.Second)
+	w.platform.mark("b00", "leaving")
+	w.run(30 * clock.Second)
+	is.Equal(w.oracle.violations, nil)
+	for _, c := range holds {
+		is.Equal(len(c.visited), 1)
+	}
+}
+
+// TestTwoPacketsOfAHoldReachThreeVMs is what seed 683 showed: the second packet took a
+// second copy to the VM that had accepted the first.
+func TestTwoPacketsOfAHoldReachThreeVMs(t *testing.T) {
+	is := is.New(t)
+	w := smallWorld([]string{"kadikoy", "besiktas"}, 2)
+	var holds []*client
+	for range 20 {
+		holds = append(holds, w.start(hold, 10*clock.Second, 1200*clock.Millisecond))
+	}
+	w.run(500 * clock.Millisecond)
+	for _, c := range holds {
+		is.Equal(c.answers, 2)
+		knowing := 0
+		for _, v := range w.vms {
+			if _, known := v.node.Lookup(v.local(), &c.key); known {
+				knowing++
+			}
+		}
+		is.Equal(knowing, fleet.HolderCount)
+	}
+}
--- a/faults/target_test.go
+++ b/faults/target_test.go
@@ -12,16 +12,17 @@
 
 // target is one port of one host.
 type target struct {
-	world    *world
-	kind     kind
-	host     string
-	domain   string
-	endpoint flow.Endpoint
-	up       bool
-	mark     string
-	markedAt clock.Millis
-	flows    map[flow.Endpoint]bool
-	openings int
+	world         *world
+	kind          kind
+	host          string
+	domain        string
+	endpoint      flow.Endpoint
+	up            bool
+	mark          string
+	markedAt      clock.Millis
+	markedVersion uint64 // of the tables that set the mark
+	flows         map[flow.Endpoint]bool
+	openings      int
 }
 
 // attachTargets brings the targets in line with the published tables.
@@ -41,6 +42,7 @@
 			}
 			if t.mark != h.mark {
 				t.mark, t.markedAt = h.mark, w.now
+				t.markedVersion = w.platform.tablesVersion
 			}
 		}
 	}
@@ -61,8 +63,12 @@
 	if len(payload) > 0 {
 		what = payload[0]
 	}
-	t.world.oracle.delivered(from, c, t, what)
 	known := t.flows[key.Source()]
+	if what == opens && !known && key.Protocol() == flow.TCP && t.sheds(&key) {
+		t.shed(from, c, &key, payload)
+		return
+	}
+	t.world.oracle.delivered(from, c, t, what)
 	switch {
 	case what == opens && !known:
 		t.flows[key.Source()] = true
@@ -77,12 +83,29 @@
 	t.answer(&key, answers, payload)
 }
 
+// sheds decides the same for every copy of an opening.
+func (t *target) sheds(key *flow.Key) bool {
+	address := t.endpoint.Address16()
+	seed := uint64(address[len(address)-1])<<16 + uint64(t.endpoint.Port())
+	return int(key.Hash(seed)%100) < t.world.config.shed
+}
+
+// shed resets an opening. One that carries payload was run by then.
+func (t *target) shed(from *vm, c *client, key *flow.Key, payload []byte) {
+	t.world.tracef("%s shed by %s", c.key.String(), t.host)
+	if len(payload) > 0 {
+		t.world.oracle.delivered(from, c, t, opens)
+	}
+	t.answer(key, resets, payload)
+}
+
 func (t *target) answer(key *flow.Key, what byte, payload []byte) {
 	sequence := uint32(0)
 	if len(payload) >= 5 {
 		sequence = binary.BigEndian.Uint32(payload[1:])
 	}
 	body := binary.BigEndian.AppendUint32([]byte{what}, sequence)
+	body = binary.BigEndian.AppendUint32(body, t.world.clients[key.Source()].number)
 	back := flow.NewKey(key.Protocol(), t.endpoint, key.Source())
 	if key.Protocol() == flow.UDP {
 		t.world.fromFabric(t.domain, vmLatency, packet.AppendUDP(nil, back, body))
--- a/faults/vm_test.go
+++ b/faults/vm_test.go
@@ -7,6 +7,7 @@
 	"github.com/almondflow/almondflow/control"
 	"github.com/almondflow/almondflow/core"
 	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/flow"
 	"github.com/almondflow/almondflow/member"
 	"github.com/almondflow/almondflow/packet"
 	"github.com/almondflow/almondflow/placement"
@@ -49,20 +50,21 @@
 	budget      *member.Budget
 	tables      *table.Snapshot
 	list        *fleet.List
-	bytes       uint64 // of control sent
+	bytes       uint64       // of control sent
+	blind       clock.Millis // when it last could not see what is published
 }
 
 // boot starts a process on a VM, without memory of an earlier one.
 func (w *world) boot(name, domain string) {
-	v := &vm{world: w, name: name, domain: domain, id: fleet.NewID(name), up: true, booted: w.now}
+	v := &vm{world: w, name: name, domain: domain, id: fleet.NewID(name), up: true, booted: w.now, blind: w.now}
 	if w.config.skew > 0 {
 		v.drift = w.random.IntN(2*w.config.skew+1) - w.config.skew
 	}
 	v.budget = member.NewBudget(0, controlRate)
-	placer := placement.New()
+	placer := &placer{Placer: placement.New(), vm: v}
 	v.node = core.New(core.Options{
 		Self: v.id, Incarnation: uint64(w.now) + 1, Seed: flowHashSeed, Shards: 4, Flows: 400_000,
-		OpeningLifetime: openingLifetime, Placer: placer, Breakage: w.config.breakage,
+		OpeningLifetime: w.config.spans.opening, Placer: placer, Breakage: w.config.breakage,
 		Copies: w.config.copies, NoCopies: w.config.noCopies,
 		Budget: func(now clock.Millis, bytes int) bool { return v.budget.Allow(now, member.ClassRepair, bytes) },
 	})
@@ -73,7 +75,8 @@
 	v.control = control.New(v.id, v.node, placer, v, control.WithRanking(w.ranking))
 	random := rand.New(rand.NewPCG(w.random.Uint64(), 2))
 	v.control.Attach(member.New(v.id, uint64(w.now)+1, 0, random, v.control,
-		member.WithBudget(v.budget), member.WithQuarantine(openingLifetime)))
+		member.WithBudget(v.budget), member.WithQuarantine(w.quarantine()),
+		member.WithLease(w.config.spans.lease), member.WithProbePeriod(w.config.spans.probe)))
 	w.vms = append(w.vms, v)
 	w.byID[v.id] = v
 	w.after(clock.Millis(w.random.Int64N(int64(tickPeriod))), v.tick)
@@ -81,6 +84,29 @@
 	w.tracef("%s booted", name)
 }
 
+// quarantine is the age below which a process takes part in no vote. A fleet that was
+// broken on purpose to do without it has none in its membership either.
+func (w *world) quarantine() clock.Millis {
+	if w.config.breakage == core.BreakQuarantine {
+		return 0
+	}
+	return w.config.spans.opening
+}
+
+// placer shows the oracle every target that a VM chooses.
+type placer struct {
+	*placement.Placer
+	vm *vm
+}
+
+func (p *placer) Place(now clock.Millis, route *table.Route, hash uint64, excluded flow.TargetID) (flow.Target, result.Code) {
+	target, code := p.Placer.Place(now, route, hash, excluded)
+	if code == result.Placed {
+		p.vm.world.oracle.placed(p.vm, target)
+	}
+	return target, code
+}
+
 // local is the VM's own clock.
 func (v *vm) local() clock.Millis {
 	return (v.world.now - v.booted) * clock.Millis(1000+v.drift) / 1000
@@ -100,6 +126,7 @@
 
 func (v *vm) pause(span clock.Millis) {
 	v.pausedUntil = v.world.now + span
+	v.blind = v.pausedUntil
 	v.world.tracef("%s pauses for %d ms", v.name, span)
 	v.world.after(span, func() {
 		waiting := v.waiting
@@ -132,13 +159,22 @@
 		if other == v {
 			return place < 2
 		}
-		if other.up && other.domain == v.domain {
+		if other.up && other.domain == v.domain && v.lists(other) {
 			place++
 		}
 	}
 	return false
 }
 
+// lists reports whether the list that is in force here names another VM.
+func (v *vm) lists(other *vm) bool {
+	if v.list == nil {
+		return true
+	}
+	_, listed := v.list.Find(other.id)
+	return listed
+}
+
 func (v *vm) readDelay() clock.Millis {
 	return readLatency/2 + clock.Millis(v.world.random.Int64N(int64(readLatency)))
 }
@@ -151,6 +187,10 @@
 	p := &v.world.platform
 	if !p.down && !v.world.cut[v.domain] && (v.isReader() || v.tables == nil) {
 		v.do(func() {
+			if p.stale && len(p.older) > 0 {
+				v.take(p.older[0], p.list)
+				return
+			}
 			v.take(p.tables, p.list)
 			if p.reorder && len(p.older) > 0 {
 				v.take(p.older[v.world.random.IntN(len(p.older))], nil)
@@ -211,6 +251,7 @@
 func (v *vm) Peer(to fleet.ID, m *steer.Message, inner []byte) {
 	message := *m
 	inner = append([]byte(nil), inner...)
+	v.world.traceMessage(v, to, m, inner)
 	if len(inner) == 0 {
 		v.bytes += uint64(len(m.Append(nil)) + datagramOverhead)
 	}
--- a/faults/world_test.go
+++ b/faults/world_test.go
@@ -10,6 +10,7 @@
 	"github.com/almondflow/almondflow/core"
 	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/member"
 	"github.com/almondflow/almondflow/table"
 )
 
@@ -61,12 +62,28 @@
 	jitter    clock.Millis // largest extra delay of a message
 	skew      int          // largest clock drift in thousandths
 	trace     bool
+	shed      int // openings in a hundred that a target resets
+	spans     spans
+	buckets   int
+}
+
+// spans are the settings of the daemons and clients that set the pace of a world.
+type spans struct {
+	opening        clock.Millis // lifetime of an opening packet
+	lease          clock.Millis
+	probe          clock.Millis
+	retransmission clock.Millis // of openings and of holds
 }
 
 func marmara(seed uint64) config {
 	return config{
 		seed: seed, copies: 2, perDomain: 2, hosts: 14, photos: 4,
 		domains: []string{"kadikoy", "besiktas", "umraniye", "bakirkoy"},
+		buckets: rankingBuckets,
+		spans: spans{
+			opening: openingLifetime, lease: member.DefaultLease,
+			probe: member.DefaultProbePeriod, retransmission: retransmission,
+		},
 	}
 }
 
@@ -179,7 +196,7 @@
 	if r, ok := w.rankings[list.Version()]; ok {
 		return r
 	}
-	r := fleet.NewRanking(list, fleet.WithBuckets(rankingBuckets), fleet.WithPrevious(previous))
+	r := fleet.NewRanking(list, fleet.WithBuckets(w.config.buckets), fleet.WithPrevious(previous))
 	w.rankings[list.Version()] = r
 	return r
 }
@@ -203,7 +220,9 @@
 	older         []*table.Snapshot
 	down          bool
 	reorder       bool
+	stale         bool // fresh readers get the oldest documents
 	published     clock.Millis
+	blind         clock.Millis // when it was last down or stale
 }
 
 type hostEntry struct {
