Let reads of undecided flows ride on the packet

UDP and TCP flows that ended still counted as load of their target. Change: the packet rides to one holder, whose promise makes the majority, and back; every message without a packet asks the budget. Quiet UDP flows and closing TCP flows no longer count as load.

--- a/control/controller.go
+++ b/control/controller.go
@@ -35,18 +35,12 @@
 }
 
 type options struct {
-	handOver core.Budget
-	rank     func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking
+	rank func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking
 }
 
 // Option changes how a Controller works.
 type Option func(*options)
 
-// WithHandOver limits the bytes spent on handing flows over while the VM is leaving.
-func WithHandOver(budget core.Budget) Option {
-	return func(o *options) { o.handOver = budget }
-}
-
 // WithRanking replaces the function that ranks a list, so that several Nodes in one
 // process share the work.
 func WithRanking(rank func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking) Option {
@@ -117,7 +111,7 @@
 	c.refresh(now)
 	c.node.Tick(now, sink)
 	if c.isLeaving() {
-		c.node.HandOver(now, sink, c.options.handOver)
+		c.node.HandOver(now, sink, nil)
 	}
 }
 
--- a/core/copies.go
+++ b/core/copies.go
@@ -158,8 +158,8 @@
 	delete(s.registers, a.hash)
 	switch {
 	case !g.counted:
-	case g.target == r.target && !r.has(owned):
-		r.set(owned, true)
+	case g.target == r.target && !r.has(counted):
+		s.placed(r)
 	default:
 		s.node.options.Placer.Closed(g.target.ID())
 	}
@@ -181,8 +181,8 @@
 	return r.has(served) && a.now-r.seen < conflictSpan && m.Kind != steer.Repair
 }
 
-// tell sends a record without a packet.
-func (s *shard) tell(a *arrival, r *record, to fleet.ID) {
+// tell sends a record without a packet. It reports false where the budget forbids it.
+func (s *shard) tell(a *arrival, r *record, to fleet.ID) bool {
 	s.message = steer.Message{Kind: steer.Repair, Table: uint64(r.table), Key: a.key, Target: r.target, Decided: r.has(decided)}
-	s.send(a, to, &s.message, nil)
+	return s.send(a, to, &s.message, nil)
 }
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -121,6 +121,7 @@
 	if a.packet.Flags()&packet.RST == 0 {
 		if r.state == established {
 			r.state = closing
+			s.uncount(r)
 		}
 		return false
 	}
@@ -134,6 +135,7 @@
 		return true
 	}
 	r.state = closed
+	s.uncount(r)
 	return false
 }
 
@@ -187,6 +189,8 @@
 		return s.notFound(&a)
 	case steer.Accept:
 		return s.accept(&a, m)
+	case steer.Prepare, steer.Promise, steer.Reject:
+		return s.vote(&a, m)
 	default:
 		return result.DroppedMalformed
 	}
@@ -229,12 +233,8 @@
 	switch m.Kind {
 	case steer.Repair:
 		return s.repaired(&a, m)
-	case steer.Prepare:
-		return s.prepare(&a, m)
-	case steer.Promise:
-		return s.promise(&a, m)
-	case steer.Reject:
-		return s.rejected(&a, m)
+	case steer.Prepare, steer.Promise, steer.Reject:
+		return s.vote(&a, m)
 	default:
 		return result.DroppedMalformed
 	}
--- a/core/owner.go
+++ b/core/owner.go
@@ -61,23 +61,41 @@
 	return a.key.Protocol() == flow.UDP || isSYN(a)
 }
 
-// own counts the flow as served here. A record that a copy brought becomes the owner's.
+// own makes this VM the one that serves a flow and counts it. A record that a copy brought
+// becomes the owner's.
 func (s *shard) own(r *record) {
-	if r.has(owned) || r.isRefusal() {
+	if r.isRefusal() {
 		return
 	}
-	r.set(owned, true)
-	s.node.count(result.TookOver)
-	s.node.options.Placer.Opened(r.target.ID())
+	if !r.has(owned) {
+		r.set(owned, true)
+		s.node.count(result.TookOver)
+	}
+	if !r.has(counted) && r.state < closing {
+		r.set(counted, true)
+		s.node.options.Placer.Opened(r.target.ID())
+	}
 }
 
-func (s *shard) disown(r *record) {
-	if r.has(owned) {
-		r.set(owned, false)
+// placed marks a flow that the Placer has just counted.
+func (s *shard) placed(r *record) {
+	r.set(owned|counted, true)
+}
+
+// uncount takes a flow out of the load of its target.
+func (s *shard) uncount(r *record) {
+	if r.has(counted) {
+		r.set(counted, false)
 		s.node.options.Placer.Closed(r.target.ID())
 	}
 }
 
+// disown notes that another VM serves the flow.
+func (s *shard) disown(r *record) {
+	r.set(owned, false)
+	s.uncount(r)
+}
+
 func (s *shard) drop(hash uint64, key *flow.Key, r *record) {
 	s.disown(r)
 	s.flows.Delete(hash, key)
@@ -202,7 +220,7 @@
 		return s.noTarget(a, code)
 	}
 	r := s.insert(a, target)
-	r.set(owned, true)
+	s.placed(r)
 	s.node.count(result.Placed)
 	return s.forward(a, r)
 }
@@ -250,7 +268,7 @@
 		return code
 	}
 	r = s.insert(a, target)
-	r.set(owned, true)
+	s.placed(r)
 	s.node.count(result.Replaced)
 	return s.forward(a, r)
 }
@@ -280,6 +298,9 @@
 	wasOpening := r.state == opening
 	r.observe(a.now, a.packet, a.key.Protocol())
 	s.noteAnswer(a, r, wasOpening)
+	if r.state >= closing {
+		s.uncount(r)
+	}
 	r.set(served, true)
 	if s.owner(a) == s.self() {
 		if to := s.nextCopy(a, r); to != 0 {
--- a/core/record.go
+++ b/core/record.go
@@ -27,6 +27,11 @@
 	refreshesPerTimeout = 3
 )
 
+// quietParts is the part of its idle timeout after which a UDP flow without packets no
+// longer counts as load of its target. UDP has no end that could be seen, and a count
+// that kept ended flows for a whole idle timeout would steer new ones to the wrong target.
+const quietParts = 8
+
 type state uint8
 
 const (
@@ -53,7 +58,8 @@
 type recordFlags uint8
 
 const (
-	owned   recordFlags = 1 << iota // counted in the Placer by this VM
+	owned   recordFlags = 1 << iota // served by this VM
+	counted                         // counted in the Placer by this VM
 	decided                         // the target can never change
 	payload                         // a payload byte was forwarded
 	unique                          // the flow may not be repeated
@@ -78,6 +84,11 @@
 // refusal is the value that a flow's register holds when the flow was refused.
 const refusal = ^flow.TargetID(0)
 
+// isQuiet reports whether a flow is so long without packets that it may have ended.
+func (r *record) isQuiet(now clock.Millis, protocol flow.Protocol) bool {
+	return protocol == flow.UDP && now-r.seen >= clock.Millis(r.idle)/quietParts
+}
+
 func (r *record) isRefusal() bool { return r.target.ID() == refusal }
 
 // initialize fills a new record for a route. A UDP flow that may not be repeated is over
--- a/core/register.go
+++ b/core/register.go
@@ -230,16 +230,16 @@
 
 // settle turns a register into a record whose target never changes.
 func (s *shard) settle(a *arrival, g *register, target flow.Target) *record {
-	counted := g.counted && g.target == target
-	if g.counted && !counted {
+	kept := g.counted && g.target == target
+	if g.counted && !kept {
 		s.node.options.Placer.Closed(g.target.ID())
 	}
 	delete(s.registers, a.hash)
 	r, _ := s.flows.Put(a.hash, &a.key)
 	r.initialize(a.now, a.route, target, a.view.tables.Version(), s.node.options.OpeningLifetime)
 	r.set(decided, true)
-	r.set(owned, counted)
-	if counted {
+	if kept {
+		s.placed(r)
 		s.node.count(result.Placed)
 	}
 	return r
@@ -277,23 +277,48 @@
 	return sets
 }
 
+// sendPrepares asks the holders. The packet rides to one of those under the list in
+// force, whose promise makes a majority with this VM. Only holders under other lists cost
+// messages of their own.
 func (s *shard) sendPrepares(a *arrival, g *register) {
-	var asked []fleet.ID
+	first := s.acceptor(a, g)
+	asked := []fleet.ID{s.self()}
 	for i := range g.read.sets {
-		set := &g.read.sets[i]
-		set.note(s.self())
+		g.read.sets[i].note(s.self())
+	}
+	if first != 0 {
+		asked = append(asked, first)
+		s.sendPrepare(a, g, first, a.packet.Bytes())
+	}
+	for i := range g.read.sets[1:] {
+		set := &g.read.sets[1+i]
 		for rank := range set.holders.Len() {
 			id := set.holders.At(rank)
-			if id == s.self() || contains(asked, id) || !a.view.alive(id, s.self()) {
-				continue
+			if !contains(asked, id) && a.view.alive(id, s.self()) {
+				asked = append(asked, id)
+				s.sendPrepare(a, g, id, nil)
 			}
-			asked = append(asked, id)
-			s.message = steer.Message{Kind: steer.Prepare, Key: a.key, Ballot: g.promised}
-			s.send(a, id, &s.message, nil)
 		}
 	}
 }
 
+func (s *shard) sendPrepare(a *arrival, g *register, to fleet.ID, inner []byte) {
+	s.message = steer.Message{Kind: steer.Prepare, Key: a.key, Ballot: g.promised}
+	s.send(a, to, &s.message, inner)
+}
+
+// vote handles the messages of a read, with the packet or without it.
+func (s *shard) vote(a *arrival, m *steer.Message) result.Code {
+	switch m.Kind {
+	case steer.Prepare:
+		return s.prepare(a, m)
+	case steer.Promise:
+		return s.promise(a, m)
+	default:
+		return s.rejected(a, m)
+	}
+}
+
 // prepare answers a proposer's read at a holder.
 func (s *shard) prepare(a *arrival, m *steer.Message) result.Code {
 	if r := s.flows.Get(a.hash, &a.key); r != nil && r.has(decided) {
@@ -340,10 +365,15 @@
 	return g
 }
 
+// reply answers a message. A packet that rode on it rides back.
 func (s *shard) reply(a *arrival, to fleet.ID, answer steer.Message) result.Code {
 	s.message = answer
 	s.message.Key = a.key
-	s.send(a, to, &s.message, nil)
+	var inner []byte
+	if a.packet != nil {
+		inner = a.packet.Bytes()
+	}
+	s.send(a, to, &s.message, inner)
 	return result.Asked
 }
 
@@ -452,7 +482,7 @@
 	if r.target == m.Target {
 		s.noteSettled(a, m.From)
 	} else {
-		s.reply(a, m.From, steer.Message{Kind: steer.Reject, Target: r.target, Decided: true})
+		s.tell(a, r, m.From)
 	}
 	return s.forward(a, r)
 }
@@ -463,7 +493,8 @@
 	}
 }
 
-// rejected takes the refusal of a vote. The client's retransmission starts a new read.
+// rejected takes the refusal of a vote. The packet, or else the client's retransmission,
+// starts over.
 func (s *shard) rejected(a *arrival, m *steer.Message) result.Code {
 	g := s.registers[a.hash]
 	if g == nil || g.key != a.key {
@@ -477,6 +508,9 @@
 		g.promised = m.Ballot
 		g.read = nil
 	}
+	if a.packet != nil && a.hops < maxHops {
+		return s.propose(a)
+	}
 	return result.Asked
 }
 
--- a/core/shard.go
+++ b/core/shard.go
@@ -28,6 +28,7 @@
 	counting  int                   // opening flows seen by the sweep under way
 	message   steer.Message         // reused for sending
 	scratch   []byte                // reused for answers
+	encoded   []byte                // reused for sizes
 }
 
 func (s *shard) init(n *Node) {
@@ -48,6 +49,7 @@
 	holders fleet.Holders
 	hops    uint8
 	sink    Sink
+	budget  Budget // in place of the Node's, where it is set
 }
 
 func (s *shard) self() fleet.ID { return s.node.options.Self }
@@ -78,17 +80,39 @@
 	return a.view.peers.find(id).Quarantined
 }
 
+// Sizes of the headers around a message without a packet, in bytes: IP, UDP, Geneve and
+// the tag.
+const datagramOverhead = 80
+
 // send fills in the sender of a message and passes it on with decided flows that the
-// receiver waits to hear of.
-func (s *shard) send(a *arrival, to fleet.ID, m *steer.Message, inner []byte) {
+// receiver waits to hear of. A message without a packet is control traffic: it reports
+// false and sends nothing when the budget does not allow it.
+func (s *shard) send(a *arrival, to fleet.ID, m *steer.Message, inner []byte) bool {
 	s.stamp(a.view, m)
 	m.Hops = a.hops + 1
-	if waiting := s.settled[to]; len(waiting) > 0 {
-		count := copy(m.Settled[:], waiting)
-		m.SettledLength = uint8(count)
+	waiting := s.settled[to]
+	count := copy(m.Settled[:], waiting)
+	m.SettledLength = uint8(count)
+	if len(inner) == 0 && !s.isAffordable(a, m) {
+		return false
+	}
+	if count > 0 {
 		s.settled[to] = append(waiting[:0], waiting[count:]...)
 	}
 	a.sink.Peer(to, m, inner)
+	return true
+}
+
+func (s *shard) isAffordable(a *arrival, m *steer.Message) bool {
+	budget := a.budget
+	if budget == nil {
+		budget = s.node.options.Budget
+	}
+	if budget == nil {
+		return true
+	}
+	s.encoded = m.Append(s.encoded[:0])
+	return budget(a.now, len(s.encoded)+datagramOverhead)
 }
 
 func (s *shard) stamp(v *view, m *steer.Message) {
--- a/core/sweep.go
+++ b/core/sweep.go
@@ -12,12 +12,6 @@
 // sweepTicks is the number of ticks in which the whole flow table is gone through once.
 const sweepTicks = 50
 
-// Sizes of messages without a packet on the wire in bytes.
-const (
-	repairSize  = 160
-	settledSize = 120
-)
-
 // tick goes through a part of the shard: it expires what is idle, gives back counts of
 // flows that others serve, and repairs copies of idle flows within the budget.
 func (s *shard) tick(now clock.Millis, v *view, sink Sink) {
@@ -32,6 +26,9 @@
 			s.disown(r)
 			return false
 		}
+		if r.isQuiet(now, key.Protocol()) {
+			s.uncount(r)
+		}
 		if r.state == opening {
 			s.counting++
 		}
@@ -61,11 +58,10 @@
 			continue
 		}
 		for range (len(waiting) + steer.MaxDecided - 1) / steer.MaxDecided {
-			if s.node.options.Budget != nil && !s.node.options.Budget(now, settledSize) {
+			s.message = steer.Message{Kind: steer.Settled}
+			if !s.send(&a, to, &s.message, nil) {
 				return
 			}
-			s.message = steer.Message{Kind: steer.Settled}
-			s.send(&a, to, &s.message, nil)
 		}
 	}
 }
@@ -105,14 +101,15 @@
 		return
 	}
 	for range a.holders.Len() {
-		if s.node.options.Budget != nil && !s.node.options.Budget(now, repairSize) {
-			return
-		}
+		before := *r
 		to := s.nextCopy(&a, r)
 		if to == 0 {
 			break
 		}
-		s.tell(&a, r, to)
+		if !s.tell(&a, r, to) {
+			*r = before
+			return
+		}
 	}
 	if s.owner(&a) != s.self() {
 		s.disown(r)
@@ -132,8 +129,9 @@
 	}
 }
 
-// HandOver sends the records of owned flows to the VMs that hold them next, until done or
-// the budget is spent. A leaving VM calls it until it returns zero.
+// HandOver sends the records of owned flows to the VMs that hold them next, as far as a
+// budget allows, and returns how many are left. A leaving VM calls it until none is. The
+// Node's own budget applies where none is given.
 func (n *Node) HandOver(now clock.Millis, sink Sink, budget Budget) int {
 	v := n.view.Load()
 	if !v.ready() {
@@ -155,17 +153,17 @@
 		if !r.has(owned) || route == nil {
 			return true
 		}
-		if budget != nil && !budget(now, repairSize) {
-			left++
+		a := arrival{now: now, view: v, key: *key, hash: hash, route: route, sink: sink, budget: budget}
+		a.holders = v.epochs[0].ranking.Holders(hash, spreadOf(route.Repeatable()))
+		to := s.owner(&a)
+		if to == 0 || to == s.self() {
 			return true
 		}
-		a := arrival{now: now, view: v, key: *key, hash: hash, route: route, sink: sink}
-		a.holders = v.epochs[0].ranking.Holders(hash, spreadOf(route.Repeatable()))
-		if to := s.owner(&a); to != 0 && to != s.self() {
-			s.message = steer.Message{}
-			s.tell(&a, r, to)
-			s.disown(r)
+		if !s.tell(&a, r, to) {
+			left++
+			return true
 		}
+		s.disown(r)
 		return true
 	})
 	return left
