Give votes a higher class of the budget than repair

Change: the budget is asked with the kind of message; control maps kinds to classes for the daemon and the fault tests alike. Conclusion: one place decides.

--- a/core/shard.go
+++ b/core/shard.go
@@ -112,7 +112,7 @@
 		return true
 	}
 	s.encoded = m.Append(s.encoded[:0])
-	return budget(a.now, len(s.encoded)+datagramOverhead)
+	return budget(a.now, m.Kind, len(s.encoded)+datagramOverhead)
 }
 
 func (s *shard) stamp(v *view, m *steer.Message) {
--- a/core/sink.go
+++ b/core/sink.go
@@ -38,5 +38,6 @@
 	Observe(now clock.Millis, id flow.TargetID, evidence placement.Evidence)
 }
 
-// Budget says whether control traffic of a size in bytes may be sent now.
-type Budget func(now clock.Millis, bytes int) bool
+// Budget says whether a message of a kind that carries no packet, and is control traffic
+// therefore, may be sent now. The size is in bytes on the wire.
+type Budget func(now clock.Millis, kind steer.Kind, bytes int) bool
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 
 	"github.com/almondflow/almondflow/clock"
+	controller "github.com/almondflow/almondflow/control"
 	"github.com/almondflow/almondflow/core"
 	"github.com/almondflow/almondflow/fabric"
 	"github.com/almondflow/almondflow/fleet"
@@ -109,9 +110,7 @@
 		Started:         d.started,
 		OpeningLifetime: d.config.OpeningLifetime,
 		Placer:          d.placer,
-		Budget: func(now clock.Millis, bytes int) bool {
-			return d.budget.Allow(now, member.ClassRepair, bytes)
-		},
+		Budget:          controller.BudgetOf(d.budget),
 	})
 	d.trail = operator.NewTrail(d.config.AuditEntries, d.log, time.Now)
 	d.metrics = operator.NewMetrics(map[string]string{"vm": d.config.Name, "domain": d.config.Domain})
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -29,7 +29,7 @@
 	var left int
 	for {
 		now := d.clock.Now()
-		left = d.node.HandOver(now, out, d.mayHandOver)
+		left = d.node.HandOver(now, out, nil)
 		out.Flush()
 		if left > 0 {
 			quiet = now
@@ -59,8 +59,3 @@
 		return true
 	}
 }
-
-// mayHandOver keeps handing over within the budget of control traffic.
-func (d *Daemon) mayHandOver(now clock.Millis, bytes int) bool {
-	return d.budget.Allow(now, member.ClassRepair, bytes)
-}
--- a/faults/vm_test.go
+++ b/faults/vm_test.go
@@ -66,7 +66,7 @@
 		Self: v.id, Incarnation: uint64(w.now) + 1, Seed: flowHashSeed, Shards: 4, Flows: 400_000,
 		OpeningLifetime: w.config.spans.opening, Placer: placer, Breakage: w.config.breakage,
 		Copies: w.config.copies, NoCopies: w.config.noCopies,
-		Budget: func(now clock.Millis, bytes int) bool { return v.budget.Allow(now, member.ClassRepair, bytes) },
+		Budget: control.BudgetOf(v.budget),
 	})
 	v.packets = v.node
 	if w.config.naive {
