--- a/cmd/checkcmd.go
+++ b/cmd/checkcmd.go
@@ -58,6 +58,14 @@
 	Reason string `json:"reason"`
 }
 
+// line returns the path, the value where there is one, and the reason.
+func (p fileProblem) line() string {
+	if p.Value == "" {
+		return p.Path + ": " + p.Reason
+	}
+	return p.Path + " = " + p.Value + ": " + p.Reason
+}
+
 // runCheck checks every file and fails with the code of the first that was rejected.
 func runCheck(command *cli.Command, check checker) error {
 	files := command.Args().Slice()
@@ -92,7 +100,7 @@
 		return
 	}
 	for _, p := range c.Problems {
-		_, _ = fmt.Fprintf(w, "%s: %s = %s: %s\n", c.File, p.Path, p.Value, p.Reason)
+		_, _ = fmt.Fprintf(w, "%s: %s\n", c.File, p.line())
 	}
 }
 
--- a/entry/health.go
+++ b/entry/health.go
@@ -84,11 +84,15 @@
 // record adds what changed to the audit trail.
 func (h *health) record(ejected []flow.TargetID) {
 	tables := h.daemon.store.Tables()
+	reasons := make(map[flow.TargetID]targets.Reason)
+	for _, verdict := range h.monitor.Verdicts() {
+		reasons[verdict.ID()] = verdict.Reason()
+	}
 	current := make(map[flow.TargetID]bool, len(ejected))
 	for _, id := range ejected {
 		current[id] = true
 		if !h.ejected[id] {
-			h.daemon.trail.Add(operator.ChangedTarget, hostName(tables, id), "used", "ejected", "probes and flows")
+			h.daemon.trail.Add(operator.ChangedTarget, hostName(tables, id), "used", "ejected", reasons[id].String())
 		}
 	}
 	for id := range h.ejected {
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -22,12 +22,7 @@
 		d.log.Debug("pull failed", "peer", from.Name(), "name", name, "error", err)
 		return 0
 	}
-	data, err := document.Whole(nil)
-	if err != nil {
-		d.log.Warn("pull useless", "peer", from.Name(), "name", name, "error", err)
-		return 0
-	}
-	verdict, err := d.store.Offer(d.clock.Now(), from.Name(), name, document.Version(), data)
+	verdict, err := d.store.Offer(d.clock.Now(), from.Name(), name, document.Version(), document.Data())
 	if err != nil && verdict != platform.NeedsWhole {
 		d.log.Error("version refused", "peer", from.Name(), "name", name, "version", document.Version(),
 			"verdict", verdict.String(), "error", err)
--- a/member/machine.go
+++ b/member/machine.go
@@ -55,7 +55,9 @@
 
 // New returns the machine of a process that starts now. incarnation must be higher than
 // that of the previous process on the VM, for example the wall clock in milliseconds.
-func New(self fleet.ID, incarnation uint64, now clock.Millis, random *rand.Rand, sink Sink, settings ...Option) *Machine {
+func New(
+	self fleet.ID, incarnation uint64, now clock.Millis, random *rand.Rand, sink Sink, settings ...Option,
+) *Machine {
 	m := &Machine{
 		options: options{
 			period:     DefaultProbePeriod,
--- a/member/settle.go
+++ b/member/settle.go
@@ -7,7 +7,7 @@
 	"github.com/almondflow/almondflow/fleet"
 )
 
-// coldFraction is the part of the list that must have started afresh for a cold start.
+// A cold start needs coldNumerator of coldDenominator parts of the list to be new.
 const (
 	coldNumerator   = 3
 	coldDenominator = 4
@@ -59,8 +59,8 @@
 
 // heardEstablished tells whether at least half of the list, this daemon not counted, are
 // established and on no newer list. Whoever counted more than half of the list, with the
-// previous process of this VM, counted one of them, too. Only probes sent after the recovery span count: by then, whoever counted the
-// previous process of this VM has made up its mind.
+// previous process of this VM among them, counted one of these, too. Only probes sent
+// after the recovery span count: by then, the counting is over.
 func (m *Machine) heardEstablished() bool {
 	version := m.listVersion()
 	count := 0
--- a/member/status.go
+++ b/member/status.go
@@ -52,12 +52,13 @@
 	if message.Incarnation > p.incarnation {
 		m.setStatus(now, from, Update{ID: from, Status: Alive, Incarnation: message.Incarnation})
 	}
-	if message.Run != p.run {
+	restarted := message.Run != p.run
+	if restarted {
 		p.run = message.Run
 		m.dirty = true
 	}
 	until := now - message.Age + m.quarantine
-	if _, known := m.fresh[from]; !known && until > now {
+	if _, known := m.fresh[from]; until > now && (restarted || !known) {
 		m.fresh[from] = until
 		m.dirty = true
 	}
@@ -133,7 +134,8 @@
 	}
 }
 
-// remindSuspects probes suspects more often than other members. It tells them of the suspicion, so that one lost message more does not make them unreachable.
+// remindSuspects probes suspects more often than other members. The probe tells them of
+// the suspicion, so that one lost message more does not make them unreachable.
 func (m *Machine) remindSuspects(now clock.Millis) {
 	for _, id := range m.suspects[:min(len(m.suspects), maximumReminded)] {
 		p := m.peers[id]
--- a/peers/client.go
+++ b/peers/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -113,7 +114,7 @@
 	if first.GetSize() > maximumDocumentBytes {
 		return Document{}, status.Error(codes.ResourceExhausted, "the document is too large")
 	}
-	d := Document{version: first.GetVersion(), base: first.GetBase(), checksum: first.GetChecksum()}
+	d := Document{version: first.GetVersion(), checksum: first.GetChecksum()}
 	for chunk := first; ; {
 		d.data = append(d.data, chunk.GetData()...)
 		if uint64(len(d.data)) > first.GetSize() {
@@ -127,8 +128,8 @@
 			return Document{}, err
 		}
 	}
-	if uint64(len(d.data)) < first.GetSize() {
-		return Document{}, status.Error(codes.DataLoss, "less data than announced")
+	if xxhash.Sum64(d.data) != d.checksum {
+		return Document{}, errChecksum
 	}
 	return d, nil
 }
--- a/peers/driver.go
+++ b/peers/driver.go
@@ -54,7 +54,10 @@
 }
 
 // NewDriver returns a driver. create makes the machine with the driver as its sink.
-func NewDriver(c clock.Clock, client *Client, observer Observer, create func(now clock.Millis, sink member.Sink) *member.Machine) *Driver {
+func NewDriver(
+	c clock.Clock, client *Client, observer Observer,
+	create func(now clock.Millis, sink member.Sink) *member.Machine,
+) *Driver {
 	d := &Driver{
 		clock:    c,
 		client:   client,
--- a/peers/server.go
+++ b/peers/server.go
@@ -33,8 +33,8 @@
 type Handler interface {
 	// Exchange takes a message and returns the answer, nil for none.
 	Exchange(ctx context.Context, from fleet.ID, m *member.Message) *member.Message
-	// Document returns the newest version of a document, as a delta where the caller's
-	// version allows. It reports false when there is nothing newer than since.
+	// Document returns the newest version of a document, or what leads to it from since.
+	// It reports false when there is nothing newer.
 	Document(name string, since uint64) (Document, bool)
 	// Repair takes encoded flow records and returns how many were accepted.
 	Repair(from fleet.ID, records [][]byte) int
@@ -107,7 +107,6 @@
 	}
 	chunk := &DocumentChunk{
 		Version:  document.version,
-		Base:     document.base,
 		Size:     uint64(len(document.data)),
 		Checksum: document.checksum,
 	}
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -247,3 +247,51 @@
 	p.SetHealth(0, nil)
 	is.Equal(len(place(p, snapshot.Routes()[0], clock.Minute, 0, 100)), 2) // hosts that took flows
 }
+
+func TestReportsMoveWeightsWithinTheirBound(t *testing.T) {
+	is := is.New(t)
+	p := placement.New()
+	tables := newTables("balance", 3, 1)
+	snapshot := tables.parse(t)
+	route := snapshot.Routes()[0]
+	p.SetTables(0, snapshot)
+	first := tables.hosts[0].id()
+	var reports []placement.Load
+	for i, h := range tables.hosts {
+		reports = append(reports, placement.NewLoad(h.id(), int64(1000*(2-min(i, 1)))))
+	}
+	place(p, route, 0, 0, 3)
+	for i := range clock.Millis(20) {
+		p.SetReports(i*10*clock.Second, reports, 0)
+	}
+	moved := place(p, route, 10*clock.Minute, clock.Minute, 3000)[first]
+	is.True(moved < 1000 && moved >= 900) // a tenth less than the share, whatever the reports say
+	for i := range clock.Millis(60) {
+		p.SetReports(clock.Hour+i*10*clock.Second, nil, 0)
+	}
+	place(p, route, 2*clock.Hour, clock.Minute, 3000)
+	share := p.Active(tables.hosts[1].id()) - p.Active(first)
+	is.True(share >= -1 && share <= 1) // without reports the weights return
+}
+
+func TestDaemonsShareALargePoolEvenly(t *testing.T) {
+	is := is.New(t)
+	const vms, hosts, mean = 40, 320, 40 * 32 / 320
+	list := newList(t, vms, 1)
+	snapshot := newTables("balance", hosts, 1).parse(t)
+	daemons := make(map[flow.TargetID]int)
+	for i := range vms {
+		p := placement.New()
+		p.SetFleet(0, placement.NewFleet(list, fleet.NewID(vmName(i)), allAlive))
+		p.SetTables(0, snapshot)
+		place(p, snapshot.Routes()[0], 0, 0, 1)
+		is.Equal(len(p.Hosts()), 32)
+		for _, id := range p.Hosts() {
+			daemons[id]++
+		}
+	}
+	is.Equal(len(daemons), hosts)
+	for _, n := range daemons {
+		is.True(n >= mean-1 && n <= mean+1) // daemons that place on the host
+	}
+}
--- a/table/parse_test.go
+++ b/table/parse_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/almondflow/almondflow/flow"
 	"github.com/almondflow/almondflow/result"
+	"github.com/almondflow/almondflow/strictjson"
 	"github.com/almondflow/almondflow/table"
 )
 
@@ -120,3 +121,18 @@
 		})
 	}
 }
+
+func TestPartsAreCheckedLikeWholeDocuments(t *testing.T) {
+	is := is.New(t)
+	_, err := table.ParseParts(1, []strictjson.Part{
+		strictjson.NewPart("a", []byte(`{"version":1,"routes":[{"name":"a","destination":"203.0.113.1","port":0,"protocol":"udp","pool":"p"}]}`)),
+		strictjson.NewPart("b", []byte(`{"pools":[{"name":"p","hosts":[{"name":"h","port":1,"domain":"d"}]},7]}`)),
+	})
+	is.True(err != nil)
+	is.Equal(strings.Split(err.Error(), "\n")[1:], []string{
+		`a:$.routes[0].port = 0: minimum: got 0, want 1`,
+		`a:$.version = 1: field is unknown`,
+		`b:$.pools[0].hosts[0].address: field is missing`,
+		`b:$.pools[1] = 7: must be object, not number`,
+	})
+}
--- a/targets/monitor_test.go
+++ b/targets/monitor_test.go
@@ -74,6 +74,10 @@
 		return b
 	}
 	silent := []behavior{{host: 1, silences: 9}, {host: 5, silences: 9}, {host: 9, silences: 9}, {host: 13, silences: 9}}
+	mute := []behavior{{host: 0, placed: 30}}
+	for i := 1; i < hostCount; i++ {
+		mute = append(mute, behavior{host: i})
+	}
 	tests := []struct {
 		name      string
 		behaviors []behavior
@@ -90,6 +94,8 @@
 		{"six of fourteen dead: bounded", dead(0, 6), 4},
 		{"eight of fourteen dead: use all", dead(0, 8), 0},
 		{"a silent domain", silent, 4},
+		{"silent hosts in a domain that answers", slices.Concat(silent[:3], dead(2, 5), dead(0, 1)), 4},
+		{"host that sends nothing, like its idle pool", mute, 0},
 		{"a silent domain beside dead hosts", slices.Concat(silent, dead(2, 4)), 6},
 	}
 	for _, test := range tests {
@@ -118,6 +124,14 @@
 	is.Equal(len(run(m, 73*clock.Second, 90*clock.Second, []behavior{{host: 3}})), 0) // back at the first backoff
 }
 
+func TestRecoveredProbesEndAnEjection(t *testing.T) {
+	is := is.New(t)
+	m := newMonitor(t)
+	is.Equal(len(run(m, 0, 4*clock.Second, []behavior{{host: 3, resets: 10, probed: true}})), 1)
+	up := []behavior{{host: 3, probed: true, probesUp: true}}
+	is.Equal(len(run(m, 4*clock.Second, 5*clock.Second, up)), 0) // long before the backoff ends
+}
+
 func TestProbesTakeSeveralOutcomes(t *testing.T) {
 	is := is.New(t)
 	m := targets.New(vmID(0))
