Ask VMs that knew earlier lists before placing a flow anew

A VM that started within the life of a record now also asks an elder, and a question carries the oldest list that its asker knows, so that a VM which knows older ones adds their holders to the trail. VMs that are new too pass it on to others, up to eight hops.

New UDP flows at a VM younger than their idle timeout pay at least one more hop for it.

--- a/core/ask.go
+++ b/core/ask.go
@@ -6,6 +6,10 @@
 	"github.com/almondflow/almondflow/steer"
 )
 
+// maxAskHops bounds how far VMs that started of late pass a question on to others that
+// may know more.
+const maxAskHops = 8
+
 // ask passes a packet without a record along the VMs that may have one. The first that
 // does returns it with the record, and the last returns it without.
 func (s *shard) ask(a *arrival, trail [steer.MaxTrail]fleet.ID, count int) result.Code {
@@ -13,11 +17,47 @@
 		return result.DroppedHops
 	}
 	s.message = steer.Message{Kind: steer.Ask, Origin: s.self()}
+	s.message.Ballot.List = s.oldestList(a)
 	s.message.TrailLength = uint8(copy(s.message.Trail[:], trail[1:count]))
 	s.send(a, trail[0], &s.message, a.packet.Bytes())
 	return result.Asked
 }
 
+// oldestList is the version of the oldest list whose holders this VM asks.
+func (s *shard) oldestList(a *arrival) uint64 {
+	recent := a.view.recent(a.now, s.recordSpan(a))
+	if len(recent) == 0 {
+		return a.view.list().Version()
+	}
+	return recent[len(recent)-1].ranking.List().Version()
+}
+
+// extend adds the holders under lists that were in force before those that the VM which
+// asks knows of. It started too recently to have seen them.
+func (s *shard) extend(a *arrival, m *steer.Message) {
+	oldest := s.oldestList(a)
+	switch {
+	case oldest < m.Ballot.List:
+		m.Ballot.List = oldest
+		trail, count := s.candidates(a)
+		for _, id := range trail[:count] {
+			addToTrail(m, id)
+		}
+	case oldest == m.Ballot.List && m.Hops < maxAskHops:
+		if elder := s.elder(a, s.recordSpan(a)); elder != 0 {
+			addToTrail(m, elder)
+		}
+	}
+}
+
+func addToTrail(m *steer.Message, id fleet.ID) {
+	if int(m.TrailLength) == len(m.Trail) || id == m.Origin || contains(m.Trail[:m.TrailLength], id) {
+		return
+	}
+	m.Trail[m.TrailLength] = id
+	m.TrailLength++
+}
+
 // asked answers with the record or passes the question on.
 func (s *shard) asked(a *arrival, m *steer.Message) result.Code {
 	if r := s.flows.Get(a.hash, &a.key); r != nil && s.isUsable(a, r) && !r.has(refused) {
@@ -25,10 +65,11 @@
 		s.send(a, m.Origin, &s.message, a.packet.Bytes())
 		return result.Asked
 	}
+	s.extend(a, m)
 	s.message = steer.Message{Kind: steer.NotFound}
 	to := m.Origin
 	if m.TrailLength > 0 {
-		s.message = steer.Message{Kind: steer.Ask, Origin: m.Origin}
+		s.message = steer.Message{Kind: steer.Ask, Origin: m.Origin, Ballot: m.Ballot}
 		s.message.TrailLength = uint8(copy(s.message.Trail[:], m.Trail[1:m.TrailLength]))
 		to = m.Trail[0]
 	}
--- a/core/owner.go
+++ b/core/owner.go
@@ -159,7 +159,11 @@
 		}
 	}
 	add(&a.holders)
-	span := max(a.route.IdleTimeout(), s.node.options.OpeningLifetime)
+	span := s.recordSpan(a)
+	if elder := s.elder(a, span); elder != 0 && !contains(trail[:count], elder) {
+		trail[count] = elder
+		count++
+	}
 	for _, e := range a.view.recent(a.now, span) {
 		old := e.ranking.Holders(a.hash, spreadOf(a.route.Repeatable()))
 		add(&old)
@@ -167,6 +171,31 @@
 	return trail, count
 }
 
+// recordSpan is how long a record may live without a packet.
+func (s *shard) recordSpan(a *arrival) clock.Millis {
+	return max(a.route.IdleTimeout(), s.node.options.OpeningLifetime)
+}
+
+// elderTries bounds the search for a VM that did not start of late.
+const elderTries = 8
+
+// elder returns a VM that knows the lists from before this process started, or 0 when
+// this process has run for longer than any record without a packet lives. Each VM draws
+// another one, so that a question passed on soon meets one that knows more.
+func (s *shard) elder(a *arrival, span clock.Millis) fleet.ID {
+	if a.now >= s.node.options.Started+span {
+		return 0
+	}
+	vms := a.view.list().VMs()
+	for i := range min(elderTries, len(vms)) {
+		id := vms[(a.hash^uint64(s.self())+uint64(i))%uint64(len(vms))].ID()
+		if id != s.self() && a.view.alive(id, s.self()) && !a.view.peers.find(id).Quarantined {
+			return id
+		}
+	}
+	return 0
+}
+
 func contains(ids []fleet.ID, id fleet.ID) bool {
 	for _, other := range ids {
 		if other == id {
--- a/faults/regression_test.go
+++ b/faults/regression_test.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -61,3 +62,23 @@
 		is.Equal(knowing, fleet.HolderCount)
 	}
 }
+
+// TestFeedsOutliveManyJoiningVMs is what seed 103314 showed: where all holders of a flow
+// had just joined, none of them knew the lists before, and the flow was placed anew.
+func TestFeedsOutliveManyJoiningVMs(t *testing.T) {
+	is := is.New(t)
+	w := smallWorld([]string{"kadikoy", "besiktas"}, 2)
+	for range 100 {
+		w.start(feed, 8*clock.Second, 600*clock.Millisecond)
+		w.start(line, 8*clock.Second, 600*clock.Millisecond)
+	}
+	w.run(2 * clock.Second)
+	for i := range 6 {
+		w.platform.add(fmt.Sprintf("new-%d", i), w.config.domains[i%2])
+	}
+	w.platform.publishList()
+	w.run(30 * clock.Second)
+	is.Equal(w.oracle.violations, nil)
+	is.Equal(w.oracle.watchedFlows, 200)
+	is.Equal(w.oracle.brokenFlows, 0)
+}
