--- /dev/null
+++ b/core/bench_test.go
@@ -0,0 +1,171 @@
+package core_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/core"
+	"github.com/almondflow/almondflow/fleet"
+	"github.com/almondflow/almondflow/flow"
+	"github.com/almondflow/almondflow/packet"
+	"github.com/almondflow/almondflow/placement"
+	"github.com/almondflow/almondflow/steer"
+)
+
+const (
+	benchFlows   = 300_000
+	benchPayload = 1200 // bytes
+)
+
+// discard is a Sink that sends nothing.
+type discard struct{ sent int }
+
+func (d *discard) Fabric([]byte)                         { d.sent++ }
+func (d *discard) Peer(fleet.ID, *steer.Message, []byte) { d.sent++ }
+
+// benchKey returns the n-th flow of a protocol to the service that has it.
+func benchKey(n int, protocol flow.Protocol) flow.Key {
+	destination := "203.0.113.10:443"
+	if protocol == flow.UDP {
+		destination = "203.0.113.11:443"
+	}
+	client := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, byte(n >> 24), byte(n >> 16), byte(n >> 8)}), uint16(1024+n&255))
+	return flow.NewKey(protocol, flow.NewEndpoint(client), endpoint(destination))
+}
+
+// benchNode returns a Node that owns every flow, or none of them.
+func benchNode(b *testing.B, owner bool) *core.Node {
+	b.Helper()
+	tables, err := tablesOf(1, "serving")
+	if err != nil {
+		b.Fatal(err)
+	}
+	placer := placement.New()
+	placer.SetTables(0, tables)
+	names := []string{"a1"}
+	if !owner {
+		names = eight[1:]
+	}
+	node := core.New(core.Options{Self: fleet.NewID("a1"), Incarnation: 1, Seed: 5, Placer: placer, OpeningLifetime: testLifetime, PauseGap: clock.Hour})
+	node.SetTables(0, tables)
+	node.SetList(0, rankingOf(1, names...))
+	node.SetVoting(0, core.Voting{List: 1, Settled: 1, Until: clock.Hour})
+	return node
+}
+
+// openFlows hands the first packets of flows to a Node.
+func openFlows(node *core.Node, protocol flow.Protocol, count int, sink core.Sink) {
+	var buffer []byte
+	for n := range count {
+		key := benchKey(n, protocol)
+		if protocol == flow.UDP {
+			buffer = packet.AppendUDP(buffer[:0], key, []byte("hold"))
+		} else {
+			buffer = packet.AppendTCP(buffer[:0], key, packet.Segment{Flags: packet.SYN})
+		}
+		node.FromFabric(10*clock.Minute, buffer, sink)
+	}
+}
+
+// bareForwarding returns the packets a second that one goroutine reads and writes on UDP
+// sockets over loopback, which is what a forwarder does that decides nothing.
+func bareForwarding(b *testing.B, datagram []byte, count int) float64 {
+	b.Helper()
+	local := net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0"))
+	in, err := net.ListenUDP("udp4", local)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = in.Close() }()
+	to := in.LocalAddr().(*net.UDPAddr).AddrPort()
+	buffer := make([]byte, 2*len(datagram))
+	start := time.Now()
+	for range count {
+		if _, err = in.WriteToUDPAddrPort(datagram, to); err != nil {
+			b.Fatal(err)
+		}
+		if _, _, err = in.ReadFromUDPAddrPort(buffer); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return float64(count) / time.Since(start).Seconds()
+}
+
+// BenchmarkDecide measures the decision about packets of 300,000 known flows, without
+// sockets, beside a forwarder that only reads and writes, in the same run.
+func BenchmarkDecide(b *testing.B) {
+	cases := []struct {
+		name  string
+		owner bool
+	}{
+		{"owner", true},
+		{"ingress", false},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			node, sink := benchNode(b, c.owner), &discard{}
+			openFlows(node, flow.TCP, benchFlows, sink)
+			packets := make([][]byte, benchFlows)
+			for n := range packets {
+				packets[n] = packet.AppendTCP(nil, benchKey(n, flow.TCP), packet.Segment{Flags: packet.ACK, Payload: make([]byte, 8)})
+			}
+			inner := make([]byte, 0, benchPayload)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				inner = append(inner[:0], packets[n%benchFlows]...)
+				node.FromFabric(10*clock.Minute, inner, sink)
+				n += 7919
+			}
+			rate := float64(b.N) / b.Elapsed().Seconds()
+			b.ReportMetric(rate, "packets/s")
+			b.ReportMetric(rate/bareForwarding(b, make([]byte, benchPayload), 20_000), "of-bare")
+		})
+	}
+}
+
+// BenchmarkOpen measures first packets at an owner that knows earlier lists, each of
+// which is asked whether another VM ranked first.
+func BenchmarkOpen(b *testing.B) {
+	for _, lists := range []int{1, 13, 33} {
+		b.Run(fmt.Sprintf("lists=%d", lists), func(b *testing.B) {
+			const count = 100_000
+			for b.Loop() {
+				b.StopTimer()
+				node, sink := benchNode(b, true), &discard{}
+				for version := 2; version <= lists; version++ {
+					node.SetList(10*clock.Minute, rankingOf(uint64(version), "a1"))
+				}
+				b.StartTimer()
+				openFlows(node, flow.TCP, count, sink)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/count, "ns/flow")
+		})
+	}
+}
+
+// BenchmarkMemory measures the heap of a Node for each flow that it holds.
+func BenchmarkMemory(b *testing.B) {
+	for _, protocol := range []flow.Protocol{flow.TCP, flow.UDP} {
+		b.Run(fmt.Sprint(protocol), func(b *testing.B) {
+			var before, after runtime.MemStats
+			held := 0
+			for b.Loop() {
+				node := benchNode(b, true)
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				openFlows(node, protocol, benchFlows, &discard{})
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				held = node.Flows()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(max(held, 1)), "B/flow")
+			b.ReportMetric(float64(held), "flows")
+		})
+	}
+}
--- a/core/bus_test.go
+++ b/core/bus_test.go
@@ -87,9 +87,13 @@
 	return strings.Join(all, ",")
 }
 
+func tablesOf(version int, mark string) (*table.Snapshot, error) {
+	return table.Parse([]byte(fmt.Sprintf(testTables, version, hosts(1, 6, mark), hosts(2, 6, mark))))
+}
+
 func parseTables(t *testing.T, version int, mark string) *table.Snapshot {
 	t.Helper()
-	snapshot, err := table.Parse([]byte(fmt.Sprintf(testTables, version, hosts(1, 6, mark), hosts(2, 6, mark))))
+	snapshot, err := tablesOf(version, mark)
 	if err != nil {
 		t.Fatal(err)
 	}
