--- a/demo/balance.go
+++ b/demo/balance.go
@@ -28,17 +28,33 @@
 	b.excluded[name] = excluded
 }
 
+// use is the number of open connections of one target.
+type use struct {
+	name        string
+	connections int64
+}
+
 // sample takes the open connections of one pool's targets, which all have weight 1.
 func (b *balance) sample(targets []*standin.Target, pool string) {
+	var uses []use
+	for _, t := range targets {
+		if t.Pool() == pool {
+			uses = append(uses, use{t.Name(), t.Connections()})
+		}
+	}
+	b.add(uses)
+}
+
+func (b *balance) add(uses []use) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var largest, total, count int64
-	for _, t := range targets {
-		if t.Pool() != pool || b.excluded[t.Name()] {
+	for _, u := range uses {
+		if b.excluded[u.name] {
 			continue
 		}
-		largest = max(largest, t.Connections())
-		total += t.Connections()
+		largest = max(largest, u.connections)
+		total += u.connections
 		count++
 	}
 	if count == 0 || total < count*fewestConnections {
--- a/demo/feed.go
+++ b/demo/feed.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -45,9 +46,10 @@
 		return
 	}
 	defer c.close()
+	defer response.Body.Close()
 	f.opened.Add(1)
 	f.world.checkPool(response, f.world.deployment.booking.pool)
-	if err = f.read(ctx, c, response); err != nil && ctx.Err() == nil {
+	if err = f.read(ctx, c, response.Body); err != nil && ctx.Err() == nil {
 		f.broken.Add(1)
 		f.log.printf("feed %s broke: %v", c.address, err)
 		f.world.explain(c.address, f.world.booking)
@@ -71,14 +73,14 @@
 var (
 	errStalled = errors.New("no event for " + feedSilence.String())
 	errGap     = errors.New("an event is missing")
+	errEnded   = errors.New("the feed ended")
 )
 
 // read returns an error as soon as an event is missing, late or cannot be read.
-func (f *feeds) read(ctx context.Context, c *client, response *http.Response) error {
-	defer response.Body.Close()
+func (f *feeds) read(ctx context.Context, c *client, body io.Reader) error {
 	silence := time.AfterFunc(feedSilence, func() { c.cancel(errStalled) })
 	defer silence.Stop()
-	lines := bufio.NewScanner(response.Body)
+	lines := bufio.NewScanner(body)
 	for event := 0; lines.Scan(); event++ {
 		if lines.Text() != strconv.Itoa(event) {
 			return errGap
@@ -94,5 +96,5 @@
 	if lines.Err() != nil {
 		return lines.Err()
 	}
-	return errors.New("the feed ended")
+	return errEnded
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,8 +193,7 @@
 }
 
 func (d *Daemon) describe() string {
-	return "domain=" + d.config.Domain + " data_address=" + d.DataAddress().String() +
-		" peer_address=" + d.PeerAddress().String() + " control_rate=" + strconv.Itoa(d.config.ControlRate)
+	return "domain " + d.config.Domain + ", data " + d.DataAddress().String()
 }
 
 // Kill ends the daemon abruptly, as a crash does: nothing is handed over.
