--- a/placement/rebuild.go
+++ b/placement/rebuild.go
@@ -47,6 +47,7 @@
 	}
 	if spec.Spill() {
 		parts = p.reachable(parts)
+		parts = merge(spec, parts)
 	}
 	for i := range parts {
 		d := &parts[i]
@@ -55,6 +56,20 @@
 	return parts
 }
 
+// merge makes one part of all failure domains where balance weighs more than staying in
+// the domain of the owner: a choice of the domain by hash alone leaves the domains as
+// uneven as chance makes them.
+func merge(spec *table.Pool, parts []part) []part {
+	if spec.Prefer() != table.PreferBalance || len(parts) < 2 {
+		return parts
+	}
+	whole := part{}
+	for _, d := range parts {
+		whole.hosts = append(whole.hosts, d.hosts...)
+	}
+	return []part{whole}
+}
+
 // reachable leaves out failure domains of which no listed entry VM is reached: a partition
 // keeps packets from their hosts as well. Where none is left, all stay.
 func (p *Placer) reachable(parts []part) []part {
