Prove the stand-in fabric and show the worst balance

The demo's count of misrouted packets is only worth what the stand-in fabric sees, so a test sends one astray and finds it counted.

--- a/demo/balance.go
+++ b/demo/balance.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +15,8 @@
 type balance struct {
 	mu    sync.Mutex
 	worst float64
+	// uses is the worst sample.
+	uses []use
 	// excluded targets are leaving or have joined only recently.
 	excluded map[string]bool
 }
@@ -60,7 +64,25 @@
 	if count == 0 || total < count*fewestConnections {
 		return
 	}
-	b.worst = max(b.worst, float64(largest*count)/float64(total))
+	if ratio := float64(largest*count) / float64(total); ratio > b.worst {
+		b.worst = ratio
+		b.uses = uses
+	}
+}
+
+// describe returns the connections of the targets in the worst sample.
+func (b *balance) describe() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	parts := make([]string, 0, len(b.uses))
+	for _, u := range b.uses {
+		part := strconv.FormatInt(u.connections, 10)
+		if b.excluded[u.name] {
+			part = "(" + part + ")"
+		}
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, " ")
 }
 
 func (b *balance) result() float64 {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -104,6 +104,7 @@
 	report.ControlBytesPerSecondPerVM = s.controlRate()
 	report.ConvergeMilliseconds = story.longest.Milliseconds()
 	report.judge()
+	w.log.printf("connections in the worst sample, leaving and joining targets in brackets: %s", b.describe())
 	w.log.printf("the load has ended")
 	return report, nil
 }
--- /dev/null
+++ b/standin/fabric_test.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// hangTimeout ends a test whose datagram never comes.
+const hangTimeout = 10 * time.Second
+
+func bindTest(t *testing.T) *net.UDPConn {
+	t.Helper()
+	socket, err := listenUDP(context.Background(), "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(socket.SetReadDeadline(time.Now().Add(hangTimeout)))
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+func receive(t *testing.T, socket *net.UDPConn) (payload []byte, from netip.AddrPort) {
+	t.Helper()
+	buffer := make([]byte, maxDatagram)
+	n, from, err := socket.ReadFromUDPAddrPort(buffer)
+	is.New(t).NoErr(err)
+	return buffer[:n], from
+}
+
+func TestFabricCarriesBothWaysAndCountsWhatGoesAstray(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	vm, target, client := bindTest(t), bindTest(t), bindTest(t)
+	f, err := StartFabric(ctx, "127.0.0.1:0", slog.New(slog.DiscardHandler), WithFabricSeed(1),
+		WithAllowed(func(p Pair) bool { return p.Target == localAddress(target) }))
+	is.NoErr(err)
+	defer f.Close()
+	f.SetVMs([]netip.AddrPort{localAddress(vm)})
+	destination, err := f.Route(ctx, "127.0.0.1:0")
+	is.NoErr(err)
+
+	// A client's datagram reaches the VM with the client's own address.
+	_, err = client.WriteToUDPAddrPort([]byte("hold"), destination)
+	is.NoErr(err)
+	datagram, _ := receive(t, vm)
+	inner, err := openDatagram(datagram)
+	is.NoErr(err)
+	is.Equal(inner.source, localAddress(client))
+	is.Equal(inner.destination, destination)
+
+	// What the VM sends on reaches the target, whose reply comes back to the VM.
+	_, err = vm.WriteToUDPAddrPort(appendDatagram(nil, inner.source, localAddress(target), inner.payload), f.Address())
+	is.NoErr(err)
+	payload, standsFor := receive(t, target)
+	is.Equal(string(payload), "hold")
+	_, err = target.WriteToUDPAddrPort([]byte("held"), standsFor)
+	is.NoErr(err)
+	datagram, _ = receive(t, vm)
+	reply, err := openDatagram(datagram)
+	is.NoErr(err)
+	is.Equal(reply.source, localAddress(target))
+	is.Equal(reply.destination, localAddress(client))
+
+	// The translated reply comes to the client from the destination.
+	_, err = vm.WriteToUDPAddrPort(appendDatagram(nil, destination, reply.destination, reply.payload), f.Address())
+	is.NoErr(err)
+	payload, from := receive(t, client)
+	is.Equal(string(payload), "held")
+	is.Equal(from, destination)
+	is.Equal(f.Misrouted(), int64(0))
+
+	// A packet for a target of another service is delivered and counted.
+	other := bindTest(t)
+	_, err = vm.WriteToUDPAddrPort(appendDatagram(nil, inner.source, localAddress(other), inner.payload), f.Address())
+	is.NoErr(err)
+	_, _ = receive(t, other)
+	is.Equal(f.Misrouted(), int64(1))
+}
+
+func TestLedgerSeesSecondRuns(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.Run("a")
+	l.Run("b")
+	l.Run("b")
+	run, doubled := l.Count()
+	is.Equal(run, 2)
+	is.Equal(doubled, 1)
+	is.Equal(l.Runs("b"), 2)
+	is.Equal(l.Runs("c"), 0)
+}
