--- a/core/bus_test.go
+++ b/core/bus_test.go
@@ -110,6 +110,16 @@
 
 // newBus starts a Node on each VM, past its quarantine and with a lease that lasts.
 func newBus(t *testing.T, names ...string) *bus {
+	t.Helper()
+	return newBusWith(t, busOptions{}, names...)
+}
+
+// busOptions change the Nodes of a bus.
+type busOptions struct {
+	flows int
+}
+
+func newBusWith(t *testing.T, o busOptions, names ...string) *bus {
 	t.Helper()
 	b := &bus{t: t, names: names, nodes: map[fleet.ID]*core.Node{}, down: map[fleet.ID]bool{}, messages: map[steer.Kind]int{}}
 	tables := parseTables(t, 1, "serving")
@@ -119,7 +129,7 @@
 		placer.SetTables(0, tables)
 		b.placers = append(b.placers, placer)
 		id := fleet.NewID(name)
-		node := core.New(core.Options{Self: id, Incarnation: 1, Seed: 5, Shards: 2, Placer: placer, OpeningLifetime: testLifetime, PauseGap: clock.Hour})
+		node := core.New(core.Options{Self: id, Incarnation: 1, Seed: 5, Shards: 2, Flows: o.flows, Placer: placer, OpeningLifetime: testLifetime, PauseGap: clock.Hour})
 		node.SetTables(0, tables)
 		node.SetList(0, ranking)
 		node.SetVoting(0, core.Voting{List: 1, Settled: 1, Until: clock.Hour})
@@ -132,9 +142,9 @@
 // tick lets every live Node do its periodic work.
 func (b *bus) tick() {
 	b.now += 100
-	for id, node := range b.nodes {
-		if !b.down[id] {
-			node.Tick(b.now, port{b, id})
+	for _, name := range b.names {
+		if id := fleet.NewID(name); !b.down[id] {
+			b.nodes[id].Tick(b.now, port{b, id})
 		}
 	}
 	b.drain()
--- a/core/owner.go
+++ b/core/owner.go
@@ -313,6 +313,9 @@
 		s.flows.Delete(a.hash, &a.key)
 		return nil
 	}
+	if added {
+		s.openings++ // until the sweep counts again
+	}
 	r.initialize(a.now, a.route, target, a.view.tables.Version(), s.node.options.OpeningLifetime)
 	return r
 }
