--- a/core/node.go
+++ b/core/node.go
@@ -152,7 +152,7 @@
 		}
 		accepted = true
 		if len(v.epochs) > 0 && ranking.List().Version() != v.list().Version()+1 {
-			v.epochsLost = now
+			v.lose(now, ranking.List().Version())
 		}
 		v.pushEpoch(now, ranking)
 		v.judge(n.options.Self)
@@ -172,7 +172,7 @@
 	}
 	if len(epochs) > maxEpochs {
 		epochs = epochs[:maxEpochs]
-		v.epochsLost = now
+		v.lose(now, ranking.List().Version())
 	}
 	v.epochs = epochs
 }
@@ -186,8 +186,11 @@
 }
 
 // SetVoting replaces the permission to decide flows that may not be repeated.
-func (n *Node) SetVoting(_ clock.Millis, voting Voting) {
-	n.change(func(v *view) { v.voting = voting })
+func (n *Node) SetVoting(now clock.Millis, voting Voting) {
+	n.change(func(v *view) {
+		v.voting = voting
+		v.noteSettled(now, voting.Settled)
+	})
 }
 
 // Doubt tells the Node that others took it for dead, so that flows it would place anew
--- a/core/view.go
+++ b/core/view.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/table"
@@ -13,6 +15,7 @@
 type epoch struct {
 	ranking    *fleet.Ranking
 	superseded clock.Millis // point at which a newer list came; 0 for the current one
+	settled    clock.Millis // from when on nobody was known to decide under it, or 0
 }
 
 // Peer is what is known of another entry VM.
@@ -71,7 +74,8 @@
 	unsureSince clock.Millis // when this VM last lost sight of the others or its records
 	minority    bool         // less than half of the serving VMs are believed alive
 	paused      bool         // no peer was heard since a pause of the process
-	epochsLost  clock.Millis // when an epoch was dropped for want of room, or 0
+	epochsLost  clock.Millis // when nobody decided any more under a list not known here, or 0
+	unsettled   uint64       // version of the list up to which others may still do so, or 0
 }
 
 // judge updates what follows from the list and the picture of the VMs.
@@ -128,3 +132,41 @@
 	}
 	return v.epochs[1:]
 }
+
+// decidable returns the earlier epochs under which a target may have been decided less
+// than span ago. Other VMs may act on a list for long after this one got a newer one.
+func (v *view) decidable(now, span clock.Millis) []epoch {
+	for i := 1; i < len(v.epochs); i++ {
+		if settled := v.epochs[i].settled; settled != 0 && now-settled >= span {
+			return v.epochs[1:i]
+		}
+	}
+	return v.epochs[1:]
+}
+
+// noteSettled notes that nobody decides under lists below a version any more.
+func (v *view) noteSettled(now clock.Millis, version uint64) {
+	if v.unsettled != 0 && version >= v.unsettled {
+		v.unsettled = 0
+		v.epochsLost = now
+	}
+	var changed []epoch
+	for i, e := range v.epochs {
+		if e.settled != 0 || e.ranking.List().Version() >= version {
+			continue
+		}
+		if changed == nil {
+			changed = slices.Clone(v.epochs)
+		}
+		changed[i].settled = now
+	}
+	if changed != nil {
+		v.epochs = changed
+	}
+}
+
+// lose notes that earlier lists are not known here.
+func (v *view) lose(now clock.Millis, version uint64) {
+	v.epochsLost = now
+	v.unsettled = version
+}
--- a/member/pause.go
+++ b/member/pause.go
@@ -32,7 +32,8 @@
 // endFruitlessPause resumes a daemon that reaches nobody: cut off, it goes on serving
 // what it can. Voting stays impossible for it.
 func (m *Machine) endFruitlessPause(now clock.Millis) {
-	if m.paused && (len(m.peers) == 0 || now-m.pausedAt >= resumeTimeout) {
+	isAlone := m.list != nil && len(m.peers) == 0
+	if m.paused && (isAlone || now-m.pausedAt >= resumeTimeout) {
 		m.resume(now)
 	}
 }
