--- a/core/register.go
+++ b/core/register.go
@@ -117,13 +117,23 @@
 // decided that an opening packet can still ask for.
 func (s *shard) knowsHistory(a *arrival) bool {
 	lost := a.view.epochsLost
-	return a.view.unsettled == 0 && (lost == 0 || a.now-lost >= s.node.options.OpeningLifetime)
+	isSettled := a.view.unsettled == 0 || s.node.options.Breakage == BreakLease
+	return isSettled && (lost == 0 || a.now-lost >= s.node.options.OpeningLifetime)
+}
+
+// decidable returns the earlier lists under which a target may have been decided that an
+// opening packet can still ask for.
+func (s *shard) decidable(a *arrival) []epoch {
+	if s.node.options.Breakage == BreakLease {
+		return a.view.recent(a.now, s.node.options.OpeningLifetime)
+	}
+	return a.view.decidable(a.now, s.node.options.OpeningLifetime)
 }
 
 // isUnchanged reports whether the flow had the same holders under every recent list, so
 // that the first of them may propose without reading.
 func (s *shard) isUnchanged(a *arrival) bool {
-	for _, e := range a.view.decidable(a.now, s.node.options.OpeningLifetime) {
+	for _, e := range s.decidable(a) {
 		if e.ranking.Holders(a.hash, fleet.EachDomain) != a.holders {
 			return false
 		}
@@ -268,7 +278,7 @@
 
 func (s *shard) readSets(a *arrival) []answers {
 	sets := []answers{{holders: a.holders}}
-	for _, e := range a.view.decidable(a.now, s.node.options.OpeningLifetime) {
+	for _, e := range s.decidable(a) {
 		holders := e.ranking.Holders(a.hash, fleet.EachDomain)
 		if holders != a.holders {
 			sets = append(sets, answers{holders: holders})
--- a/faults/regression_test.go
+++ b/faults/regression_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/core"
 	"github.com/almondflow/almondflow/fleet"
 )
 
@@ -82,3 +83,21 @@
 	is.Equal(w.oracle.watchedFlows, 200)
 	is.Equal(w.oracle.brokenFlows, 0)
 }
+
+// TestSeedsThatFailed plays runs of the fuzzer that broke a promise before a mend.
+func TestSeedsThatFailed(t *testing.T) {
+	tests := []struct {
+		name string
+		seed uint64
+	}{
+		{"a pause before the first list ended at once, and stale packets opened a hold again", 5059},
+		{"a list under which others still decided was no longer read", 7080},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if err := newFuzz(seeded(test.seed), core.Unbroken, false, false).play(); err != nil {
+				t.Fatalf("%v\n%s", err, story(seeded(test.seed), core.Unbroken))
+			}
+		})
+	}
+}
--- a/faults/vm_test.go
+++ b/faults/vm_test.go
@@ -159,20 +159,21 @@
 		if other == v {
 			return place < 2
 		}
-		if other.up && other.domain == v.domain && v.lists(other) {
+		if other.up && other.domain == v.domain && v.relies(other) {
 			place++
 		}
 	}
 	return false
 }
 
-// lists reports whether the list that is in force here names another VM.
-func (v *vm) lists(other *vm) bool {
+// relies reports whether this VM leaves the reading of the platform to another one, which
+// the list names and which it takes to be alive.
+func (v *vm) relies(other *vm) bool {
 	if v.list == nil {
 		return true
 	}
 	_, listed := v.list.Find(other.id)
-	return listed
+	return listed && v.control.Machine().View().Alive(other.id)
 }
 
 func (v *vm) readDelay() clock.Millis {
