Refuse a shed flow only where no other VM can have placed it

When a target had reset an untouched opening and the retry budget was spent, the owner answered a refusal. The answer now follows the same rule as for a pool without targets: silence unless this VM is certain.

--- a/core/owner.go
+++ b/core/owner.go
@@ -296,8 +296,7 @@
 	target, code := s.node.options.Placer.Place(a.now, a.route, a.hash, old)
 	s.drop(a.hash, &a.key, r)
 	if code != result.Placed {
-		s.answerRefusal(a)
-		return code
+		return s.noTarget(a, code)
 	}
 	r = s.insert(a, target)
 	s.placed(r)
