--- a/faults/mutation_test.go
+++ b/faults/mutation_test.go
@@ -13,8 +13,8 @@
 	first    uint64 // seed at which the search begins
 }{
 	{"no_copies", core.BreakCopies, 40},
-	{"no_quarantine", core.BreakQuarantine, 240},
-	{"majority_of_one", core.BreakMajority, 110},
+	{"no_quarantine", core.BreakQuarantine, 60},
+	{"majority_of_one", core.BreakMajority, 550},
 	{"reset_on_unknown_flow", core.BreakUnknownFlow, 0},
 	{"version_may_fall", core.BreakVersions, 0},
 	{"retry_after_payload", core.BreakRetry, 0},
