--- a/core/tcp_test.go
+++ b/core/tcp_test.go
@@ -29,9 +29,9 @@
 	rst    = packet.RST | packet.ACK
 )
 
-// reply hands a segment of the target to a VM and returns where it came out.
-func (b *bus) reply(via, n int, target flow.Endpoint, flags packet.Flags, payload string) flow.Endpoint {
-	client := clientKey(n, flow.TCP, "203.0.113.10:443")
+// reply hands a segment of the target of client 1 to a VM and returns where it came out.
+func (b *bus) reply(via int, target flow.Endpoint, flags packet.Flags, payload string) flow.Endpoint {
+	client := clientKey(1, flow.TCP, "203.0.113.10:443")
 	back := flow.NewKey(flow.TCP, target, client.Source())
 	return b.client(via, packet.AppendTCP(nil, back, packet.Segment{Flags: flags, Payload: []byte(payload)}))
 }
@@ -71,7 +71,7 @@
 			for i, s := range test.steps {
 				b.wait(s.wait)
 				if s.fromTarget {
-					is.Equal(b.reply(i, 1, target, s.flags, s.payload) == endpointOf(1), s.same) // back at the client
+					is.Equal(b.reply(i, target, s.flags, s.payload) == endpointOf(1), s.same) // back at the client
 					continue
 				}
 				at := b.client(i, segment(1, s.flags, s.payload))
@@ -97,7 +97,7 @@
 	b := newBus(t, eight...)
 	target := b.client(0, segment(1, syn, ""))
 	for via := range eight {
-		is.Equal(b.reply(via, 1, target, ack, "x"), endpointOf(1)) // any VM translates back
+		is.Equal(b.reply(via, target, ack, "x"), endpointOf(1)) // any VM translates back
 		key := b.delivered[0].Key()
 		is.Equal(key.Source(), endpoint("203.0.113.10:443"))
 	}
@@ -107,7 +107,7 @@
 	is := is.New(t)
 	b := newBus(t, eight...)
 	target := b.client(0, segment(1, syn, ""))
-	is.Equal(b.reply(1, 1, target, rst, ""), flow.Endpoint{}) // the client does not see the reset
+	is.Equal(b.reply(1, target, rst, ""), flow.Endpoint{}) // the client does not see the reset
 	again := b.client(2, segment(1, syn, ""))
 	is.True(again != target && again != flow.Endpoint{}) // its retransmission goes elsewhere
 	is.Equal(b.total(result.Replaced), uint64(2))        // the reset kept back and the new target
@@ -117,7 +117,7 @@
 	is := is.New(t)
 	b := newBus(t, eight...)
 	target := b.client(0, segment(1, syn, "early data"))
-	is.Equal(b.reply(1, 1, target, rst, ""), endpointOf(1)) // the client sees the reset
+	is.Equal(b.reply(1, target, rst, ""), endpointOf(1)) // the client sees the reset
 }
 
 func TestErrorAboutAReplyReachesTheTarget(t *testing.T) {
