Split the core's large files by what they decide

Change: proposing, reading and voting, misses and placement, queries, options, replies and messages of peers have files of their own. No code changed. Conclusion: each file has one job.

--- a/core/node.go
+++ b/core/node.go
@@ -6,7 +6,6 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/fleet"
-	"github.com/almondflow/almondflow/flow"
 	"github.com/almondflow/almondflow/packet"
 	"github.com/almondflow/almondflow/result"
 	"github.com/almondflow/almondflow/table"
@@ -21,62 +20,6 @@
 	maxCode                = 256
 )
 
-// Options are what a Node needs to know from its settings.
-type Options struct {
-	// Self is the entry VM that the Node runs on.
-	Self fleet.ID
-	// Incarnation is the number of this run of the process.
-	Incarnation uint64
-	// Seed is the seed of flow hashes, the same at every daemon of the fleet.
-	Seed uint64
-	// Shards is the number of independently locked parts of the flow table.
-	Shards int
-	// Flows is the largest number of flows held.
-	Flows int
-	// Started is when the process started.
-	Started clock.Millis
-	// OpeningLifetime is the longest span for which an opening packet, or a
-	// retransmission of it, can be under way. A VM that started more recently takes no
-	// part in decisions about flows that may not be repeated.
-	OpeningLifetime clock.Millis
-	// PauseGap is the span without a Tick that counts as a pause of the process.
-	PauseGap clock.Millis
-	// Copies is the number of holders that get a record besides the owner, 0 to 2.
-	// The zero value of Options means all of them; see NoCopies.
-	Copies int
-	// NoCopies switches copies off, for comparison.
-	NoCopies bool
-	// Placer chooses targets.
-	Placer Placer
-	// Budget limits repair traffic. Nil means no limit.
-	Budget Budget
-	// Breakage weakens the Node on purpose, to prove that a test would notice.
-	Breakage Breakage
-}
-
-// Breakage is a deliberate defect that a test must find.
-type Breakage uint8
-
-// Breakages of a Node.
-const (
-	// Unbroken is the Node as it should be.
-	Unbroken Breakage = iota
-	// BreakCopies sends no copies.
-	BreakCopies
-	// BreakQuarantine lets a restarted VM vote at once.
-	BreakQuarantine
-	// BreakMajority lets one holder of three decide.
-	BreakMajority
-	// BreakUnknownFlow answers packets of unknown flows with a reset.
-	BreakUnknownFlow
-	// BreakVersions lets tables fall back to an older version.
-	BreakVersions
-	// BreakRetry places a flow again although payload was sent.
-	BreakRetry
-	// BreakLease votes without a lease.
-	BreakLease
-)
-
 // Node is one entry VM's decisions. FromFabric and FromPeer may be called by several
 // workers at once. The setters and Tick belong to one control goroutine.
 //
@@ -247,75 +190,6 @@
 	return code
 }
 
-// Count returns how many packets ended in a code.
-func (n *Node) Count(code result.Code) uint64 {
-	return n.codes[code%maxCode].Load()
-}
-
 func (n *Node) shardOf(hash uint64) *shard {
 	return &n.shards[(hash>>48)%uint64(len(n.shards))]
 }
-
-// Flows returns the number of flows held, own and copies.
-func (n *Node) Flows() int {
-	total := 0
-	for i := range n.shards {
-		s := &n.shards[i]
-		s.mutex.Lock()
-		total += s.flows.Len()
-		s.mutex.Unlock()
-	}
-	return total
-}
-
-// FlowInfo describes one flow for operators.
-type FlowInfo struct {
-	// Key is the flow.
-	Key flow.Key
-	// Target is where it goes. Its ID is zero when that is not known here.
-	Target flow.Target
-	// Owned says that this VM serves the flow.
-	Owned bool
-	// Decided says that the target can never change.
-	Decided bool
-	// Idle is the span since its last packet here.
-	Idle clock.Millis
-}
-
-// Lookup returns what this VM knows of a flow.
-func (n *Node) Lookup(now clock.Millis, key *flow.Key) (FlowInfo, bool) {
-	hash := key.Hash(n.options.Seed)
-	s := n.shardOf(hash)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	r := s.flows.Get(hash, key)
-	if r == nil {
-		return FlowInfo{}, false
-	}
-	return r.info(now, key), true
-}
-
-// Each calls visit for up to most flows.
-func (n *Node) Each(now clock.Millis, most int, visit func(FlowInfo)) {
-	for i := range n.shards {
-		s := &n.shards[i]
-		s.mutex.Lock()
-		s.flows.Sweep(0, min(most, s.flows.Slots()), func(_ uint64, key *flow.Key, r *record) bool {
-			if most > 0 {
-				visit(r.info(now, key))
-				most--
-			}
-			return true
-		})
-		s.mutex.Unlock()
-	}
-}
-
-// Holders returns the holders of a flow under the list in force, highest rank first.
-func (n *Node) Holders(key *flow.Key, repeatable bool) fleet.Holders {
-	v := n.view.Load()
-	if len(v.epochs) == 0 {
-		return fleet.Holders{}
-	}
-	return v.epochs[0].ranking.Holders(key.Hash(n.options.Seed), spreadOf(repeatable))
-}
