--- a/faults/oracle_test.go
+++ b/faults/oracle_test.go
@@ -32,8 +32,9 @@
 	lateFlows       int // new flows of a target after it left
 	failedOpenings  int
 	converged       clock.Millis
-	exact           bool // late flows are told by who placed them alone
-	steady          bool // nothing but planned changes and crashes happens
+	everywhere      uint64 // newest version of the tables that all VMs had in force
+	exact           bool   // late flows are told by who placed them alone
+	steady          bool   // nothing but planned changes and crashes happens
 }
 
 func (o *oracle) violate(format string, arguments ...any) {
@@ -183,5 +184,9 @@
 			return
 		}
 	}
-	o.converged = max(o.converged, o.world.now-o.world.platform.published)
+	// Tables come into force again with more retired hosts, and at VMs that start later.
+	if o.everywhere < o.world.platform.tablesVersion {
+		o.everywhere = o.world.platform.tablesVersion
+		o.converged = max(o.converged, o.world.now-o.world.platform.published)
+	}
 }
