Record what 10,000 fuzz runs still find

Four break one flow where two entry VMs crash at once within seconds after a VM joined; in one, a planned run with 5% loss, two lost pulls of the tables at 2 s each let a leaving target be chosen 264 ms late.

--- a/faults/regression_test.go
+++ b/faults/regression_test.go
@@ -102,10 +102,11 @@
 	}
 }
 
-// TestCrashesDuringListChanges plays runs in which holds broke that had two answered
-// packets, when two VMs crashed while the list was changing.
-func TestCrashesDuringListChanges(t *testing.T) {
-	for _, seed := range []uint64{2742, 3657} {
+// TestSeedsThatFailStill plays the runs of the first 10,000 that break a promise. Flows with
+// two answered packets break when two VMs crash while others join, and a leaving target is
+// chosen late after two lost pulls.
+func TestSeedsThatFailStill(t *testing.T) {
+	for _, seed := range []uint64{2031, 2742, 3306, 3657, 7855} {
 		if err := newFuzz(seeded(seed), core.Unbroken, false, false).play(); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
 		}
