Drive daemon and fault tests by one controller

Cause: the daemon had its own copy of the glue between membership, core and placement. It lacked the rule that nothing is placed after a pause until peers were heard, and the hand-over when the list says leaving, so that the fault tests proved code that the daemon did not run. Change: both use control.Controller, which no longer owns the machine.

--- a/control/controller.go
+++ b/control/controller.go
@@ -13,102 +13,83 @@
 	"github.com/almondflow/almondflow/table"
 )
 
-// Placer is what the controller needs of the placement.
+// Placer is what a Controller needs of the placement.
 type Placer interface {
 	core.Placer
 	SetTables(now clock.Millis, snapshot *table.Snapshot)
 	SetFleet(now clock.Millis, f *placement.Fleet)
 }
 
-// Controller belongs to one control goroutine.
+// Controller belongs to the control goroutine that drives the membership machine.
 type Controller struct {
-	self    fleet.ID
-	node    *core.Node
-	placer  Placer
-	outer   member.Sink
-	machine *member.Machine
-	options options
-
-	ranking *fleet.Ranking
-	seen    uint64 // version of the membership view that the node has
-	paused  bool
-}
-
-type options struct {
-	rank func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking
+	self   fleet.ID
+	node   *core.Node
+	placer Placer
+	rank   func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking
+
+	ranking    *fleet.Ranking
+	seen       uint64 // version of the membership view that the node has
+	paused     bool
+	permission member.Permission
 }
 
 // Option changes how a Controller works.
-type Option func(*options)
+type Option func(*Controller)
 
 // WithRanking replaces the function that ranks a list, so that several Nodes in one
 // process share the work.
 func WithRanking(rank func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking) Option {
-	return func(o *options) { o.rank = rank }
+	return func(c *Controller) { c.rank = rank }
 }
 
-// New returns a Controller. The membership machine is created with the Controller as its
-// sink and attached afterwards; what the machine puts out is passed on to outer.
-func New(self fleet.ID, node *core.Node, placer Placer, outer member.Sink, settings ...Option) *Controller {
-	c := &Controller{self: self, node: node, placer: placer, outer: outer}
-	c.options.rank = func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking {
+// New returns a Controller of a Node and the Placer that it uses.
+func New(self fleet.ID, node *core.Node, placer Placer, options ...Option) *Controller {
+	c := &Controller{self: self, node: node, placer: placer}
+	c.rank = func(list *fleet.List, previous *fleet.Ranking) *fleet.Ranking {
 		return fleet.NewRanking(list, fleet.WithPrevious(previous))
 	}
-	for _, option := range settings {
-		option(&c.options)
+	for _, option := range options {
+		option(c)
 	}
 	return c
 }
 
-// Attach sets the membership machine.
-func (c *Controller) Attach(machine *member.Machine) { c.machine = machine }
-
-// Machine returns the membership machine.
-func (c *Controller) Machine() *member.Machine { return c.machine }
-
 // Ranking returns the ranking in force, or nil.
 func (c *Controller) Ranking() *fleet.Ranking { return c.ranking }
 
-// Send implements member.Sink.
-func (c *Controller) Send(to fleet.ID, m *member.Message) { c.outer.Send(to, m) }
+// Permission returns the permission to vote that the Node was last given.
+func (c *Controller) Permission() member.Permission { return c.permission }
 
-// Event implements member.Sink. A daemon that was paused, or that others took for dead,
-// can no longer be sure that flows it does not know are new.
+// Event takes what the membership machine reports. A daemon that was paused, or that
+// others took for dead, can no longer be sure that flows it does not know are new.
 func (c *Controller) Event(e member.Event) {
-	switch e.Kind {
-	case member.Refuted, member.Paused:
+	if e.Kind == member.Refuted || e.Kind == member.Paused {
 		c.node.Doubt(e.At)
-	default:
 	}
-	c.outer.Event(e)
 }
 
-// SetTables puts tables in force. It reports false for a version that is not newer.
-func (c *Controller) SetTables(now clock.Millis, name string, tables *table.Snapshot) bool {
-	if !c.node.SetTables(now, tables) {
-		return false
-	}
+// SetTables puts tables in force. It reports false for a version that is not newer. The
+// placer comes first, so that it knows every route that the core asks about.
+func (c *Controller) SetTables(now clock.Millis, tables *table.Snapshot) bool {
 	c.placer.SetTables(now, tables)
-	c.machine.SetVersions(now, []member.Version{{Name: name, Number: tables.Version()}})
-	return true
+	return c.node.SetTables(now, tables)
 }
 
-// SetList puts a list in force. It reports false for a version that is not newer.
-func (c *Controller) SetList(now clock.Millis, list *fleet.List) bool {
+// SetList puts a list in force that the membership machine has taken before. It reports
+// false for a version that is not newer.
+func (c *Controller) SetList(now clock.Millis, m *member.Machine, list *fleet.List) bool {
 	if c.ranking != nil && list.Version() <= c.ranking.List().Version() {
 		return false
 	}
-	c.ranking = c.options.rank(list, c.ranking)
-	c.machine.SetList(now, list)
+	c.ranking = c.rank(list, c.ranking)
 	c.node.SetList(now, c.ranking)
-	c.refresh(now)
+	c.Refresh(now, m)
 	return true
 }
 
-// Tick lets time pass. It is called every 100 ms.
-func (c *Controller) Tick(now clock.Millis, sink core.Sink) {
-	c.machine.Tick(now)
-	c.refresh(now)
+// Tick lets time pass after the membership machine's own Tick, every 100 ms.
+func (c *Controller) Tick(now clock.Millis, m *member.Machine, sink core.Sink) {
+	c.Refresh(now, m)
 	c.node.Tick(now, sink)
 	if c.isLeaving() {
 		c.node.HandOver(now, sink, nil)
@@ -123,15 +104,17 @@
 	return listed && vm.State() == fleet.Leaving
 }
 
-// refresh passes on what the membership machine found out.
-func (c *Controller) refresh(now clock.Millis) {
-	if paused := c.machine.PausedUntilHeard(); paused != c.paused {
+// Refresh passes on what the membership machine found out.
+func (c *Controller) Refresh(now clock.Millis, m *member.Machine) {
+	if paused := m.PausedUntilHeard(); paused != c.paused {
 		c.paused = paused
 		c.node.SetPaused(now, paused)
 	}
-	permission := c.machine.Permission(now)
-	c.node.SetVoting(now, core.Voting{List: permission.List, Settled: permission.Settled, Until: permission.Until})
-	view := c.machine.View()
+	c.permission = m.Permission(now)
+	c.node.SetVoting(now, core.Voting{
+		List: c.permission.List, Settled: c.permission.Settled, Until: c.permission.Until,
+	})
+	view := m.View()
 	if c.ranking == nil || view.Version() == c.seen {
 		return
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -6,11 +6,10 @@
 	"sync/atomic"
 
 	"github.com/almondflow/almondflow/clock"
-	"github.com/almondflow/almondflow/core"
+	steering "github.com/almondflow/almondflow/control"
 	"github.com/almondflow/almondflow/fleet"
 	"github.com/almondflow/almondflow/member"
 	"github.com/almondflow/almondflow/operator"
-	"github.com/almondflow/almondflow/placement"
 	"github.com/almondflow/almondflow/platform"
 	"github.com/almondflow/almondflow/table"
 )
@@ -20,8 +19,6 @@
 	sampleInterval = clock.Second
 	// maxQueued bounds the messages that wait for the control goroutine.
 	maxQueued = 4096
-	// maxLists is the number of lists whose VMs the core may remember.
-	maxLists = 5
 )
 
 // control changes what is in force. Its fields belong to the control goroutine, which
@@ -30,18 +27,14 @@
 	daemon *Daemon
 	out    *sink
 	// changes are versions that the store accepted and that are not in force yet.
-	changes *queue[platform.Change]
-	ranking *fleet.Ranking
+	changes  *queue[platform.Change]
+	steering *steering.Controller
 	// snapshot are the tables in force.
 	snapshot *table.Snapshot
-	// lists are the list in force, last, and those before it.
-	lists []*fleet.List
 	// asked are the peers named in retired, which the daemon learns of hosts from that
 	// have left the tables.
 	asked   map[fleet.ID]bool
 	retired chan *fleet.VM
-	// view is the version of the membership that the core has.
-	view    uint64
 	sampled clock.Millis
 	tables  atomic.Uint64
 	list    atomic.Uint64
@@ -52,11 +45,12 @@
 
 func newControl(d *Daemon) *control {
 	return &control{
-		daemon:  d,
-		out:     d.newSink(),
-		changes: newQueue[platform.Change](maxQueued),
-		asked:   make(map[fleet.ID]bool),
-		retired: make(chan *fleet.VM, retiredPeers),
+		daemon:   d,
+		out:      d.newSink(),
+		steering: steering.New(d.self, d.node, d.placer),
+		changes:  newQueue[platform.Change](maxQueued),
+		asked:    make(map[fleet.ID]bool),
+		retired:  make(chan *fleet.VM, retiredPeers),
 	}
 }
 
@@ -81,9 +75,9 @@
 
 // Ticked drives everything that depends on time. It implements peers.Observer.
 func (c *control) Ticked(now clock.Millis, m *member.Machine) {
-	c.publish(now, m)
 	c.daemon.health.tick(now, m)
-	c.daemon.node.Tick(now, c.out)
+	c.steering.Tick(now, m, c.out)
+	c.publish(m)
 	c.out.Flush()
 	if now-c.sampled >= sampleInterval {
 		c.sampled = now
@@ -92,48 +86,21 @@
 	}
 }
 
-// publish hands the core what the membership believes and permits.
-func (c *control) publish(now clock.Millis, m *member.Machine) {
-	view := m.View()
-	if view.Version() != c.view && c.ranking != nil {
-		c.view = view.Version()
-		c.published.Store(view)
-		c.daemon.node.SetPeers(now, c.peers(view))
-		c.daemon.placer.SetFleet(now, placement.NewFleet(c.ranking.List(), c.daemon.self, view.Alive))
-	}
-	voting := m.Permission(now)
-	c.daemon.node.SetVoting(now, core.Voting{List: voting.List, Settled: voting.Settled, Until: voting.Until})
-	if may := voting.List != 0; c.voting.Swap(may) != may {
+// publish shows other goroutines what the core was given.
+func (c *control) publish(m *member.Machine) {
+	c.published.Store(m.View())
+	may := c.steering.Permission().List != 0
+	if c.voting.Swap(may) != may {
 		c.daemon.trail.Add(operator.ChangedVoting, c.daemon.config.Name, strconv.FormatBool(!may), strconv.FormatBool(may), "membership")
 	}
 }
 
-// peers tells the core which entry VMs are alive. VMs of earlier lists that are listed no
-// more are gone.
-func (c *control) peers(view *member.View) *core.Peers {
-	var peers []core.Peer
-	seen := make(map[fleet.ID]bool)
-	for _, list := range c.lists {
-		for i := range list.VMs() {
-			id := list.VMs()[i].ID()
-			if seen[id] {
-				continue
-			}
-			seen[id] = true
-			peers = append(peers, core.Peer{ID: id, Alive: view.Alive(id), Quarantined: view.Quarantined(id)})
-		}
-	}
-	return core.NewPeers(peers)
-}
-
 // change puts a version in force that the store has accepted.
 func (c *control) change(now clock.Millis, m *member.Machine, change *platform.Change) {
 	kind := operator.ChangedTables
 	if tables := change.Tables(); tables != nil {
-		// The placer comes first, so that it knows every route that the core asks about.
-		c.daemon.placer.SetTables(now, tables)
 		c.daemon.health.monitor.SetTables(now, tables)
-		c.daemon.node.SetTables(now, tables)
+		c.steering.SetTables(now, tables)
 		m.SetVersions(now, []member.Version{{Name: platform.Tables, Number: tables.Version()}})
 		c.tables.Store(tables.Version())
 		recordMarks(c.daemon.trail, c.snapshot, tables)
@@ -148,14 +115,9 @@
 
 // changeList puts a list in force.
 func (c *control) changeList(now clock.Millis, m *member.Machine, list *fleet.List) {
-	c.lists = append(c.lists, list)
-	if len(c.lists) > maxLists {
-		c.lists = c.lists[1:]
-	}
 	c.daemon.gateway.SetList(list)
-	c.ranking = fleet.NewRanking(list, fleet.WithPrevious(c.ranking))
 	c.daemon.health.monitor.SetList(now, list)
-	c.publish(now, m)
-	c.daemon.node.SetList(now, c.ranking)
+	c.steering.SetList(now, m, list)
+	c.publish(m)
 	c.list.Store(list.Version())
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -14,7 +14,7 @@
 	"github.com/samber/oops"
 
 	"github.com/almondflow/almondflow/clock"
-	controller "github.com/almondflow/almondflow/control"
+	steering "github.com/almondflow/almondflow/control"
 	"github.com/almondflow/almondflow/core"
 	"github.com/almondflow/almondflow/fabric"
 	"github.com/almondflow/almondflow/fleet"
@@ -109,7 +109,7 @@
 		Started:         d.started,
 		OpeningLifetime: d.config.OpeningLifetime,
 		Placer:          d.placer,
-		Budget:          controller.BudgetOf(d.budget),
+		Budget:          steering.BudgetOf(d.budget),
 	})
 	d.trail = operator.NewTrail(d.config.AuditEntries, d.log, time.Now)
 	d.metrics = operator.NewMetrics(map[string]string{"vm": d.config.Name, "domain": d.config.Domain})
--- a/entry/events.go
+++ b/entry/events.go
@@ -8,11 +8,11 @@
 
 // Event acts on what the membership reports. It implements peers.Observer.
 func (c *control) Event(e member.Event) {
+	c.steering.Event(e)
 	switch e.Kind {
 	case member.StatusChanged:
 		c.daemon.trail.Add(operator.ChangedPeer, c.name(e.Member), e.Before.String(), e.After.String(), "membership")
 	case member.Refuted:
-		c.daemon.node.Doubt(e.At)
 		c.daemon.trail.Add(operator.ChangedPeer, c.daemon.config.Name, "suspected", "refuted", "membership")
 	case member.Paused, member.Resumed, member.Established:
 		c.daemon.trail.Add(operator.ChangedState, c.daemon.config.Name, "", e.Kind.String(), "membership")
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -44,10 +44,10 @@
 // askForRetired names a peer to learn of hosts that have left the tables from. A daemon
 // has no memory, and the platform does not show such hosts, while their flows may live.
 func (c *control) askForRetired(from fleet.ID) {
-	if len(c.asked) == retiredPeers || c.asked[from] || c.tables.Load() == 0 || c.ranking == nil {
+	if len(c.asked) == retiredPeers || c.asked[from] || c.tables.Load() == 0 || c.steering.Ranking() == nil {
 		return
 	}
-	vm, listed := c.ranking.List().Find(from)
+	vm, listed := c.steering.Ranking().List().Find(from)
 	if !listed {
 		return
 	}
--- a/faults/vm_test.go
+++ b/faults/vm_test.go
@@ -47,6 +47,7 @@
 	node        *core.Node
 	packets     balancer
 	control     *control.Controller
+	machine     *member.Machine
 	budget      *member.Budget
 	tables      *table.Snapshot
 	list        *fleet.List
@@ -72,11 +73,11 @@
 	if w.config.naive {
 		v.packets = &naive{vm: v}
 	}
-	v.control = control.New(v.id, v.node, placer, v, control.WithRanking(w.ranking))
+	v.control = control.New(v.id, v.node, placer, control.WithRanking(w.ranking))
 	random := rand.New(rand.NewPCG(w.random.Uint64(), 2))
-	v.control.Attach(member.New(v.id, uint64(w.now)+1, 0, random, v.control,
+	v.machine = member.New(v.id, uint64(w.now)+1, 0, random, v,
 		member.WithBudget(v.budget), member.WithQuarantine(w.quarantine()),
-		member.WithLease(w.config.spans.lease), member.WithProbePeriod(w.config.spans.probe)))
+		member.WithLease(w.config.spans.lease), member.WithProbePeriod(w.config.spans.probe))
 	w.vms = append(w.vms, v)
 	w.byID[v.id] = v
 	w.after(clock.Millis(w.random.Int64N(int64(tickPeriod))), v.tick)
@@ -148,7 +149,10 @@
 	if !v.up {
 		return
 	}
-	v.do(func() { v.control.Tick(v.local(), v) })
+	v.do(func() {
+		v.machine.Tick(v.local())
+		v.control.Tick(v.local(), v.machine, v)
+	})
 	v.world.after(tickPeriod, v.tick)
 }
 
@@ -173,7 +177,7 @@
 		return true
 	}
 	_, listed := v.list.Find(other.id)
-	return listed && v.control.Machine().View().Alive(other.id)
+	return listed && v.machine.View().Alive(other.id)
 }
 
 func (v *vm) readDelay() clock.Millis {
@@ -203,10 +207,13 @@
 
 // take offers documents to the process, whoever they come from.
 func (v *vm) take(tables *table.Snapshot, list *fleet.List) {
-	if list != nil && v.control.SetList(v.local(), list) {
+	if list != nil && (v.list == nil || list.Version() > v.list.Version()) {
+		v.machine.SetList(v.local(), list)
+		v.control.SetList(v.local(), v.machine, list)
 		v.list = list
 	}
-	if tables != nil && v.control.SetTables(v.local(), tablesName, tables) {
+	if tables != nil && v.control.SetTables(v.local(), tables) {
+		v.machine.SetVersions(v.local(), []member.Version{{Name: tablesName, Number: tables.Version()}})
 		v.world.oracle.inForce(v, tables)
 		v.tables = tables
 	}
@@ -215,11 +222,12 @@
 // Send implements member.Sink.
 func (v *vm) Send(to fleet.ID, m *member.Message) {
 	v.bytes += uint64(m.Size())
-	v.to(to, func(other *vm) { other.control.Machine().Receive(other.local(), v.id, m) })
+	v.to(to, func(other *vm) { other.machine.Receive(other.local(), v.id, m) })
 }
 
 // Event implements member.Sink. A pull copies what the peer has in force.
 func (v *vm) Event(e member.Event) {
+	v.control.Event(e)
 	v.world.tracef("%s %s member=%x %s>%s %s %d", v.name, e.Kind, uint64(e.Member), e.Before, e.After, e.Name, e.Version)
 	if e.Kind != member.PullWanted {
 		return
