Settle a list at once when every member was heard on it

Cause: each change of the list made flows with changed holders wait for a lease, also planned ones in which nobody is missing. Change: no wait where every member of every older list that may still be voted under was heard on the list in force; with a member missing, or a version skipped, the lease runs out as before.

--- a/member/settle.go
+++ b/member/settle.go
@@ -114,7 +114,7 @@
 		l.movedAt = now
 	}
 	wait := prolong(m.leaseSpan)
-	if m.faults.noChangeWait {
+	if m.faults.noChangeWait || m.allMoved() {
 		wait = 0
 	}
 	if l.moved && now-l.movedAt >= wait {
@@ -142,6 +142,26 @@
 	return true
 }
 
+// allMoved tells whether every member of every older list that may still be voted under
+// was heard on the list in force. No member votes under a list that it has left, so that
+// there are no leases to wait for. It is the usual case of a planned change.
+func (m *Machine) allMoved() bool {
+	l := &m.lease
+	for v := l.settled; v < m.listVersion(); v++ {
+		p := l.find(v)
+		if p == nil {
+			return false
+		}
+		for _, id := range p.Members {
+			e, heard := l.evidence[id]
+			if id != m.self && (!heard || !e.established || e.list != m.listVersion()) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // neverSettled tells whether a version whose members are unknown cannot have been voted
 // under. Whoever wanted to would have needed more than half of each earlier list on it,
 // but more than half passed it over.
