--- a/core/ask.go
+++ b/core/ask.go
@@ -94,6 +94,9 @@
 	if r := s.flows.Get(a.hash, &a.key); r != nil {
 		return s.forward(a, r)
 	}
+	if s.owner(a) != s.self() {
+		return result.DroppedUnknownFlow
+	}
 	if !mayOpen(a) {
 		return s.unknown(a)
 	}
--- a/core/copies.go
+++ b/core/copies.go
@@ -27,7 +27,7 @@
 	signature := a.view.signature(&a.holders)
 	if r.signature != signature {
 		r.signature = signature
-		r.copies <<= olderCopies
+		r.copies = s.carriedOver(a, r)
 		r.rounds = 0
 	}
 	if s.isRefreshDue(a.now, r) {
@@ -41,6 +41,20 @@
 	return a.holders.At(rank)
 }
 
+// carriedOver returns the copies of a record as older ones of the holders under the list in
+// force, whose ranks may differ from those under the list that was in force before.
+func (s *shard) carriedOver(a *arrival, r *record) uint8 {
+	before := a.view.epochAt(r.copied).ranking.Holders(a.hash, spreadOf(a.route.Repeatable()))
+	var older uint8
+	for rank := range a.holders.Len() {
+		old := before.Rank(a.holders.At(rank))
+		if old >= 0 && r.copies&(1<<old) != 0 {
+			older |= 1 << (rank + olderCopies)
+		}
+	}
+	return older
+}
+
 // lacking returns the rank of a live holder without a copy, or -1. Holders that had none
 // before the last change of a holder come first, since the others may still have theirs.
 func (s *shard) lacking(a *arrival, r *record) int {
@@ -135,7 +149,7 @@
 		return r, result.CopyStored
 	}
 	if s.keepsOwn(a, r, m) {
-		s.tell(a, r, m.From)
+		s.correct(a, r, m.From)
 		return r, result.CopyStored
 	}
 	s.disown(r)
@@ -178,7 +192,17 @@
 	if r.has(decided) || m.Decided {
 		return r.has(decided)
 	}
-	return r.has(served) && a.now-r.seen < conflictSpan && m.Kind != steer.Repair
+	isCorrection := m.Kind == steer.Repair && m.Origin != 0
+	return r.has(served) && a.now-r.seen < conflictSpan && !isCorrection
+}
+
+// correct tells the sender of a record that another one is in use. It gives way to it,
+// which it would not to a repair by a VM that once owned the flow.
+func (s *shard) correct(a *arrival, r *record, to fleet.ID) {
+	s.message = steer.Message{
+		Kind: steer.Repair, Table: uint64(r.table), Key: a.key, Target: r.target, Decided: r.has(decided), Origin: s.self(),
+	}
+	s.send(a, to, &s.message, nil)
 }
 
 // tell sends a record without a packet. It reports false where the budget forbids it.
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -64,12 +64,17 @@
 	return s.steerTo(a, owner)
 }
 
-// serveKnown forwards a packet whose flow has a record here although this VM does not
-// own it, and drops others in silence: another side of a partition may hold them.
+// serveKnown handles a packet whose holders are all gone: it forwards it where its flow has
+// a record here, else asks earlier holders. Flows that nobody knows are dropped in silence,
+// since another side of a partition may hold them.
 func (s *shard) serveKnown(a *arrival) result.Code {
 	r := s.flows.Get(a.hash, &a.key)
-	if r == nil || !s.isUsable(a, r) {
+	if r != nil && s.isUsable(a, r) {
+		return s.forward(a, r)
+	}
+	trail, count := s.candidates(a)
+	if count == 0 {
 		return result.DroppedUnknownFlow
 	}
-	return s.forward(a, r)
+	return s.ask(a, trail, count)
 }
--- a/core/node.go
+++ b/core/node.go
@@ -98,7 +98,7 @@
 			v.lose(now, ranking.List().Version())
 		}
 		v.pushEpoch(now, ranking)
-		v.judge(n.options.Self)
+		v.judge(now, n.options.Self)
 	})
 	return accepted
 }
@@ -121,10 +121,10 @@
 }
 
 // SetPeers replaces the picture of the other entry VMs.
-func (n *Node) SetPeers(_ clock.Millis, peers *Peers) {
+func (n *Node) SetPeers(now clock.Millis, peers *Peers) {
 	n.change(func(v *view) {
 		v.peers = peers
-		v.judge(n.options.Self)
+		v.judge(now, n.options.Self)
 	})
 }
 
--- a/core/tries.go
+++ b/core/tries.go
@@ -15,6 +15,9 @@
 	exclusiveShare = 0.7
 	// newestWeight is the weight of the newest packet in the share.
 	newestWeight = 0.1
+	// recoverySpan is how long after a partition holders on its other side may still be
+	// taken for dead.
+	recoverySpan = 5 * clock.Second
 	// maxTries bounds the packets that are watched at once.
 	maxTries = 64
 )
@@ -74,7 +77,7 @@
 // mayPlace reports whether a flow without a record may be placed here. On the smaller side
 // of a partition it may only when clients have no other way.
 func (s *shard) mayPlace(a *arrival) bool {
-	if !a.view.minority {
+	if !a.view.isCutOff(a.now) {
 		if s.tries.judged > 0 || len(s.tries.watched) > 0 {
 			s.tries = tries{}
 		}
--- a/core/view.go
+++ b/core/view.go
@@ -73,13 +73,17 @@
 	voting      Voting
 	unsureSince clock.Millis // when this VM last lost sight of the others or its records
 	minority    bool         // less than half of the serving VMs are believed alive
+	recovered   clock.Millis // when that last ended, or 0
 	paused      bool         // no peer was heard since a pause of the process
 	epochsLost  clock.Millis // when nobody decided any more under a list not known here, or 0
 	unsettled   uint64       // version of the list up to which others may still do so, or 0
 }
 
-// judge updates what follows from the list and the picture of the VMs.
-func (v *view) judge(self fleet.ID) {
+// judge updates what follows from the list and the picture of the VMs at a point in time.
+func (v *view) judge(now clock.Millis, self fleet.ID) {
+	if v.minority {
+		v.recovered = now
+	}
 	v.minority = false
 	if v.peers == nil || len(v.epochs) == 0 {
 		return
@@ -98,6 +102,12 @@
 	v.minority = 2*alive < serving
 }
 
+// isCutOff reports whether this VM is on the smaller side of a partition, or was until so
+// recently that it may still take holders on the other side for dead.
+func (v *view) isCutOff(now clock.Millis) bool {
+	return v.minority || v.recovered != 0 && now < v.recovered+recoverySpan
+}
+
 func (v *view) ready() bool { return v.tables != nil && len(v.epochs) > 0 }
 
 func (v *view) list() *fleet.List { return v.epochs[0].ranking.List() }
@@ -123,6 +133,16 @@
 	return uint32(s ^ s>>32)
 }
 
+// epochAt returns the list that was in force at a point in time, or the oldest known.
+func (v *view) epochAt(at clock.Millis) *epoch {
+	for i := range len(v.epochs) - 1 {
+		if at >= v.epochs[i+1].superseded {
+			return &v.epochs[i]
+		}
+	}
+	return &v.epochs[len(v.epochs)-1]
+}
+
 // recent returns the earlier epochs that ended less than span before now.
 func (v *view) recent(now, span clock.Millis) []epoch {
 	for i := 1; i < len(v.epochs); i++ {
--- a/faults/mutation_test.go
+++ b/faults/mutation_test.go
@@ -18,7 +18,7 @@
 	{"reset_on_unknown_flow", core.BreakUnknownFlow, 0},
 	{"version_may_fall", core.BreakVersions, 0},
 	{"retry_after_payload", core.BreakRetry, 0},
-	{"no_lease", core.BreakLease, 80},
+	{"no_lease", core.BreakLease, 0},
 }
 
 // mutationSeeds bounds the runs in which a defect must show. docs/MUTATIONS.md lists what
--- a/faults/regression_test.go
+++ b/faults/regression_test.go
@@ -102,10 +102,11 @@
 	}
 }
 
-// TestSeedsThatFailStill plays the runs of the first 10,000 that break a promise. Flows with
-// two answered packets break when two VMs crash while others join, and a leaving target is
-// chosen late after two lost pulls.
-func TestSeedsThatFailStill(t *testing.T) {
+// TestSeedsMendedLast plays runs that broke a promise. Holders that were all gone made VMs
+// drop packets of flows that an earlier holder knew (3657), two copies went to one VM when
+// a VM joined (2031, 2742), a repair by an earlier owner replaced a record in use (7855), and
+// lost pulls were tried again too late (3306).
+func TestSeedsMendedLast(t *testing.T) {
 	for _, seed := range []uint64{2031, 2742, 3306, 3657, 7855} {
 		if err := newFuzz(seeded(seed), core.Unbroken, false, false).play(); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
--- a/member/options.go
+++ b/member/options.go
@@ -21,7 +21,7 @@
 	pauseGap       = clock.Second
 	resumeTimeout  = 2 * clock.Second
 	pullJitter     = 100 * clock.Millisecond
-	pullRetry      = 2 * clock.Second
+	pullRetry      = 500 * clock.Millisecond
 	fastSpan       = 10 * clock.Second
 	countsInterval = clock.Second
 	// coldSpan is the age up to which an established process may be part of a cold start.
