--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -24,6 +24,7 @@
 // deployment is the size and the names of one user's fleet.
 type deployment struct {
 	name         string
+	prefer       string // what the user weighs more, as the pools say it
 	domains      []string
 	vmsPerDomain int
 	booking      service
@@ -33,6 +34,7 @@
 var deployments = []deployment{
 	{
 		name:         "marmara",
+		prefer:       "flows",
 		domains:      []string{"kadikoy", "besiktas", "umraniye", "bakirkoy"},
 		vmsPerDomain: 2,
 		booking:      service{pool: "booking-core", hosts: 14},
@@ -40,6 +42,7 @@
 	},
 	{
 		name:         "valle",
+		prefer:       "balance",
 		domains:      []string{"valle-norte", "valle-centro", "valle-sur"},
 		vmsPerDomain: 3,
 		booking:      service{pool: "despacho", hosts: 14},
--- a/demo/tables.go
+++ b/demo/tables.go
@@ -43,6 +43,7 @@
 
 type poolDocument struct {
 	Name             string         `json:"name"`
+	Prefer           string         `json:"prefer"`
 	Spill            bool           `json:"spill"`
 	SlowStartSeconds int            `json:"slow_start_seconds"`
 	Hosts            []hostDocument `json:"hosts"`
@@ -69,7 +70,7 @@
 			newRoute("holds", booking, holdPrefix, d.booking.pool, false),
 			newRoute("photos", photos, "", d.photos.pool, true),
 		},
-		Pools: []poolDocument{newPool(d.booking.pool), newPool(d.photos.pool)},
+		Pools: []poolDocument{newPool(d.booking.pool, d.prefer), newPool(d.photos.pool, d.prefer)},
 	}
 }
 
@@ -86,8 +87,8 @@
 	}
 }
 
-func newPool(name string) poolDocument {
-	return poolDocument{Name: name, Spill: true, SlowStartSeconds: slowStartSeconds, Hosts: []hostDocument{}}
+func newPool(name, prefer string) poolDocument {
+	return poolDocument{Name: name, Prefer: prefer, Spill: true, SlowStartSeconds: slowStartSeconds, Hosts: []hostDocument{}}
 }
 
 func (t *tablesDocument) add(target *standin.Target, domain, mark string) {
