--- a/core/view.go
+++ b/core/view.go
@@ -116,6 +116,9 @@
 	return id == self || v.peers.find(id).Alive
 }
 
+// goldenRatio spreads small numbers over 64 bits (the fraction of the golden ratio).
+const goldenRatio = 0x9e3779b97f4a7c15
+
 // signature changes when a holder changes, restarts or comes back, which is when records
 // have to be copied again. A holder in quarantine has restarted of late.
 func (v *view) signature(holders *fleet.Holders) uint32 {
@@ -124,7 +127,7 @@
 		id := holders.At(i)
 		peer := v.peers.find(id)
 		if peer.Alive {
-			s = s*31 + (uint64(id) ^ peer.Incarnation*0x9e3779b97f4a7c15)
+			s = s*31 + (uint64(id) ^ peer.Incarnation*goldenRatio)
 		}
 		if peer.Quarantined {
 			s++
