Let health endpoints lie in the fault that is named after it

Cause: lying_health set a flag that nothing read, so that the scenario measured no fault at all. Change: VMs judge targets in it as the daemon does, with probes that are fakes: four serving hosts report failure and a dead one health, for 40 s. A hold that was decided for the dead host cannot go elsewhere. Conclusion: the scenario can fail now.

--- a/faults/bench_test.go
+++ b/faults/bench_test.go
@@ -109,6 +109,7 @@
 			b.Run(s.name+"/"+version, func(b *testing.B) {
 				c := marmara(*benchSeed)
 				c.naive = version == "naive"
+				c.health = s.probes
 				c.trace = os.Getenv("ALMONDFLOW_TRACE") != ""
 				var o outcome
 				for b.Loop() {
--- a/faults/scenario_test.go
+++ b/faults/scenario_test.go
@@ -22,6 +22,8 @@
 	span clock.Millis // from the first to the last step of the fault
 	// start schedules the fault. The world is under load and watched.
 	start func(w *world)
+	// probes says that the VMs probe targets.
+	probes bool
 	// planned faults must break no flow.
 	planned bool
 	// spares says that flows survive, although the fault is not planned.
@@ -137,11 +139,6 @@
 	w.after(40*clock.Second, func() { w.platform.down = false })
 }
 
-func lyingHealth(w *world) {
-	w.lying = true
-	w.after(40*clock.Second, func() { w.lying = false })
-}
-
 func flashCrowd(w *world) {
 	w.load(10*clock.Second, 5*benchFeeds, 5*benchHolds, 0)
 }
@@ -163,7 +160,7 @@
 		{name: "platform_down", spares: true, span: 40 * clock.Second, start: platformDown},
 		{name: "pause", span: 10 * clock.Second, start: func(w *world) { w.vmNamed("umraniye-1").pause(10 * clock.Second) }},
 		{name: "reordered_updates", planned: true, span: 10 * clock.Second, start: reorderedUpdates},
-		{name: "lying_health", planned: true, span: 40 * clock.Second, start: lyingHealth},
+		{name: "lying_health", spares: true, probes: true, span: 40 * clock.Second, start: lyingHealth},
 		{name: "flash_crowd", planned: true, span: 10 * clock.Second, start: flashCrowd},
 		{name: "crash_in_partition", span: partitionSpan, start: func(w *world) {
 			partition(partitionSpan)(w)
--- a/faults/target_test.go
+++ b/faults/target_test.go
@@ -17,6 +17,7 @@
 	host          string
 	domain        string
 	endpoint      flow.Endpoint
+	lies          bool // the health endpoint says the opposite
 	up            bool
 	mark          string
 	markedAt      clock.Millis
--- a/faults/vm_test.go
+++ b/faults/vm_test.go
@@ -48,6 +48,8 @@
 	packets     balancer
 	control     *control.Controller
 	machine     *member.Machine
+	placer      *placement.Placer
+	health      *health
 	budget      *member.Budget
 	tables      *table.Snapshot
 	list        *fleet.List
@@ -63,6 +65,8 @@
 	}
 	v.budget = member.NewBudget(0, controlRate)
 	placer := &placer{Placer: placement.New(), vm: v}
+	v.placer = placer.Placer
+	v.health = newHealth(v)
 	v.node = core.New(core.Options{
 		Self: v.id, Incarnation: uint64(w.now) + 1, Seed: flowHashSeed, Shards: 4, Flows: 400_000,
 		OpeningLifetime: w.config.spans.opening, Placer: placer, Breakage: w.config.breakage,
@@ -151,6 +155,9 @@
 	}
 	v.do(func() {
 		v.machine.Tick(v.local())
+		if v.world.config.health {
+			v.health.tick(v.local())
+		}
 		v.control.Tick(v.local(), v.machine, v)
 	})
 	v.world.after(tickPeriod, v.tick)
@@ -209,10 +216,12 @@
 func (v *vm) take(tables *table.Snapshot, list *fleet.List) {
 	if list != nil && (v.list == nil || list.Version() > v.list.Version()) {
 		v.machine.SetList(v.local(), list)
+		v.health.monitor.SetList(v.local(), list)
 		v.control.SetList(v.local(), v.machine, list)
 		v.list = list
 	}
 	if tables != nil && v.control.SetTables(v.local(), tables) {
+		v.health.monitor.SetTables(v.local(), tables)
 		v.machine.SetVersions(v.local(), []member.Version{{Name: tablesName, Number: tables.Version()}})
 		v.world.oracle.inForce(v, tables)
 		v.tables = tables
@@ -222,7 +231,10 @@
 // Send implements member.Sink.
 func (v *vm) Send(to fleet.ID, m *member.Message) {
 	v.bytes += uint64(m.Size())
-	v.to(to, func(other *vm) { other.machine.Receive(other.local(), v.id, m) })
+	v.to(to, func(other *vm) {
+		other.health.receive(other.local(), m)
+		other.machine.Receive(other.local(), v.id, m)
+	})
 }
 
 // Event implements member.Sink. A pull copies what the peer has in force.
--- a/faults/world_test.go
+++ b/faults/world_test.go
@@ -62,7 +62,8 @@
 	jitter    clock.Millis // largest extra delay of a message
 	skew      int          // largest clock drift in thousandths
 	trace     bool
-	shed      int // openings in a hundred that a target resets
+	health    bool // VMs probe targets
+	shed      int  // openings in a hundred that a target resets
 	spans     spans
 	buckets   int
 }
@@ -106,7 +107,6 @@
 	copied   uint64 // bytes of datagrams that carried records
 	oracle   oracle
 	lines    []string
-	lying    bool // health endpoints lie
 }
 
 func newWorld(c config) *world {
