Prove that an edit is in force everywhere within 3 s

Cause: converge_ms is measured where every VM reads the platform; a platform that one VM or all but one cannot reach, and a healed partition, were not.

--- a/faults/vm_test.go
+++ b/faults/vm_test.go
@@ -50,6 +50,7 @@
 	machine     *member.Machine
 	placer      *placement.Placer
 	health      *health
+	unread      bool // the platform does not answer this VM
 	budget      *member.Budget
 	tables      *table.Snapshot
 	list        *fleet.List
@@ -197,7 +198,7 @@
 		return
 	}
 	p := &v.world.platform
-	if !p.down && !v.world.cut[v.domain] && (v.isReader() || v.tables == nil) {
+	if !p.down && !v.unread && !v.world.cut[v.domain] && (v.isReader() || v.tables == nil) {
 		v.do(func() {
 			if p.stale && len(p.older) > 0 {
 				v.take(p.older[0], p.list)
