--- a/front/log.go
+++ b/front/log.go
@@ -13,9 +13,11 @@
 // asyncWriter buffers log lines for another writer, so that logging never blocks. Lines that
 // exceed the buffer are dropped and counted.
 type asyncWriter struct {
-	mu       sync.Mutex
+	// writeMu is held while lines are written to the output. It is locked before mu.
+	writeMu  sync.Mutex
+	mu       sync.Mutex // guards buffered
 	buffered []byte
-	spare    []byte
+	spare    []byte // the buffer that was written last; guarded by writeMu
 	wake     chan struct{}
 	dropped  atomic.Int64
 }
@@ -41,8 +43,11 @@
 	return len(line), nil
 }
 
-// flush writes the buffered lines.
+// flush writes the buffered lines. If another goroutine is writing lines, it waits until they are
+// written, as its caller may end the process.
 func (w *asyncWriter) flush(out io.Writer) error {
+	w.writeMu.Lock()
+	defer w.writeMu.Unlock()
 	w.mu.Lock()
 	w.buffered, w.spare = w.spare[:0], w.buffered
 	lines := w.spare
