Reset idle flows of dead targets

Change: when a target is dead by the same signs as before, its idle flows of all routes are reset, too, unless they were seen after it fell silent. A domain that is only cut off keeps them.

--- a/front/packets.go
+++ b/front/packets.go
@@ -87,7 +87,7 @@
 // endFlowsOfLostTargets ends the flows that wait for lost targets and returns them with their log
 // lines. The caller holds the lock.
 func (d *Daemon) endFlowsOfLostTargets(now clock.Millis) ([]inband.EndedFlow, []flowLine) {
-	ended := d.engine.EndWaitingFlows(now)
+	ended := d.engine.EndFlowsOfLostTargets(now)
 	lines := make([]flowLine, 0, len(ended))
 	for _, f := range ended {
 		verdict := inband.Verdict{Reason: inband.TargetDead, Backend: f.Backend}
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -41,16 +41,18 @@
 	return b.evidence.isDead(now, now < e.slowUntil) && e.isIsolatedFailure()
 }
 
-// EndWaitingFlows stops tracking flows that wait for a lost target and returns them, at most
-// maxResets per call. Their clients can then be reset before they retransmit.
-func (e *Engine) EndWaitingFlows(now clock.Millis) []EndedFlow {
+// EndFlowsOfLostTargets stops tracking the flows whose target is lost and returns them, at most
+// maxResets per call. These are flows that wait for an answer, whose clients can then be reset
+// before they retransmit, and idle flows, whose clients can open new ones for their next requests.
+func (e *Engine) EndFlowsOfLostTargets(now clock.Millis) []EndedFlow {
 	if !e.options.Policy.ResetsFlowsOfDeadTargets() || now < e.holdOffUntil || !e.hasLostTarget(now) {
 		return nil
 	}
+	isIsolated := e.isIsolatedFailure()
 	var all []EndedFlow
 	for i := range e.flows.slots {
 		f := &e.flows.slots[i]
-		if f.backend == nil || !f.isWaiting(now) || !e.isResettable(now, f) || !e.isTargetLost(now, f.backend, f.isTimedOut) {
+		if f.backend == nil || !e.isWaitingForLostTarget(now, f) && !(isIsolated && e.isIdleAtDeadTarget(now, f)) {
 			continue
 		}
 		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend})
@@ -63,16 +65,34 @@
 	return all
 }
 
+// isWaitingForLostTarget reports whether a flow waits for a lost target and its client will repeat
+// the request.
+func (e *Engine) isWaitingForLostTarget(now clock.Millis, f *flow) bool {
+	return f.isWaiting(now) && e.isResettable(now, f) && e.isTargetLost(now, f.backend, f.isTimedOut)
+}
+
+// isIdleAtDeadTarget reports whether a flow of any route has been idle since before its target
+// died. No request is lost by a reset, while the next one on this flow would never be answered,
+// and of a route that is not repeatable its client could not send it again. A flow that was seen
+// later may have been answered by a target that has restarted.
+func (e *Engine) isIdleAtDeadTarget(now clock.Millis, f *flow) bool {
+	evidence := &f.backend.evidence
+	if f.phase != open || f.isBusy || !evidence.isUnresponsive() {
+		return false
+	}
+	return f.seenAt <= evidence.unresponsiveSince+answerTimeout && evidence.isDead(now, now < e.slowUntil)
+}
+
 // isWaiting reports whether the client has waited for an answer for some time and still sends
 // packets through this VM. Otherwise it uses another VM or has given up.
 func (f *flow) isWaiting(now clock.Millis) bool {
 	return now-f.sentAt >= answerTimeout && now-f.seenAt <= timeoutLifetime
 }
 
-// hasLostTarget reports whether flows wait for a lost target that has timed out.
+// hasLostTarget reports whether there are flows of a lost target that has timed out.
 func (e *Engine) hasLostTarget(now clock.Millis) bool {
 	for _, b := range e.watchlist.backends {
-		if b.busy > 0 && e.isTargetLost(now, b, true) {
+		if b.flows > 0 && e.isTargetLost(now, b, true) {
 			return true
 		}
 	}
