Let the seeds read the store first while VMs discover each other

Ruled out: raising the budget of control bytes, which is the users' limit; answering from more VMs, as nobody knows them. Change: for 5 s the seeds take the ranks of their positions and the others random ranks after them (siblings.Discovery); contacts in messages name the VMs that read first and VMs of the receiver's domain, so ranks are known and views can be forwarded. The hash that orders readers is kept instead of computed for each comparison.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -55,13 +55,6 @@
 // tickInterval is the time between two runs of the periodic tasks.
 const tickInterval = 250 * clock.Millisecond
 
-// A VM that has just started knows few others. For discoveryTime it assumes a rank of at least
-// minRankDuringDiscovery, so that it does not read the store as if it had rank 0.
-const (
-	discoveryTime          = 1500 * clock.Millisecond
-	minRankDuringDiscovery = 2
-)
-
 // pruneInterval is the time between two removals of targets that left long ago.
 const pruneInterval = 20 * clock.Second
 
@@ -87,6 +80,7 @@
 	catalog             *catalog.Catalog
 	readScheduler       *catalog.ReadScheduler
 	members             *siblings.Members
+	discovery           siblings.Discovery
 	controlBucket       *tokenBucket     // limits messages to other VMs
 	viewBucket          *tokenBucket     // limits views that other VMs fetch
 	recentTargets       []*inband.Target // changed recently, sent with announcements
@@ -138,6 +132,8 @@
 	d.members = siblings.NewMembers(siblings.Contact{
 		Address: localAddress(d.sockets.messages), Domain: settings.Domain, Capacity: settings.capacity(),
 	}, random)
+	d.discovery = siblings.NewDiscovery(localAddress(d.sockets.messages).Addr(), settings.Seeds, random)
+	d.readScheduler.SetRank(d.discovery.Rank(d.clock.Now(), 0), 1)
 	return d, nil
 }
 
@@ -212,22 +208,13 @@
 	}
 }
 
-// rank returns how many VMs read the store before this one. The caller holds the lock.
-func (d *Daemon) rank(now clock.Millis) int {
-	rank := d.members.Rank(now)
-	if now < discoveryTime {
-		return max(rank, minRankDuringDiscovery)
-	}
-	return rank
-}
-
 // runMaintenance removes expired state, updates what depends on the other VMs, and logs changes
 // in the number of overloaded pools and the number of suppressed log lines.
 func (d *Daemon) runMaintenance(now clock.Millis) {
 	d.mu.Lock()
 	d.engine.Sweep(now)
 	d.updateEngine()
-	d.readScheduler.SetRank(d.rank(now), 1+len(d.members.Alive(now)))
+	d.readScheduler.SetRank(d.discovery.Rank(now, d.members.Rank(now)), 1+len(d.members.Alive(now)))
 	d.engine.SetLocalVMs(1 + d.members.CountLocal(now))
 	if d.catalog.IsComplete() {
 		d.metrics.viewAges.RecordValue(float64(d.catalog.Age(now)))
--- a/front/messages.go
+++ b/front/messages.go
@@ -21,16 +21,16 @@
 	controlBytesPerSecond = 12000
 )
 
-// send adds the sender and, to some kinds of messages, contacts, and sends the message to as many
-// recipients as the rate limit permits.
+// send adds the sender and, to some kinds of messages without contacts, those for VMs of this VM's
+// own domain, and sends the message to as many recipients as the rate limit permits.
 func (d *Daemon) send(message siblings.Message, recipients []netip.AddrPort) {
 	if len(recipients) == 0 {
 		return
 	}
 	d.mu.Lock()
 	message.From = d.members.Self()
-	if message.Kind == siblings.Heartbeat || message.Kind == siblings.Hello {
-		message.Contacts = d.members.SampleContacts(d.clock.Now())
+	if message.Contacts == nil && (message.Kind == siblings.Heartbeat || message.Kind == siblings.Hello) {
+		message.Contacts = d.members.SampleContacts(d.clock.Now(), d.members.Self().Domain)
 	}
 	d.mu.Unlock()
 	data, err := siblings.Encode(message)
@@ -118,7 +118,9 @@
 	d.isFetching = d.isFetching || isFetching
 	version, revision := d.currentVersions()
 	isLocal := m.From.Domain == d.members.Self().Domain
-	reply := siblings.Message{Kind: siblings.Heartbeat, View: d.viewSummary(now)}
+	reply := siblings.Message{
+		Kind: siblings.Heartbeat, View: d.viewSummary(now), Contacts: d.members.SampleContacts(now, m.From.Domain),
+	}
 	d.mu.Unlock()
 	d.logChanges(now, m.From.Address.String(), applied, nil)
 	if isFetching {
--- a/siblings/members.go
+++ b/siblings/members.go
@@ -20,40 +20,59 @@
 	expiryTimeout = 60 * clock.Second
 )
 
-// maxContactsPerMessage limits the contacts in a message.
-const maxContactsPerMessage = 6
+const (
+	// maxContactsPerMessage limits the contacts in a message.
+	maxContactsPerMessage = 6
+	// maxReadersPerMessage limits those of them that are included because they read the store
+	// first.
+	maxReadersPerMessage = 2
+)
 
 // member is another entry VM and the last time at which it was known to be alive.
 type member struct {
-	contact Contact
-	aliveAt clock.Millis
+	contact   Contact
+	aliveAt   clock.Millis
+	readOrder uint64 // hash of the address, which orders VMs of the same capacity
+}
+
+func newMember(c Contact, aliveAt clock.Millis) *member {
+	return &member{contact: c, aliveAt: aliveAt, readOrder: hashAddress(c.Address)}
+}
+
+// readsBefore reports whether this VM reads the store before another: VMs with more capacity read
+// first, ties are broken by a hash of the address.
+func (m *member) readsBefore(other *member) bool {
+	if m.contact.Capacity != other.contact.Capacity {
+		return m.contact.Capacity > other.contact.Capacity
+	}
+	return m.readOrder < other.readOrder
 }
 
 // Members holds the other entry VMs that this VM knows of. It is not safe for concurrent use.
 type Members struct {
-	self    Contact
+	self    *member
 	random  *rand.Rand
 	members map[netip.AddrPort]*member
 }
 
 // NewMembers returns an empty set of members for the VM with the contact self.
 func NewMembers(self Contact, random *rand.Rand) *Members {
-	return &Members{self: self, random: random, members: map[netip.AddrPort]*member{}}
+	return &Members{self: newMember(self, 0), random: random, members: map[netip.AddrPort]*member{}}
 }
 
 // Self returns the contact of this VM.
-func (m *Members) Self() Contact { return m.self }
+func (m *Members) Self() Contact { return m.self.contact }
 
 // MarkAlive records that a VM was alive c.AgeMS ago and reports whether that makes it alive
 // after it was unknown or timed out.
 func (m *Members) MarkAlive(now clock.Millis, c Contact) bool {
-	if c.Address == m.self.Address {
+	if c.Address == m.self.contact.Address {
 		return false
 	}
 	aliveAt := now - c.AgeMS
 	known, ok := m.members[c.Address]
 	if !ok {
-		m.members[c.Address] = &member{contact: c, aliveAt: aliveAt}
+		m.members[c.Address] = newMember(c, aliveAt)
 		return now-aliveAt < aliveTimeout
 	}
 	wasAlive := now-known.aliveAt < aliveTimeout
@@ -74,7 +93,7 @@
 func (m *Members) CountLocal(now clock.Millis) int {
 	count := 0
 	for _, known := range m.members {
-		if now-known.aliveAt < aliveTimeout && known.contact.Domain == m.self.Domain {
+		if now-known.aliveAt < aliveTimeout && known.contact.Domain == m.self.contact.Domain {
 			count++
 		}
 	}
@@ -115,23 +134,14 @@
 // Rank returns how many of the VMs that are alive read the store before this one.
 func (m *Members) Rank(now clock.Millis) int {
 	rank := 0
-	for _, c := range m.Alive(now) {
-		if readsBefore(c, m.self) {
+	for _, known := range m.members {
+		if now-known.aliveAt < aliveTimeout && known.readsBefore(m.self) {
 			rank++
 		}
 	}
 	return rank
 }
 
-// readsBefore reports whether a reads the store before b: VMs with more capacity read first,
-// ties are broken by a hash of the address.
-func readsBefore(a, b Contact) bool {
-	if a.Capacity != b.Capacity {
-		return a.Capacity > b.Capacity
-	}
-	return hashAddress(a.Address) < hashAddress(b.Address)
-}
-
 // hashAddress hashes an address. VMs of one failure domain have similar addresses, so ordering
 // by the hash spreads the VMs that read the store first over the domains.
 func hashAddress(address netip.AddrPort) uint64 {
@@ -142,7 +152,7 @@
 
 // SampleLocal returns up to count random VMs of this VM's failure domain.
 func (m *Members) SampleLocal(now clock.Millis, count int) []Contact {
-	return m.sample(m.Known(now), count, func(c Contact) bool { return c.Domain == m.self.Domain })
+	return m.sample(m.Known(now), count, func(c Contact) bool { return c.Domain == m.self.contact.Domain })
 }
 
 // SampleRemote returns up to maxPerDomain random VMs of each other failure domain.
@@ -150,7 +160,7 @@
 	known := m.Known(now)
 	taken := map[string]int{}
 	return m.sample(known, len(known), func(c Contact) bool {
-		if c.Domain == m.self.Domain || taken[c.Domain] >= maxPerDomain {
+		if c.Domain == m.self.contact.Domain || taken[c.Domain] >= maxPerDomain {
 			return false
 		}
 		taken[c.Domain]++
@@ -176,9 +186,32 @@
 	return sampled
 }
 
-// SampleContacts returns random VMs that are alive, to be included in a message.
-func (m *Members) SampleContacts(now clock.Millis) []Contact {
+// SampleContacts returns VMs that are alive, to be included in a message to a VM of the given
+// failure domain. These are the VMs that read the store first, which show the receiver its own
+// rank, then random VMs, those of its domain first, as it forwards views to them.
+func (m *Members) SampleContacts(now clock.Millis, domain string) []Contact {
 	alive := m.Alive(now)
 	m.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	for i := range min(maxReadersPerMessage, len(alive)) {
+		m.moveFirstReader(alive[i:])
+	}
+	for i := min(maxReadersPerMessage, len(alive)); i < min(maxContactsPerMessage, len(alive)); i++ {
+		local := slices.IndexFunc(alive[i:], func(c Contact) bool { return c.Domain == domain })
+		if local < 0 {
+			break
+		}
+		alive[i], alive[i+local] = alive[i+local], alive[i]
+	}
 	return alive[:min(maxContactsPerMessage, len(alive))]
 }
+
+// moveFirstReader swaps the contact that reads the store first with the first one.
+func (m *Members) moveFirstReader(contacts []Contact) {
+	first := 0
+	for i := range contacts {
+		if m.members[contacts[i].Address].readsBefore(m.members[contacts[first].Address]) {
+			first = i
+		}
+	}
+	contacts[0], contacts[first] = contacts[first], contacts[0]
+}
