Wait for the view of the seeds when the whole deployment starts for the first time

Any later start reads at once, as flows are open then. Tests: TestFirstStartWaitsForTheViewOfTheSeeds, TestSiblingViewEndsTheWaitOfTheFirstStart.

--- a/catalog/readscheduler.go
+++ b/catalog/readscheduler.go
@@ -32,6 +32,11 @@
 	meanPageDelay = 600 * clock.Millisecond
 	// siblingViewWait is how long a full read waits for a view that a sibling is sending.
 	siblingViewWait = 400 * clock.Millisecond
+	// firstStartWait is how long the VMs of a deployment that starts for the first time wait for a
+	// sibling's view, and firstStartSpread spreads the reads of those that got none. No flow is
+	// open then, so nothing waits for their view.
+	firstStartWait   = 2 * clock.Second
+	firstStartSpread = 2 * clock.Second
 	// minBackoff and maxBackoff bound the exponential backoff after failed reads.
 	minBackoff = 100 * clock.Millisecond
 	maxBackoff = 1600 * clock.Millisecond
@@ -82,6 +87,12 @@
 	return max(r.notBefore, confirmedAt+readInterval+r.rankDelay()+r.jitter)
 }
 
+// DelayFirstRead delays the first read of a VM that is not a seed, because the whole deployment
+// starts for the first time and the seeds will send their view.
+func (r *ReadScheduler) DelayFirstRead(now clock.Millis) {
+	r.notBefore = now + firstStartWait + clock.Millis(r.random.Int64N(int64(firstStartSpread)))
+}
+
 // RecordSuccess records a successful read and ends the backoff.
 func (r *ReadScheduler) RecordSuccess() {
 	r.needsFullRead, r.wasPaused = false, false
@@ -92,6 +103,7 @@
 // RecordSiblingView records that a complete view from a sibling made a full read unnecessary.
 func (r *ReadScheduler) RecordSiblingView() {
 	r.needsFullRead = false
+	r.notBefore = 0
 	r.drawJitter()
 }
 
--- a/catalog/readscheduler_test.go
+++ b/catalog/readscheduler_test.go
@@ -216,3 +216,31 @@
 	is.True(calls <= 20*int(outage/clock.Second))
 	is.True(outage-last < clock.Second)
 }
+
+// Pattern: all VMs of a large deployment start for the first time. On kinarez-ist-large 295 VMs made
+// 590 calls within 30 ms, though no client was there yet.
+func TestFirstStartWaitsForTheViewOfTheSeeds(t *testing.T) {
+	is := is.New(t)
+	const vms = 300
+	perTick := map[clock.Millis]int{}
+	for i := range vms {
+		r := catalog.NewReadScheduler(rand.New(rand.NewPCG(uint64(i), 1)))
+		r.DelayFirstRead(10)
+		due := r.NextRead(0)
+		is.True(due >= 2010 && due < 4010) // a VM that hears nothing reads before traffic starts
+		perTick[due/100]++
+	}
+	for _, reads := range perTick {
+		is.True(reads <= vms/10)
+	}
+}
+
+// A view that a sibling sends ends the wait and makes the full read unnecessary.
+func TestSiblingViewEndsTheWaitOfTheFirstStart(t *testing.T) {
+	is := is.New(t)
+	r := newReadScheduler()
+	r.DelayFirstRead(0)
+	r.RecordSiblingView()
+	is.True(!r.NeedsFullRead())
+	is.Equal(r.NextRead(100), clock.Millis(1000))
+}
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -134,6 +134,9 @@
 	}, random)
 	d.discovery = siblings.NewDiscovery(localAddress(d.sockets.messages).Addr(), settings.Seeds, random)
 	d.readScheduler.SetRank(d.discovery.Rank(d.clock.Now(), 0), 1)
+	if settings.FirstStart && !d.isSeed() {
+		d.readScheduler.DelayFirstRead(d.clock.Now())
+	}
 	return d, nil
 }
 
--- a/front/settings.go
+++ b/front/settings.go
@@ -30,6 +30,7 @@
 	MaxFlows            int              `json:"max_flows"`             // limit on tracked flows
 	CPUShare            float64          `json:"cpu_share"`             // fraction of a core
 	LinkMbps            float64          `json:"link_mbps"`
+	FirstStart          bool             `json:"first_start"` // the whole deployment starts for the first time
 }
 
 // Values of the setting "policy".
