Read tables and targets of the store in one range

Ruled out: reads that may be stale (docs/decisions/large.md says why). Change: Store.Page reads a range over the whole store, which holds tables and targets; the calls Targets and Tables, and their order in catalog.FullRead, go. Tests: TestFullReadTakesTablesFromAnyPage, TestFullRead.

--- a/catalog/fullread.go
+++ b/catalog/fullread.go
@@ -8,24 +8,18 @@
 // maxSiblingViewDelay is the longest time that a view from a sibling takes to arrive.
 const maxSiblingViewDelay = 3 * clock.Second
 
-// Call is one call of a full read. It requests a page of targets or the tables.
-type Call struct {
-	IsTables bool
-	After    string // key after which the page of targets starts
-}
-
-// FullRead collects the responses of a full read, which resumes with the failed call after an
-// error. The zero value starts with the first page of targets. The tables come last, because
-// open flows do not need them and large tables take long to arrive.
+// FullRead collects the pages of a full read, which resumes with the failed call after an error. The
+// zero value starts with the first page.
 type FullRead struct {
 	changes   *Changes
-	next      Call
+	next      string // key after which the next page starts
 	pages     int
 	startedAt clock.Millis
 }
 
-// Next returns the next call to make. A read that has become too old starts again.
-func (f *FullRead) Next(now clock.Millis) Call {
+// Next returns the key after which the next page starts, empty for the first one. A read that has
+// become too old starts again.
+func (f *FullRead) Next(now clock.Millis) string {
 	if f.changes != nil && now-f.startedAt > maxFullReadAge {
 		*f = FullRead{}
 	}
@@ -35,26 +29,28 @@
 	return f.next
 }
 
-// AddTargets adds a page of targets. next is the key after which the next page starts, or empty
-// after the last page.
-func (f *FullRead) AddTargets(page *Changes, next string) {
+// AddPage adds a page that is not the last one. next is the key after which the next page starts.
+func (f *FullRead) AddPage(page *Changes, next string) {
 	f.pages++
-	f.next = Call{IsTables: next == "", After: next}
+	f.next = next
 	if f.changes == nil {
 		first := *page
 		f.changes = &first
 		return
 	}
+	if page.Tables != nil {
+		f.changes.Tables = page.Tables
+	}
 	f.changes.Targets = append(f.changes.Targets, page.Targets...)
 	f.changes.InvalidEntries = append(f.changes.InvalidEntries, page.InvalidEntries...)
 }
 
-// AddTables adds the tables, which completes the read after the last page. It returns everything
-// that was read and the time at which the first page was requested, and resets the read.
-func (f *FullRead) AddTables(response *Changes) (*Changes, clock.Millis) {
+// AddLastPage adds the page that completes the read. It returns everything that was read and the
+// time at which the first page was requested, and resets the read. The pages are no snapshot, so
+// the result is complete only up to the revision of the first one.
+func (f *FullRead) AddLastPage(page *Changes) (*Changes, clock.Millis) {
+	f.AddPage(page, "")
 	full, startedAt := f.changes, f.startedAt
-	full.Tables = response.Tables
-	full.InvalidEntries = append(full.InvalidEntries, response.InvalidEntries...)
 	*f = FullRead{}
 	return full, startedAt
 }
@@ -65,5 +61,5 @@
 	return now-f.startedAt > maxSiblingViewDelay
 }
 
-// Pages returns the number of pages of targets read so far.
+// Pages returns the number of pages read so far.
 func (f *FullRead) Pages() int { return f.pages }
--- a/catalog/readscheduler_test.go
+++ b/catalog/readscheduler_test.go
@@ -133,27 +133,38 @@
 func TestFullReadResumesAfterFailedCall(t *testing.T) {
 	is := is.New(t)
 	var w catalog.FullRead
-	is.Equal(w.Next(100), catalog.Call{})
-	w.AddTargets(newChanges(0, 10, newTarget("i-1", 5, inband.Serving)), "key-1")
-	is.Equal(w.Next(200), catalog.Call{After: "key-1"})
-	is.Equal(w.Next(300), catalog.Call{After: "key-1"}) // the call at 200 failed
-	w.AddTargets(newChanges(0, 12, newTarget("i-2", 6, inband.Serving)), "")
-	is.Equal(w.Next(400), catalog.Call{IsTables: true})
-	is.Equal(w.Next(500), catalog.Call{IsTables: true}) // the call at 400 failed
-	got, startedAt := w.AddTables(newChanges(3, 15))
+	is.Equal(w.Next(100), "")
+	w.AddPage(newChanges(3, 10, newTarget("i-1", 5, inband.Serving)), "key-1")
+	is.Equal(w.Next(200), "key-1")
+	is.Equal(w.Next(300), "key-1") // the call at 200 failed
+	w.AddPage(newChanges(0, 12, newTarget("i-2", 6, inband.Serving)), "key-2")
+	is.Equal(w.Next(400), "key-2")
+	got, startedAt := w.AddLastPage(newChanges(0, 15, newTarget("i-3", 14, inband.Serving)))
 	is.Equal(startedAt, clock.Millis(100))
 	is.Equal(got.Revision, inband.Revision(10)) // later changes are read afterwards
-	is.Equal(len(got.Targets), 2)
+	is.Equal(len(got.Targets), 3)
 	is.Equal(got.Tables.Version, int64(3))
-	is.Equal(w.Next(600), catalog.Call{})
+	is.Equal(w.Next(600), "")
+}
+
+// Tables may stand on any page, and a read may consist of a single page.
+func TestFullReadTakesTablesFromAnyPage(t *testing.T) {
+	is := is.New(t)
+	var w catalog.FullRead
+	single, _ := w.AddLastPage(newChanges(3, 10, newTarget("i-1", 5, inband.Serving)))
+	is.Equal(single.Tables.Version, int64(3))
+	is.Equal(w.Pages(), 0)
+	w.AddPage(newChanges(0, 10, newTarget("i-1", 5, inband.Serving)), "key-1")
+	last, _ := w.AddLastPage(newChanges(4, 12))
+	is.Equal(last.Tables.Version, int64(4))
 }
 
 func TestOldFullReadStartsAgain(t *testing.T) {
 	is := is.New(t)
 	var w catalog.FullRead
 	w.Next(0)
-	w.AddTargets(newChanges(0, 10), "x")
-	is.Equal(w.Next(11*clock.Second), catalog.Call{})
+	w.AddPage(newChanges(0, 10), "x")
+	is.Equal(w.Next(11*clock.Second), "")
 }
 
 // 300 VMs that start at the same time must not read 60 pages each from a store that answers
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -33,11 +33,9 @@
 
 // Store reads the platform's store.
 type Store interface {
-	// Targets reads the page of targets after a key. It returns the key of the next call, or an
-	// empty key after the last page.
-	Targets(ctx context.Context, after string) (*catalog.Changes, string, error)
-	// Tables reads the current tables.
-	Tables(ctx context.Context) (*catalog.Changes, error)
+	// Page reads the page of tables and targets after a key. It returns the key after which the
+	// next page starts, or an empty key after the last page.
+	Page(ctx context.Context, after string) (*catalog.Changes, string, error)
 	// Changes reads the changes after a revision. While there are none, it waits at most the
 	// given time.
 	Changes(ctx context.Context, after inband.Revision, wait time.Duration) (*catalog.Changes, error)
--- a/front/pausedetector_test.go
+++ b/front/pausedetector_test.go
@@ -30,12 +30,8 @@
 	calls   int
 }
 
-func (s *slowStore) Targets(context.Context, string) (*catalog.Changes, string, error) {
-	return &catalog.Changes{Revision: 5}, "", nil
-}
-
-func (s *slowStore) Tables(context.Context) (*catalog.Changes, error) {
-	return &catalog.Changes{Tables: &inband.Tables{Version: 1}, Revision: 5}, nil
+func (s *slowStore) Page(context.Context, string) (*catalog.Changes, string, error) {
+	return &catalog.Changes{Tables: &inband.Tables{Version: 1}, Revision: 5}, "", nil
 }
 
 func (s *slowStore) Changes(context.Context, inband.Revision, time.Duration) (*catalog.Changes, error) {
--- a/front/reading.go
+++ b/front/reading.go
@@ -59,11 +59,11 @@
 	defer cancel()
 	sentAt := d.clock.Now()
 	pauseCount := d.checkForPause(sentAt)
-	var storeCall catalog.Call
+	after := ""
 	if isFull {
-		storeCall = d.fullRead.Next(sentAt)
+		after = d.fullRead.Next(sentAt)
 	}
-	response, next, err := d.callStore(callCtx, isFull, storeCall, revision)
+	response, next, err := d.callStore(callCtx, isFull, after, revision)
 	now := d.clock.Now()
 	d.metrics.storeCalls.RecordValue(float64(now - sentAt))
 	if d.checkForPause(now) != pauseCount {
@@ -75,14 +75,14 @@
 		d.mu.Unlock()
 		return
 	}
-	if isFull && !storeCall.IsTables {
+	if next != "" {
 		d.mergePage(now, response, next)
 		d.mu.Unlock()
 		d.handlePending()
 		return
 	}
 	if isFull {
-		response, sentAt = d.fullRead.AddTables(response)
+		response, sentAt = d.fullRead.AddLastPage(response)
 	}
 	applied := d.mergeChanges(now, sentAt, response, isFull, storeSource)
 	d.readScheduler.RecordSuccess()
@@ -93,30 +93,26 @@
 	d.handlePending()
 }
 
-// callStore reads the next part of a full read, or the changes after a revision. For a page of
-// targets it also returns the key of the next page.
-func (d *Daemon) callStore(ctx context.Context, isFull bool, storeCall catalog.Call, revision inband.Revision) (*catalog.Changes, string, error) {
-	switch {
-	case !isFull:
-		changes, err := d.options.Store.Changes(ctx, revision, changesPollTime.Duration())
-		return changes, "", err
-	case storeCall.IsTables:
-		tables, err := d.options.Store.Tables(ctx)
-		return tables, "", err
-	default:
-		return d.options.Store.Targets(ctx, storeCall.After)
+// callStore reads the page of a full read that starts after a key, or the changes after a revision.
+// For a page it also returns the key of the next one, which is empty after the last page.
+func (d *Daemon) callStore(ctx context.Context, isFull bool, after string, revision inband.Revision) (*catalog.Changes, string, error) {
+	if isFull {
+		return d.options.Store.Page(ctx, after)
 	}
+	changes, err := d.options.Store.Changes(ctx, revision, changesPollTime.Duration())
+	return changes, "", err
 }
 
-// mergePage adds a page of targets to the full read. Before the first complete view, the engine
-// gets the targets at once so that their open flows are served. The caller holds the lock.
+// mergePage adds a page that is not the last one to the full read. Before the first complete view,
+// the engine gets its targets at once so that their open flows are served. The rest waits for a
+// view that a sibling is sending. The caller holds the lock.
 func (d *Daemon) mergePage(now clock.Millis, page *catalog.Changes, next string) {
-	d.fullRead.AddTargets(page, next)
-	d.readScheduler.SchedulePage(now, d.fullRead.Pages(), next == "" || d.isSeed() || d.fullRead.ExceedsSiblingViewDelay(now))
+	d.fullRead.AddPage(page, next)
+	d.readScheduler.SchedulePage(now, d.fullRead.Pages(), d.isSeed() || d.fullRead.ExceedsSiblingViewDelay(now))
 	if d.catalog.IsComplete() {
 		return
 	}
-	if next == "" && d.isFetching {
+	if d.isFetching {
 		d.readScheduler.AwaitSiblingView(now)
 	}
 	d.catalog.MergePage(now, page)
