Order histograms, count slots in the digest, correct a benchmark's comment

Histograms came in map order, so two scrapes of an unchanged daemon differed (TestMetricsAreWrittenInStableOrder failed before). The catalog's digest left out a target's slots, so VMs whose views differed in them only did not notice (TestDigestDependsOnSlots failed before); during a rolling upgrade VMs of both versions fetch views from each other within the budget for views. BenchmarkMonitor has a sixth as many daemons as hosts.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -264,3 +264,14 @@
 	is.True(second.Prune(10 * clock.Minute))
 	is.Equal(first.Digest(), second.Digest())
 }
+
+// Slots count for placement, so VMs whose views differ in them only must notice.
+func TestDigestDependsOnSlots(t *testing.T) {
+	is := is.New(t)
+	first, second := catalog.New(), catalog.New()
+	first.Replace(0, 0, newChanges(1, 5, newTarget("i-1", 5, inband.Serving)))
+	changed := newTarget("i-1", 5, inband.Serving)
+	changed.Slots = 4
+	second.Replace(0, 0, newChanges(1, 5, changed))
+	is.True(first.Digest() != second.Digest())
+}
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -92,7 +92,9 @@
 	}
 	t := e.target
 	h := fnv.New64a()
-	for _, part := range []string{t.ID, t.Service, t.Address.String(), t.Domain, t.State.String(), strconv.FormatInt(t.StartedAtMS, 10)} {
+	for _, part := range []string{
+		t.ID, t.Service, t.Address.String(), t.Domain, t.State.String(), strconv.FormatInt(t.StartedAtMS, 10), strconv.Itoa(t.Slots),
+	} {
 		_, _ = h.Write([]byte(part)) // writing to a hash never fails
 	}
 	return h.Sum64()
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -141,7 +141,8 @@
 	}
 }
 
-// writeSnapshot writes all metrics. Counters and gauges are ordered by name and tags.
+// writeSnapshot writes all metrics: counters and gauges, ordered by name and tags, and then
+// histograms, ordered by name.
 func writeSnapshot(w io.Writer, s tally.Snapshot) error {
 	var lines []string
 	for _, c := range s.Counters() {
@@ -151,8 +152,9 @@
 		lines = append(lines, fmt.Sprintf("%s%s %g", g.Name(), formatTags(g.Tags()), g.Value()))
 	}
 	slices.Sort(lines)
-	for _, h := range s.Histograms() {
-		lines = append(lines, histogramLines(h.Name(), h.Values())...)
+	histograms := s.Histograms()
+	for _, id := range slices.Sorted(maps.Keys(histograms)) {
+		lines = append(lines, histogramLines(histograms[id].Name(), histograms[id].Values())...)
 	}
 	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
 	return err
--- a/targets/bench_test.go
+++ b/targets/bench_test.go
@@ -46,7 +46,7 @@
 
 // BenchmarkMonitor reports the time that a monitor needs for one second of work, with one
 // host that fails and recovers every five steps, and for a change of the list, for several
-// numbers of hosts in a domain with 1/43 as many daemons.
+// numbers of hosts in a domain with a sixth as many daemons.
 func BenchmarkMonitor(b *testing.B) {
 	for _, hosts := range []int{140, 1400, 14000} {
 		snapshot, list := newTables(b, hosts, 1), newList(b, max(1, hosts*2286/14142), 1)
