Rename Key.Service to Key.Destination

The field is the address and port that the client sends to, while Target.Service is the name of a pool. Names in logs and answers are as before.

--- a/cmd/almondflow-entry/soak_client_test.go
+++ b/cmd/almondflow-entry/soak_client_test.go
@@ -68,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.hosts[host].hasFailedLink {
-		s.t.Errorf("seed %d: open flow of host %s was reset: %s, sequence number %d", *soakSeed, host, reset.Key.Service, reset.Seq)
+		s.t.Errorf("seed %d: open flow of host %s was reset: %s, sequence number %d", *soakSeed, host, reset.Key.Destination, reset.Seq)
 	}
 }
 
@@ -103,7 +103,7 @@
 			if err != nil {
 				break
 			}
-			if response.Key.Service.Port() == port && isResponse(&p, &response) {
+			if response.Key.Destination.Port() == port && isResponse(&p, &response) {
 				return response, responder, true
 			}
 		}
--- a/cmd/front-demo/main.go
+++ b/cmd/front-demo/main.go
@@ -200,7 +200,7 @@
 			if err != nil {
 				break
 			}
-			if response.Key.Service.Port() == d.port && response.Ack == p.Seq+uint32(max(p.DataLength, 1)) {
+			if response.Key.Destination.Port() == d.port && response.Ack == p.Seq+uint32(max(p.DataLength, 1)) {
 				return response, responder, true
 			}
 		}
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -77,7 +77,7 @@
 		err = writeFrontExplanation(command.Root().Writer, &explanation)
 	}
 	if err == nil && explanation.Route == "" {
-		return oops.Code(result.NotFound).Errorf("no route to %s", key.Service)
+		return oops.Code(result.NotFound).Errorf("no route to %s", key.Destination)
 	}
 	return err
 }
@@ -89,7 +89,7 @@
 	if arguments.Len() != 2 || clientErr != nil || serviceErr != nil {
 		return inband.Key{}, oops.Code(result.Usage).Errorf("explain wants CLIENT:PORT SERVICE:PORT")
 	}
-	return inband.Key{Client: client, Service: service}, nil
+	return inband.Key{Client: client, Destination: service}, nil
 }
 
 func writeFrontExplanation(w io.Writer, explanation *inband.Explanation) error {
--- a/experiment/client.go
+++ b/experiment/client.go
@@ -104,7 +104,7 @@
 		address = routeAddresses[0]
 	}
 	ip := netip.AddrFrom4([4]byte{100, byte(firstClientOctet + c.domain), byte(c.number >> 8), byte(c.number)})
-	f := &clientFlow{key: inband.Key{Client: netip.AddrPortFrom(ip, 1024+c.port), Service: address}, nextSeq: 101}
+	f := &clientFlow{key: inband.Key{Client: netip.AddrPortFrom(ip, 1024+c.port), Destination: address}, nextSeq: 101}
 	c.flow = f
 	for retransmits, delay := range []clock.Millis{0, 200, 600} {
 		c.sim.schedule(delay, func() {
--- a/front/explain.go
+++ b/front/explain.go
@@ -20,7 +20,7 @@
 		return
 	}
 	d.mu.Lock()
-	explanation := d.engine.Explain(d.clock.Now(), inband.Key{Client: client, Service: service})
+	explanation := d.engine.Explain(d.clock.Now(), inband.Key{Client: client, Destination: service})
 	d.mu.Unlock()
 	d.writeJSON(w, explanation)
 }
--- a/front/health_test.go
+++ b/front/health_test.go
@@ -39,7 +39,7 @@
 	domain := d.settings.Load().Domain
 	d.members.MarkAlive(d.clock.Now(), siblings.Contact{Address: localAddress(sibling), Domain: domain})
 	d.engine.ReplaceView(nil, []inband.Published{{Target: &inband.Target{ID: "i-1", Domain: domain, Service: "core"}}})
-	key := inband.Key{Client: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:80")}
+	key := inband.Key{Client: netip.MustParseAddrPort("100.64.0.7:40001"), Destination: netip.MustParseAddrPort("198.18.0.1:80")}
 	d.engine.Handle(0, &inband.Packet{Key: key, Flags: inband.Acknowledging, Seq: 1, Tag: inband.TagOf("i-1"), DataLength: 10})
 	d.engine.Sweep(1000) // the client stopped sending
 	d.evaluateTargets(1000)
--- a/front/packets.go
+++ b/front/packets.go
@@ -163,7 +163,7 @@
 
 // write logs the line.
 func (l *flowLine) write(log *slog.Logger) {
-	log.Info("flow_"+l.reason.String(), "at_ms", l.at, "client", l.key.Client, "service", l.key.Service,
+	log.Info("flow_"+l.reason.String(), "at_ms", l.at, "client", l.key.Client, "service", l.key.Destination,
 		"target", l.target, "silent_target", l.unresponsive, "target_flows", l.flows, "target_busy", l.busy,
 		"tables", l.version, "revision", l.revision, "view_age_ms", l.age)
 }
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -68,7 +68,7 @@
 // handleOpening places a new flow. A retransmitted opening keeps its target unless the target
 // did not answer in time.
 func (e *Engine) handleOpening(now clock.Millis, p *Packet, f *flow) Verdict {
-	route := e.routes[p.Key.Service]
+	route := e.routes[p.Key.Destination]
 	if route == nil {
 		return Verdict{Action: Reset, Reason: NoRoute, Seq: p.Seq}
 	}
@@ -173,7 +173,7 @@
 	}
 	if !p.Flags.Has(Ending) && !p.Flags.Has(Resetting) && e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
-		f.backend, f.route, f.phase = b, e.routes[p.Key.Service], open
+		f.backend, f.route, f.phase = b, e.routes[p.Key.Destination], open
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.nextSeq, f.ack = p.Seq+uint32(p.DataLength), p.Ack
 		b.flows++
--- a/inband/engine_test.go
+++ b/inband/engine_test.go
@@ -43,7 +43,7 @@
 }
 
 func key(client int, service netip.AddrPort) inband.Key {
-	return inband.Key{Client: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, byte(client)}), uint16(1000+client)), Service: service}
+	return inband.Key{Client: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, byte(client)}), uint16(1000+client)), Destination: service}
 }
 
 func opening(client int, service netip.AddrPort, retransmits uint32) *inband.Packet {
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -37,7 +37,7 @@
 	if f := e.flows.find(key); f != nil {
 		x.Target, x.State = f.backend.target.ID, phaseNames[f.phase]
 	}
-	route := e.routes[key.Service]
+	route := e.routes[key.Destination]
 	if route == nil {
 		return x
 	}
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -62,10 +62,10 @@
 	if f.hasOutcome || f.responseBytes == 0 {
 		return
 	}
-	sizes := e.sizes[f.key.Service]
+	sizes := e.sizes[f.key.Destination]
 	if sizes == nil {
 		sizes = &responseSizes{}
-		e.sizes[f.key.Service] = sizes
+		e.sizes[f.key.Destination] = sizes
 	}
 	e.recordOutcome(now, f, !sizes.observe(f.responseBytes))
 }
--- a/inband/packet.go
+++ b/inband/packet.go
@@ -21,12 +21,12 @@
 
 // Key identifies a flow by its addresses as the client sees them.
 type Key struct {
-	Client  netip.AddrPort
-	Service netip.AddrPort
+	Client      netip.AddrPort
+	Destination netip.AddrPort
 }
 
 // Reversed returns the key with its two ends swapped, as in packets from a target.
-func (k Key) Reversed() Key { return Key{Client: k.Service, Service: k.Client} }
+func (k Key) Reversed() Key { return Key{Client: k.Destination, Destination: k.Client} }
 
 // Packet holds the fields of a client's packet that the engine uses. Any combination of values
 // is valid.
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -52,7 +52,7 @@
 	var all []EndedFlow
 	for i := range e.flows.slots {
 		f := &e.flows.slots[i]
-		if f.backend == nil || !e.isWaitingForLostTarget(now, f) && !(isIsolated && e.isIdleAtDeadTarget(now, f)) {
+		if f.backend == nil || !e.isOfLostTarget(now, f, isIsolated) {
 			continue
 		}
 		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend})
@@ -65,6 +65,12 @@
 	return all
 }
 
+// isOfLostTarget reports whether to reset a flow because its target is lost. isIsolated is the
+// result of isIsolatedFailure, which is the same for all flows.
+func (e *Engine) isOfLostTarget(now clock.Millis, f *flow, isIsolated bool) bool {
+	return e.isWaitingForLostTarget(now, f) || isIsolated && e.isIdleAtDeadTarget(now, f)
+}
+
 // isWaitingForLostTarget reports whether a flow waits for a lost target and its client will repeat
 // the request.
 func (e *Engine) isWaitingForLostTarget(now clock.Millis, f *flow) bool {
--- a/operator/frontclient.go
+++ b/operator/frontclient.go
@@ -35,7 +35,7 @@
 // Explain returns where a flow is forwarded and why.
 func (c *FrontClient) Explain(ctx context.Context, key inband.Key) (inband.Explanation, error) {
 	var e inband.Explanation
-	query := url.Values{"client": {key.Client.String()}, "service": {key.Service.String()}}
+	query := url.Values{"client": {key.Client.String()}, "service": {key.Destination.String()}}
 	err := c.client.get(ctx, front.ExplainPath, query, &e)
 	return e, err
 }
