--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Builds the stand-ins of the scripted cases.
+set -eu
+cd "$(dirname "$0")/.."
+go build -tags review -o target/review/ ./review/standin
