Show that a new host with the same tag takes the open flows of another one

Cause: of two published targets with one tag the first in the order of ids gets the tag, also if the other one holds flows.

The case of openings that waited at a frozen machine is withdrawn.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 var cases = map[string]func(w *world, hasTrouble bool) error{
 	"silence":   playSilence,
 	"moved":     playMoved,
-	"freeze":    playFreeze,
+	"tags":      playTags,
 	"seeds":     playSeeds,
 	"partition": playPartition,
 }
