Show that a request which was lost in a frozen machine makes its host look dead

Cause: of a flow that moves to another machine, that one takes the first packet's number for what it has forwarded. If an acknowledgement comes first, the request before it counts as repeated and unanswered when it is seen for the first time; two such flows make their host dead. Ruled out: loss, disturbed hosts, machines out of touch (the one that resets has been up and untouched).

The case of ids with the same tag gives its place to this one.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -154,7 +154,8 @@
 	seq := f.sent
 	f.sent += uint32(len(data))
 	f.c.mu.Unlock()
-	end := time.Now().Add(deadline)
+	sentAt := time.Now()
+	end := sentAt.Add(deadline)
 	for _, after := range retransmitAfter {
 		f.c.mu.Lock()
 		if f.isEnded {
@@ -172,6 +173,7 @@
 		case <-time.After(min(after*time.Millisecond, time.Until(end))):
 			if time.Now().After(end) {
 				f.c.w.note("client %s: no answer to %s until its deadline", f.name, id)
+				go f.closeWith(data, seq, sentAt)
 				return ""
 			}
 		}
@@ -263,3 +265,24 @@
 		f.isDeaf = isDeaf
 	}
 }
+
+// closeWith closes a flow whose client gave its request up. The end goes with the request's data, which
+// is not acknowledged yet, when that is due to be sent again.
+func (f *clientFlow) closeWith(data []byte, seq uint32, sentAt time.Time) {
+	due := sentAt
+	for _, after := range retransmitAfter {
+		due = due.Add(after * time.Millisecond)
+		if time.Now().After(due) {
+			continue
+		}
+		time.Sleep(time.Until(due))
+		f.c.mu.Lock()
+		if f.isEnded || int32(f.acked-seq) > 0 {
+			f.c.mu.Unlock()
+			return
+		}
+		f.sent = seq + uint32(len(data)) + 1
+		f.send(inband.Acknowledging|inband.Ending, seq, f.received, data)
+		f.c.mu.Unlock()
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 var cases = map[string]func(w *world, hasTrouble bool) error{
 	"silence":   playSilence,
 	"moved":     playMoved,
-	"tags":      playTags,
+	"carried":   playCarried,
 	"seeds":     playSeeds,
 	"partition": playPartition,
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -202,6 +202,7 @@
 	startedAt time.Time
 	inService bool
 	misses    int
+	checkedAt time.Time // when the last readiness request was sent
 	onRead    func(v *vm, started, answered time.Time)
 }
 
@@ -346,6 +347,9 @@
 	ticker := time.NewTicker(500 * time.Millisecond)
 	defer ticker.Stop()
 	for {
+		v.mu.Lock()
+		v.checkedAt = time.Now()
+		v.mu.Unlock()
 		isReady := v.isReady()
 		v.mu.Lock()
 		was := v.inService
@@ -389,3 +393,16 @@
 		placed <- id
 	}
 }
+
+// waitForCheck waits until some time after the next readiness request.
+func (v *vm) waitForCheck(after time.Duration) {
+	last := func() time.Time {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.checkedAt
+	}
+	for seen := last(); last().Equal(seen); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(time.Until(last().Add(after)))
+}
