--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripted cases.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review/ ./review/standin
+go build -buildvcs=false -tags review -o target/review/ ./review/standin
