--- a/inband/engine.go
+++ b/inband/engine.go
@@ -66,13 +66,14 @@
 }
 
 // handleOpening places a new flow. A retransmitted opening keeps its target unless the target
-// did not answer in time.
+// did not answer in time. An opening with another number is a new flow of a client that reuses its
+// port.
 func (e *Engine) handleOpening(now clock.Millis, p *Packet, f *flow) Verdict {
 	route := e.routes[p.Key.Destination]
 	if route == nil {
 		return Verdict{Action: Reset, Reason: NoRoute, Seq: p.Seq}
 	}
-	if f != nil && f.phase == opening {
+	if f != nil && f.phase == opening && p.Seq == f.nextSeq {
 		return e.handleRetransmit(now, p, f)
 	}
 	if f != nil {
@@ -118,7 +119,7 @@
 		f := e.flows.add(p.Key)
 		f.backend, f.route = b, route
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
-		f.nextSeq = p.Seq
+		f.startAt(p.Seq)
 		f.isBusy = true
 		b.flows++
 		b.busy++
@@ -175,7 +176,9 @@
 		f := e.flows.add(p.Key)
 		f.backend, f.route, f.phase = b, e.routes[p.Key.Destination], open
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
-		f.nextSeq, f.ack = p.Seq+uint32(p.DataLength), p.Ack
+		f.ack = p.Ack
+		f.startAt(p.Seq)
+		f.recordForwarded(p)
 		b.flows++
 		if p.DataLength > 0 {
 			f.isBusy = true
@@ -198,7 +201,7 @@
 	}
 	f.phase = open
 	f.ack = p.Ack
-	f.nextSeq = p.Seq
+	f.startAt(p.Seq)
 	f.hasOutcome = true // there is no request yet
 	e.markIdle(f)
 }
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -24,11 +24,38 @@
 	openedAt      clock.Millis
 	seenAt        clock.Millis
 	sentAt        clock.Millis // when the newest data, or the opening, was first forwarded
-	nextSeq       uint32       // sequence number after the client's newest byte
+	forwardedFrom uint32       // start of the contiguous data before nextSeq that this VM forwarded
+	nextSeq       uint32       // sequence number after the newest data that this VM forwarded, or of the opening
 	ack           uint32       // client's newest acknowledgment number
 	responseBytes uint32       // acknowledged bytes of the response to the newest request
 }
 
+// startAt records that this VM has forwarded none of the client's data so far. The client's next
+// byte has the given sequence number, as far as this VM knows.
+func (f *flow) startAt(seq uint32) { f.forwardedFrom, f.nextSeq = seq, seq }
+
+// hasForwarded reports whether this VM has forwarded all data of a packet before. If another VM may
+// have forwarded it, its retransmission says nothing about the target: the data may have been lost
+// on its way to or through that VM.
+func (f *flow) hasForwarded(p *Packet) bool {
+	end := p.Seq + uint32(p.DataLength)
+	return int32(p.Seq-f.forwardedFrom) >= 0 && int32(end-f.nextSeq) <= 0
+}
+
+// recordForwarded adds the data of a packet to the data that this VM forwarded. Data that does not
+// adjoin it replaces it, so that a gap is never taken for forwarded.
+func (f *flow) recordForwarded(p *Packet) {
+	end := p.Seq + uint32(p.DataLength)
+	switch {
+	case int32(p.Seq-f.forwardedFrom) >= 0 && int32(p.Seq-f.nextSeq) <= 0:
+		f.nextSeq = end
+	case int32(p.Seq-f.forwardedFrom) < 0 && int32(end-f.forwardedFrom) >= 0 && int32(end-f.nextSeq) <= 0:
+		f.forwardedFrom = p.Seq
+	default:
+		f.forwardedFrom, f.nextSeq = p.Seq, end
+	}
+}
+
 // flowTable stores flows in reusable slots, so that handling a packet does not allocate.
 type flowTable struct {
 	index      map[Key]int32
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -14,8 +14,8 @@
 	if p.DataLength == 0 {
 		return false
 	}
-	if end := p.Seq + uint32(p.DataLength); int32(end-f.nextSeq) > 0 {
-		f.nextSeq = end
+	if !f.hasForwarded(p) {
+		f.recordForwarded(p)
 		f.sentAt, f.retransmits, f.isTimedOut = now, 0, false
 		if !f.isBusy && f.phase == open {
 			e.beginRequest(now, f)
