--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -18,6 +18,8 @@
 	ErrHistoryLost = errors.New("the store has discarded the requested changes")
 	// ErrRejected means that the store rejected the call without processing it.
 	ErrRejected = errors.New("the store rejected the call")
+	// ErrTooLong means that the response is too long to be read within one call.
+	ErrTooLong = errors.New("the response of the store is too long for one call")
 )
 
 // InvalidEntry describes an entry of the store that cannot be used.
--- a/front/reading.go
+++ b/front/reading.go
@@ -128,9 +128,13 @@
 
 // recordStoreFailure logs a failed call and schedules the next one. The caller holds the lock.
 func (d *Daemon) recordStoreFailure(now, duration clock.Millis, err error) {
-	if errors.Is(err, catalog.ErrHistoryLost) {
+	switch {
+	case errors.Is(err, catalog.ErrHistoryLost):
 		d.readScheduler.RequireFullRead()
-	} else {
+	case errors.Is(err, catalog.ErrTooLong): // the changes would be as long next time, pages are not
+		d.readScheduler.RequireFullRead()
+		d.readScheduler.RecordFailure(now)
+	default:
 		d.readScheduler.RecordFailure(now)
 	}
 	d.isStoreFailing = true
