--- a/front/suspicion_test.go
+++ b/front/suspicion_test.go
@@ -102,7 +102,7 @@
 		isReset := map[int]bool{} // by VM
 		for now := modelStart; now < 7*clock.Second; now += 50 * clock.Millisecond {
 			if now%clock.Second == 0 { // an opening met silence at a VM without feeds
-				m.tell(now, feeds+int(now/clock.Second), []inband.Suspicion{{ID: deadTarget, OpeningTimeouts: 1}})
+				m.tell(now, feeds+int(now/clock.Second), []inband.Suspicion{{ID: deadTarget, OpeningTimeouts: 1, OpeningClients: []inband.ClientID{inband.ClientID(now)}}})
 			}
 			for vm := range feeds {
 				if isSending(now, vm) && !isReset[vm] {
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -32,6 +32,7 @@
 	slowUntil        clock.Millis // until when targets are known to be slow to answer
 	links            map[string]*link
 	watchlist        watchlist
+	suspectClients   suspectClients
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
 	localVMs         int                               // entry VMs in the own failure domain, including this one
 }
@@ -39,16 +40,17 @@
 // New returns an engine without tables, which drops every packet.
 func New(options Options) *Engine {
 	return &Engine{
-		options:  options,
-		random:   rand.New(rand.NewPCG(options.Seed, uint64(options.MaxFlows))),
-		routes:   map[netip.AddrPort]*Route{},
-		byTag:    map[Tag]*Backend{},
-		byID:     map[string]*Backend{},
-		pools:    map[string]*pool{},
-		flows:    newFlowTable(64),
-		links:    map[string]*link{},
-		sizes:    map[netip.AddrPort]*responseSizes{},
-		localVMs: 1,
+		options:        options,
+		random:         rand.New(rand.NewPCG(options.Seed, uint64(options.MaxFlows))),
+		routes:         map[netip.AddrPort]*Route{},
+		byTag:          map[Tag]*Backend{},
+		byID:           map[string]*Backend{},
+		pools:          map[string]*pool{},
+		flows:          newFlowTable(64),
+		links:          map[string]*link{},
+		suspectClients: suspectClients{},
+		sizes:          map[netip.AddrPort]*responseSizes{},
+		localVMs:       1,
 	}
 }
 
@@ -93,7 +95,7 @@
 		return forward(f.backend, Repeated)
 	}
 	previous, route := f.backend, f.route
-	e.recordTimeout(now, previous, f.sentAt, false)
+	e.recordTimeout(now, f, false)
 	e.endFlow(f)
 	e.flows.remove(p.Key)
 	verdict := e.placeFlow(now, p, route, previous, MovedUnresponsive)
--- a/inband/evidence.go
+++ b/inband/evidence.go
@@ -14,15 +14,16 @@
 	maxRetryInterval = 4 * clock.Second
 	// ownAnswerPrecedence is how long an answer seen by this VM outweighs reports of other VMs.
 	ownAnswerPrecedence = clock.Second
-	// minDeadSigns is the number of independent signs at which a target counts as dead.
+	// minDeadSigns is the number of independent signs, an opening and data among them, at which a
+	// target counts as dead. Signs of different clients are independent, see clientSet.
 	minDeadSigns = 2
-	// A target counts as dead if the data of minStuckFlows flows has been unanswered for
+	// A target counts as dead if the data of minStuckClients clients has been unanswered for
 	// stuckTimeout, even if no opening timed out.
-	minStuckFlows = 2
-	stuckTimeout  = 350 * clock.Millisecond
-	// minStuckFlowsSlow and stuckTimeoutSlow apply instead while targets are known to be slow.
-	minStuckFlowsSlow = 3
-	stuckTimeoutSlow  = 600 * clock.Millisecond
+	minStuckClients = 2
+	stuckTimeout    = 350 * clock.Millisecond
+	// minStuckClientsSlow and stuckTimeoutSlow apply instead while targets are known to be slow.
+	minStuckClientsSlow = 3
+	stuckTimeoutSlow    = 600 * clock.Millisecond
 	// timeoutLifetime is how long a timeout counts as evidence. Clients that wait retransmit
 	// their data after at most 1.6 s; the others were answered or use another VM.
 	timeoutLifetime = 2500 * clock.Millisecond
@@ -32,7 +33,7 @@
 	// minReporters is the number of other VMs whose reports can together show that a target is
 	// dead.
 	minReporters = 2
-	// minSharedSigns and minSharedData are the numbers of timed-out flows, here and at the
+	// minSharedSigns and minSharedData are the numbers of independent signs, here and at the
 	// reporters, that are then required: with at least one opening among them, and with data
 	// only.
 	minSharedSigns = 3
@@ -51,6 +52,8 @@
 	unresponsiveSince    clock.Millis // when the first unanswered packet was sent
 	openings             int          // openings that timed out since the last answer
 	data                 int          // flows whose data timed out since the last answer
+	openingClients       clientSet    // clients of these openings
+	dataClients          clientSet    // clients of this data
 	lastTimeoutAt        clock.Millis // when the last timeout was detected
 	lastOpeningTimeoutAt clock.Millis // when the last timeout of an opening was detected
 	nextRetryAt          clock.Millis
@@ -71,20 +74,34 @@
 	return wasSuspect
 }
 
-// recordTimeout records a flow whose packet, sent at sentAt, was not answered in time.
-func (e *evidence) recordTimeout(now, sentAt clock.Millis, isData bool, jitter clock.Millis) {
+// timeout is a packet that was forwarded here and not answered in time.
+type timeout struct {
+	sentAt        clock.Millis
+	isData        bool // not an opening
+	client        ClientID
+	isIndependent bool // of the client's earlier timeouts, see suspectClients
+}
+
+// recordTimeout records a packet that was not answered in time.
+func (e *evidence) recordTimeout(now clock.Millis, t timeout, jitter clock.Millis) {
 	if e.openings+e.data == 0 {
-		e.unresponsiveSince, e.retryInterval = sentAt, minRetryInterval
+		e.unresponsiveSince, e.retryInterval = t.sentAt, minRetryInterval
 	}
 	if !e.isRecentlyUnresponsive(now) {
-		e.unresponsiveSince, e.data, e.reported = sentAt, 0, min(e.reported, e.openings)
+		e.unresponsiveSince, e.data, e.reported = t.sentAt, 0, min(e.reported, e.openings)
+		e.dataClients = clientSet{}
 	}
 	e.lastTimeoutAt = now
-	if isData {
+	if t.isData {
 		e.data++
+		e.dataClients.add(t.client, t.isIndependent)
 		return
 	}
+	if now-e.lastOpeningTimeoutAt > openingTimeoutLifetime {
+		e.openingClients = clientSet{}
+	}
 	e.openings++
+	e.openingClients.add(t.client, t.isIndependent)
 	e.lastOpeningTimeoutAt = now
 	if now >= e.nextRetryAt {
 		e.scheduleRetry(now, jitter)
@@ -97,7 +114,7 @@
 	if r.at-e.lastAnswerAt < ownAnswerPrecedence && e.lastAnswerAt > 0 {
 		return // the answer seen here is more recent evidence
 	}
-	if e.openings > 0 && r.openings > 0 {
+	if e.openings > 0 && r.hasOpening {
 		e.nextRetryAt = max(e.nextRetryAt, r.at+e.retryInterval+jitter)
 	}
 	e.reports.add(r)
@@ -112,12 +129,22 @@
 	return e.isUnresponsive() && now-e.lastTimeoutAt <= timeoutLifetime
 }
 
-// recentOpenings returns the number of timed-out openings that still count as evidence.
-func (e *evidence) recentOpenings(now clock.Millis) int {
+// recentOpenings returns the clients of timed-out openings that still count as evidence.
+func (e *evidence) recentOpenings(now clock.Millis) clientSet {
 	if now-e.lastOpeningTimeoutAt > openingTimeoutLifetime {
+		return clientSet{}
+	}
+	return e.openingClients
+}
+
+// independentSigns returns the number of independent signs seen here that still count as evidence.
+func (e *evidence) independentSigns(now clock.Millis) int {
+	if !e.isRecentlyUnresponsive(now) {
 		return 0
 	}
-	return e.openings
+	all := e.recentOpenings(now)
+	all.merge(&e.dataClients)
+	return all.size()
 }
 
 // isSuspect reports whether new flows avoid the target.
@@ -143,43 +170,47 @@
 	return e.isStuck(now, isSlow) || e.isDeadLocally(now, isSlow) || e.isDeadAcrossVMs(now, isSlow)
 }
 
-// isDeadLocally reports whether an opening and data both timed out here. While targets are
-// known to be slow, a second opening must have timed out, here or at another VM.
+// isDeadLocally reports whether an opening and data of different clients timed out here. While
+// targets are known to be slow, openings of two clients must have timed out, here or at other VMs.
 func (e *evidence) isDeadLocally(now clock.Millis, isSlow bool) bool {
 	openings := e.recentOpenings(now)
-	if openings == 0 || e.data == 0 {
+	if openings.size() == 0 || e.data == 0 {
 		return false
 	}
-	_, _, vms := e.reports.signs(now, avoidTime)
-	signs := openings + vms
-	if !isSlow {
-		signs += e.data
+	reported := e.reports.signs(now, avoidTime)
+	openings.merge(&reported.openings)
+	if isSlow {
+		return openings.size() >= minDeadSigns
 	}
-	return signs >= minDeadSigns
+	openings.merge(&e.dataClients)
+	return openings.size() >= minDeadSigns
 }
 
-// isDeadAcrossVMs reports whether enough flows timed out at this VM and at others together.
+// isDeadAcrossVMs reports whether enough clients timed out at this VM and at others together.
 // Where many VMs share many targets, few VMs see two flows of the same target.
 func (e *evidence) isDeadAcrossVMs(now clock.Millis, isSlow bool) bool {
-	openings, data, vms := e.reports.signs(now, signLifetime)
-	if vms < minReporters || now-e.unresponsiveSince < stuckTimeout {
+	reported := e.reports.signs(now, signLifetime)
+	if reported.vms < minReporters || now-e.unresponsiveSince < stuckTimeout {
 		return false
 	}
-	openings += e.recentOpenings(now)
-	data += e.data
+	openings, data := e.recentOpenings(now), e.dataClients
+	openings.merge(&reported.openings)
+	data.merge(&reported.data)
+	all := openings
+	all.merge(&data)
 	if isSlow {
-		return openings >= minDeadSigns && openings+data > minSharedSigns
+		return openings.size() >= minDeadSigns && all.size() > minSharedSigns
 	}
-	return openings > 0 && openings+data >= minSharedSigns || data >= minSharedData
+	return openings.size() > 0 && all.size() >= minSharedSigns || data.size() >= minSharedData
 }
 
-// isStuck reports whether several flows have waited for longer than any request takes and none
+// isStuck reports whether several clients have waited for longer than any request takes and none
 // was answered.
 func (e *evidence) isStuck(now clock.Millis, isSlow bool) bool {
 	if isSlow {
-		return e.data >= minStuckFlowsSlow && now-e.unresponsiveSince >= stuckTimeoutSlow
+		return e.dataClients.size() >= minStuckClientsSlow && now-e.unresponsiveSince >= stuckTimeoutSlow
 	}
-	return e.data >= minStuckFlows && now-e.unresponsiveSince >= stuckTimeout
+	return e.dataClients.size() >= minStuckClients && now-e.unresponsiveSince >= stuckTimeout
 }
 
 // isRetryDue reports whether a new flow may be sent to an unresponsive target to see whether it
--- a/inband/link.go
+++ b/inband/link.go
@@ -121,12 +121,14 @@
 	return l
 }
 
-// recordTimeout records that a target did not answer a packet in time.
-func (e *Engine) recordTimeout(now clock.Millis, b *Backend, sentAt clock.Millis, isData bool) {
-	b.evidence.recordTimeout(now, sentAt, isData, e.jitter())
+// recordTimeout records that a flow's target did not answer the flow's newest packet in time.
+func (e *Engine) recordTimeout(now clock.Millis, f *flow, isData bool) {
+	b, client := f.backend, clientIDOf(f.key.Client.Addr())
+	isIndependent := e.suspectClients.recordSign(now, f.sentAt, client)
+	b.evidence.recordTimeout(now, timeout{sentAt: f.sentAt, isData: isData, client: client, isIndependent: isIndependent}, e.jitter())
 	e.watchTarget(b)
 	if l := e.linkTo(b); l != nil {
-		l.recordTimeout(sentAt)
+		l.recordTimeout(f.sentAt)
 	}
 	e.hasNewSuspicions = true
 }
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	f.isTimedOut = true
-	e.recordTimeout(now, f.backend, f.sentAt, true)
+	e.recordTimeout(now, f, true)
 	return true
 }
 
@@ -40,6 +40,7 @@
 // the target was slow, not unresponsive.
 func (e *Engine) recordAnswer(now clock.Millis, f *flow) {
 	b := f.backend
+	e.suspectClients.recordAnswer(f.sentAt, f.key.Client.Addr())
 	if b.evidence.recordAnswer(now, f.sentAt) {
 		e.holdOffUntil = now + holdOffTime
 	}
--- a/inband/reports.go
+++ b/inband/reports.go
@@ -18,10 +18,11 @@
 
 // report is another VM's suspicion of a target, as its receiver keeps it.
 type report struct {
-	from     netip.AddrPort
-	at       clock.Millis
-	openings int // openings that timed out there
-	data     int // flows whose data timed out there
+	from       netip.AddrPort
+	at         clock.Millis
+	hasOpening bool      // an opening timed out there
+	openings   clientSet // clients of the openings that timed out there
+	data       clientSet // clients of the data that timed out there
 }
 
 // reports holds the latest report of each of several other VMs about one target.
@@ -34,7 +35,7 @@
 // add stores a VM's report in place of its previous one. If there is no room, it replaces the
 // oldest report.
 func (r *reports) add(latest report) {
-	if latest.openings > 0 {
+	if latest.hasOpening {
 		r.avoidUntil = latest.at + avoidTime
 	}
 	for i := range r.entries[:r.count] {
@@ -57,14 +58,22 @@
 	r.entries[oldest] = latest
 }
 
-// signs sums the reports younger than lifetime and counts the VMs that sent them.
-func (r *reports) signs(now, lifetime clock.Millis) (openings, data, vms int) {
-	for _, entry := range r.entries[:r.count] {
+// reportedSigns are the signs that several other VMs reported together.
+type reportedSigns struct {
+	openings, data clientSet
+	vms            int // VMs that sent the reports
+}
+
+// signs combines the reports younger than lifetime.
+func (r *reports) signs(now, lifetime clock.Millis) reportedSigns {
+	var all reportedSigns
+	for i := range r.entries[:r.count] {
+		entry := &r.entries[i]
 		if now-entry.at < lifetime {
-			openings += entry.openings
-			data += entry.data
-			vms++
+			all.openings.merge(&entry.openings)
+			all.data.merge(&entry.data)
+			all.vms++
 		}
 	}
-	return openings, data, vms
+	return all
 }
--- a/inband/suspicion.go
+++ b/inband/suspicion.go
@@ -7,7 +7,7 @@
 )
 
 // maxSuspicions is the number of suspicions that fit into one message.
-const maxSuspicions = 14
+const maxSuspicions = 9
 
 // Suspicion is a VM's report to other VMs about a target that does not answer it.
 type Suspicion struct {
@@ -15,16 +15,19 @@
 	StartedAtMS     int64  `json:"born"`               // start time of the target in Unix milliseconds
 	OpeningTimeouts int    `json:"openings,omitempty"` // openings that timed out since the target last answered
 	DataTimeouts    int    `json:"data,omitempty"`     // flows whose data timed out since then
+	// Clients of these openings and of this data, at most maxSignClients of each.
+	OpeningClients []ClientID `json:"opening_clients,omitempty"`
+	DataClients    []ClientID `json:"data_clients,omitempty"`
 }
 
-// report converts the suspicion to the form kept by its receiver. VMs of earlier versions
-// report openings only, without their number.
+// report converts the suspicion to the form kept by its receiver. VMs of earlier versions name no
+// clients, and some of them no numbers: new flows avoid the target, but such a report is no sign that
+// it is dead, as it may be about the same client as another.
 func (s *Suspicion) report(now clock.Millis, from netip.AddrPort) report {
-	openings := s.OpeningTimeouts
-	if s.OpeningTimeouts == 0 && s.DataTimeouts == 0 {
-		openings = 1
+	return report{
+		from: from, at: now, hasOpening: s.OpeningTimeouts > 0 || s.DataTimeouts == 0,
+		openings: newClientSet(s.OpeningClients), data: newClientSet(s.DataClients),
 	}
-	return report{from: from, at: now, openings: openings, data: s.DataTimeouts}
 }
 
 // isIsolatedFailure reports whether most targets used by this VM in its own failure domain
@@ -53,7 +56,7 @@
 
 // seemsUnresponsive reports whether an opening, or the data of several flows, timed out.
 func (b *Backend) seemsUnresponsive() bool {
-	return b.evidence.openings > 0 || b.evidence.data >= minStuckFlows
+	return b.evidence.openings > 0 || b.evidence.data >= minStuckClients
 }
 
 // HasNewSuspicions reports whether a target timed out since the last TakeSuspicions.
@@ -85,11 +88,21 @@
 			continue
 		}
 		b.evidence.reported = openings + data
-		all = append(all, Suspicion{ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, OpeningTimeouts: openings, DataTimeouts: data})
+		all = append(all, b.suspicion(openings, data))
 	}
 	return all
 }
 
+// suspicion returns the report of a number of timed-out openings and flows.
+func (b *Backend) suspicion(openings, data int) Suspicion {
+	s := Suspicion{ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, OpeningTimeouts: openings, DataTimeouts: data}
+	s.OpeningClients = append([]ClientID(nil), b.evidence.openingClients.clients()...)
+	if data > 0 {
+		s.DataClients = append([]ClientID(nil), b.evidence.dataClients.clients()...)
+	}
+	return s
+}
+
 // ReceiveSuspicions adds suspicions reported by a VM of the given failure domain. They are
 // ignored unless that VM is in this VM's own domain, and so reaches the target by the same path,
 // or in the target's domain.
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -39,6 +39,7 @@
 // number of slots per call. It also stops watching targets that have recovered.
 func (e *Engine) Sweep(now clock.Millis) {
 	e.watchlist.prune(now, e.byID)
+	e.suspectClients.removeExpired(now)
 	const maxSlots = 256
 	for range min(maxSlots, len(e.flows.slots)) {
 		e.flows.sweepIndex = (e.flows.sweepIndex + 1) % len(e.flows.slots)
