--- a/inband/backend.go
+++ b/inband/backend.go
@@ -39,6 +39,13 @@
 	return b.target.State == Gone && now >= b.mayReturnUntil
 }
 
+// isExpectedToRun reports whether the target is in service as far as the store shows: it has not begun
+// to leave, and its entry is there or may have ended only because its heartbeats were lost. The silence
+// of any other target needs no further cause.
+func (b *Backend) isExpectedToRun(now clock.Millis) bool {
+	return b.target.State == Serving || b.fallbackUntil > 0 && now < b.mayReturnUntil
+}
+
 // acceptsNewFlows reports whether new flows may be sent to the target.
 func (b *Backend) acceptsNewFlows(now clock.Millis) bool {
 	return !b.sharesTag && (b.target.State == Serving || now < b.fallbackUntil)
--- a/inband/link.go
+++ b/inband/link.go
@@ -13,8 +13,8 @@
 	// probeInterval is the time between unanswered probes.
 	probeInterval = 400 * clock.Millisecond
 	// minPartitionTargets is the number of unresponsive targets that a partitioned domain must
-	// have. If only a single VM was probed there, which may have failed as well, the number is
-	// minPartitionTargetsSingleVM.
+	// have, and of clients that found them so. If only a single VM was probed there, which may
+	// have failed as well, the number is minPartitionTargetsSingleVM.
 	minPartitionTargets         = 2
 	minPartitionTargetsSingleVM = 3
 )
@@ -23,6 +23,7 @@
 // down; if the VMs of their domain are unresponsive as well, the domain is partitioned.
 type link struct {
 	unresponsiveSince clock.Millis // when the first unanswered packet was sent
+	lastTimeoutAt     clock.Millis // when the last unanswered packet was detected
 	isUnresponsive    bool
 	firstProbeAt      clock.Millis // first unanswered probe
 	lastProbeAt       clock.Millis
@@ -38,11 +39,14 @@
 	return minPartitionTargets
 }
 
-// recordTimeout records that one of the domain's targets did not answer a packet.
-func (l *link) recordTimeout(sentAt clock.Millis) {
-	if !l.isUnresponsive {
+// recordTimeout records that one of the domain's targets did not answer a packet. Timeouts that are
+// too old to have the same cause are forgotten, unless a probe has been unanswered since.
+func (l *link) recordTimeout(now, sentAt clock.Millis) {
+	isStale := !l.isProbed && now-l.lastTimeoutAt > openingTimeoutLifetime
+	if !l.isUnresponsive || isStale {
 		*l = link{unresponsiveSince: sentAt, isUnresponsive: true}
 	}
+	l.lastTimeoutAt = now
 }
 
 // recordAnswer records that one of the domain's targets answered a packet sent at sentAt.
@@ -61,7 +65,7 @@
 func (e *Engine) DomainsToProbe(now clock.Millis) []string {
 	var domains []string
 	for domain, l := range e.links {
-		if l.isUnresponsive && (!l.isProbed || now-l.lastProbeAt >= probeInterval) && e.unresponsiveTargets(domain) >= minPartitionTargets {
+		if l.isUnresponsive && (!l.isProbed || now-l.lastProbeAt >= probeInterval) && e.partitionSigns(now, domain) >= minPartitionTargets {
 			domains = append(domains, domain)
 		}
 	}
@@ -92,19 +96,28 @@
 // of its targets and all VMs probed there are unresponsive.
 func (e *Engine) IsPartitioned(now clock.Millis, domain string) bool {
 	l := e.links[domain]
-	return l != nil && l.isPartitioned(now) && e.unresponsiveTargets(domain) >= l.minTargets()
+	return l != nil && l.isPartitioned(now) && e.partitionSigns(now, domain) >= l.minTargets()
 }
 
-// unresponsiveTargets counts the targets of a domain that timed out and have not answered
-// since.
-func (e *Engine) unresponsiveTargets(domain string) int {
-	count := 0
+// partitionSigns returns the number of independent signs that a domain is partitioned: of targets
+// that are expected to run and did not answer, each found by another client. A client's own link
+// explains the silence of all targets that only this client found silent.
+func (e *Engine) partitionSigns(now clock.Millis, domain string) int {
+	l := e.links[domain]
+	if l == nil {
+		return 0
+	}
+	targets := 0
+	var clients clientSet
 	for _, b := range e.watchlist.backends {
-		if b.target.Domain == domain && b.evidence.isUnresponsive() {
-			count++
+		if b.target.Domain != domain || !b.evidence.isUnresponsive() || !b.isExpectedToRun(now) || b.evidence.lastTimeoutAt < l.unresponsiveSince {
+			continue
 		}
+		targets++
+		clients.merge(&b.evidence.openingClients)
+		clients.merge(&b.evidence.dataClients)
 	}
-	return count
+	return min(targets, clients.size())
 }
 
 // linkTo returns the link to a target's domain, or nil for this VM's own domain.
@@ -128,7 +141,7 @@
 	b.evidence.recordTimeout(now, timeout{sentAt: f.sentAt, isData: isData, client: client, isIndependent: isIndependent}, e.jitter())
 	e.watchTarget(b)
 	if l := e.linkTo(b); l != nil {
-		l.recordTimeout(f.sentAt)
+		l.recordTimeout(now, f.sentAt)
 	}
 	e.hasNewSuspicions = true
 }
--- a/inband/link_test.go
+++ b/inband/link_test.go
@@ -1,10 +1,12 @@
 package inband_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -150,3 +152,105 @@
 	e.Handle(1600, late)
 	is.True(e.IsPartitioned(1600, "b"))
 }
+
+// Guards against feeds of a living target that are reset because targets which left make its domain
+// seem partitioned while the domain's only VM is frozen (review/4). Nothing tells the clients of a
+// target that left, so their next requests meet silence.
+func TestTargetsThatLeftAreNoSignOfAPartition(t *testing.T) {
+	tests := []struct {
+		name          string
+		state         inband.State
+		fallback      clock.Millis // how long the targets may turn out to be alive, after an end without notice
+		isPartitioned bool
+	}{
+		{"serving", inband.Serving, 0, true},
+		{"leaving", inband.Leaving, 0, false},
+		{"left", inband.Gone, 0, false},
+		{"entry expired a moment ago", inband.Gone, 2000, true},
+		{"entry expired long ago", inband.Gone, 500, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "b"), target("i-2", "b"), target("i-3", "b"))
+			var changed []inband.Published
+			for _, id := range []string{"i-1", "i-2"} {
+				left := target(id, "b")
+				left.State = tt.state
+				p := inband.Published{Target: left}
+				if tt.fallback > 0 {
+					p.FallbackUntil, p.MayReturnUntil = 900+tt.fallback/2, 900+tt.fallback
+				}
+				changed = append(changed, p)
+			}
+			e.UpdateTargets(changed)
+			for i, id := range []string{"i-1", "i-2", "i-3"} {
+				e.Handle(1000, data(i, feedAddress, inband.TagOf(id), 101, 500))
+			}
+			for i, id := range []string{"i-1", "i-2", "i-3"} {
+				e.Handle(1200, data(i, feedAddress, inband.TagOf(id), 101, 500))
+			}
+			e.MarkProbed(1200, "b", 1)
+			is.Equal(e.IsPartitioned(1400, "b"), tt.isPartitioned)
+		})
+	}
+}
+
+// Guards against a domain that seems partitioned because one client's link lost the answers of several
+// targets while the domain's VMs were frozen.
+func TestOneClientIsNoSignOfAPartition(t *testing.T) {
+	for _, clients := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d clients", clients), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "b"), target("i-2", "b"))
+			for _, at := range []clock.Millis{1000, 1200} {
+				for i, id := range []string{"i-1", "i-2"} {
+					e.Handle(at, sameClient(data(20+i, feedAddress, inband.TagOf(id), 101, 500), 1+i%clients))
+				}
+			}
+			e.MarkProbed(1200, "b", 2)
+			is.Equal(e.IsPartitioned(1400, "b"), clients > 1)
+		})
+	}
+}
+
+// Guards against the flows of a target that one client found silent being reset with their first
+// request, before it could be answered, in a domain that only seems partitioned (review/4).
+func TestFirstRequestsInAPartitionNeedTwoClients(t *testing.T) {
+	for _, clients := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d clients", clients), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "b"), target("i-2", "b"), target("i-3", "b"))
+			tag := openFlow(e, 9, feedAddress)
+			for _, at := range []clock.Millis{1000, 1200} {
+				for i, id := range []string{"i-1", "i-2", "i-3"} {
+					if inband.TagOf(id) != tag {
+						e.Handle(at, data(20+i, feedAddress, inband.TagOf(id), 101, 500))
+					}
+				}
+				for client := range clients {
+					e.Handle(at, data(10+client, feedAddress, tag, 101, 500))
+				}
+			}
+			e.MarkProbed(1200, "b", 2)
+			is.True(e.IsPartitioned(1330, "b"))
+			is.Equal(e.Handle(1330, data(9, feedAddress, tag, 101, 500)).Action == inband.Reset, clients > 1)
+		})
+	}
+}
+
+// Old silence of two targets, whose flows went elsewhere, does not add up with new silence of a third.
+func TestOldTimeoutsAreNoSignOfAPartition(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "b"), target("i-2", "b"), target("i-3", "b"))
+	silence := func(at clock.Millis, client int, id string) {
+		e.Handle(at, data(client, feedAddress, inband.TagOf(id), 101, 500))
+		e.Handle(at+200, data(client, feedAddress, inband.TagOf(id), 101, 500))
+	}
+	silence(1000, 1, "i-1")
+	silence(1000, 2, "i-2")
+	silence(30000, 3, "i-3")
+	is.Equal(e.DomainsToProbe(30200), nil)
+	e.MarkProbed(30200, "b", 2)
+	is.True(!e.IsPartitioned(30400, "b"))
+}
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -30,12 +30,13 @@
 }
 
 // isTargetLost reports whether a target will not answer the data that a flow waits for: it was
-// removed, is partitioned from this VM, or is dead.
+// removed, is partitioned from this VM, or is dead. In a domain that seems partitioned, the flow
+// itself or two clients of its target must have met silence.
 func (e *Engine) isTargetLost(now clock.Millis, b *Backend, isTimedOut bool) bool {
 	if isTimedOut && b.isRemoved(now) {
 		return true
 	}
-	if (isTimedOut || b.evidence.isRecentlyUnresponsive(now)) && e.IsPartitioned(now, b.target.Domain) {
+	if (isTimedOut || b.evidence.independentSigns(now) >= minDeadSigns) && e.IsPartitioned(now, b.target.Domain) {
 		return true
 	}
 	return b.evidence.isDead(now, now < e.slowUntil) && e.isIsolatedFailure()
