--- a/front/messages.go
+++ b/front/messages.go
@@ -144,13 +144,17 @@
 func (d *Daemon) updateMembers(now clock.Millis, m *siblings.Message) {
 	if m.Kind == siblings.Leave {
 		d.members.Remove(m.From.Address)
+		d.engine.MarkFlowsMoved(now)
 		return
 	}
 	if d.members.MarkAlive(now, m.From) {
+		d.engine.MarkFlowsMoved(now)
 		d.log.Info("sibling_seen", "at_ms", now, "sibling", m.From.Address, "domain", m.From.Domain)
 	}
 	for _, c := range m.Contacts {
-		d.members.MarkAlive(now, c)
+		if d.members.MarkAlive(now, c) {
+			d.engine.MarkFlowsMoved(now)
+		}
 	}
 }
 
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -29,6 +29,7 @@
 	flows            *flowTable
 	holdOffUntil     clock.Millis // until when this VM resets no flows and sends no reports
 	hasNewSuspicions bool         // a target timed out since the last TakeSuspicions
+	flowsMovedAt     clock.Millis // when flows may last have moved to another VM without notice
 	slowUntil        clock.Millis // until when targets are known to be slow to answer
 	links            map[string]*link
 	watchlist        watchlist
@@ -58,6 +59,10 @@
 // are assumed to load the same targets equally. The least number is 1.
 func (e *Engine) SetLocalVMs(vms int) { e.localVMs = max(1, vms) }
 
+// MarkFlowsMoved records that flows may have moved to other VMs, because a VM started, returned or
+// shut down. What this VM saw last of a flow need not be the latest since.
+func (e *Engine) MarkFlowsMoved(now clock.Millis) { e.flowsMovedAt = now }
+
 // Handle decides what happens to one packet of a client.
 func (e *Engine) Handle(now clock.Millis, p *Packet) Verdict {
 	f := e.flows.find(p.Key)
@@ -176,7 +181,7 @@
 	}
 	if !p.Flags.Has(Ending) && !p.Flags.Has(Resetting) && e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
-		f.backend, f.route, f.phase = b, e.routes[p.Key.Destination], open
+		f.backend, f.route, f.phase, f.isMoved = b, e.routes[p.Key.Destination], open, true
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.ack = p.Ack
 		f.startAt(p.Seq)
--- a/inband/moved_test.go
+++ b/inband/moved_test.go
@@ -90,3 +90,48 @@
 	is.Equal(e.Handle(500, other).Reason, inband.Placed)
 	is.Equal(e.Targets()[0].Timeouts, 0)
 }
+
+// Guards against requests that are reset while their target works on them (review/1): a VM carried
+// flows of another one that restarted, saw them idle, and took them for idle at a dead target after
+// they had moved back.
+func TestMovedFlowsAreNotKnownToBeIdle(t *testing.T) {
+	tests := []struct {
+		name    string
+		move    func(e *inband.Engine)
+		isReset bool
+	}{
+		{"opened here, no VM came or went", func(*inband.Engine) {}, true},
+		{"opened here, a VM came", func(e *inband.Engine) { e.MarkFlowsMoved(500) }, false},
+		{"opened here, a VM came before it was seen", func(e *inband.Engine) { e.MarkFlowsMoved(500); e.Handle(600, answered(9)) }, true},
+		{"a VM came before it was opened", func(e *inband.Engine) { e.MarkFlowsMoved(-1) }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			openFlow(e, 9, holdAddress)
+			tt.move(e)
+			e.Handle(1215, makeDead(e, feedAddress))
+			isReset := false
+			for _, f := range e.EndFlowsOfLostTargets(1216) {
+				isReset = isReset || f.Key == key(9, holdAddress)
+			}
+			is.Equal(isReset, tt.isReset)
+		})
+	}
+	t.Run("opened through another VM", func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine(target("i-1", "a"))
+		e.Handle(100, data(9, holdAddress, inband.TagOf("i-1"), 101, 500))
+		e.Handle(130, answered(9))
+		e.Handle(1215, makeDead(e, feedAddress))
+		for _, f := range e.EndFlowsOfLostTargets(1216) {
+			is.True(f.Key != key(9, holdAddress))
+		}
+	})
+}
+
+// answered returns the acknowledgment of an answer on a flow of a route that is not repeatable.
+func answered(client int) *inband.Packet {
+	return &inband.Packet{Key: key(client, holdAddress), Flags: inband.Acknowledging, Seq: 151, Ack: 600, Tag: inband.TagOf("i-1")}
+}
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -84,12 +84,17 @@
 // later may have been answered by a target that has restarted.
 func (e *Engine) isIdleAtDeadTarget(now clock.Millis, f *flow) bool {
 	evidence := &f.backend.evidence
-	if f.phase != open || f.isBusy || !evidence.isUnresponsive() {
+	if f.phase != open || f.isBusy || !evidence.isUnresponsive() || e.mayGoElsewhere(f) {
 		return false
 	}
 	return f.seenAt <= evidence.unresponsiveSince+answerTimeout && evidence.isDead(now, now < e.slowUntil)
 }
 
+// mayGoElsewhere reports whether other VMs may carry a flow by now: those of its client's domain get
+// it back once they serve again, and a VM that joins takes over a part of all flows. A request of the
+// flow may then be under way although it was idle here.
+func (e *Engine) mayGoElsewhere(f *flow) bool { return f.isMoved || f.seenAt <= e.flowsMovedAt }
+
 // isWaiting reports whether the client has waited for an answer for some time and still sends
 // packets through this VM. Otherwise it uses another VM or has given up.
 func (f *flow) isWaiting(now clock.Millis) bool {
