--- a/catalog/readscheduler.go
+++ b/catalog/readscheduler.go
@@ -68,11 +68,16 @@
 // Rank returns how many other VMs read before this one.
 func (r *ReadScheduler) Rank() int { return r.rank }
 
-// rankDelay returns how much longer this VM waits than the one of rank 0.
+// rankDelay returns how much longer this VM waits than the one of rank 0. A VM that knows no other one
+// gets no view from it, so it waits no longer than the backup readers, whatever rank it assumes.
 func (r *ReadScheduler) rankDelay() clock.Millis {
-	primary := min(r.rank, lastPrimaryRank)
-	backup := min(r.rank, lastBackupRank) - primary
-	other := r.rank - primary - backup
+	rank := r.rank
+	if r.vms == 1 {
+		rank = min(rank, lastBackupRank)
+	}
+	primary := min(rank, lastPrimaryRank)
+	backup := min(rank, lastBackupRank) - primary
+	other := rank - primary - backup
 	return clock.Millis(primary)*primaryDelay + clock.Millis(backup)*backupDelay + clock.Millis(other)*otherDelay
 }
 
--- a/catalog/readscheduler_test.go
+++ b/catalog/readscheduler_test.go
@@ -40,6 +40,18 @@
 	}
 }
 
+// Guards against a new route that is refused too late by a VM that found no other one, as all seeds
+// are stale (review/5): it assumed a rank of up to 18 for five seconds, and nobody sent it a view.
+func TestLoneVMReadsInTime(t *testing.T) {
+	is := is.New(t)
+	for rank := range 400 {
+		r := catalog.NewReadScheduler(rand.New(rand.NewPCG(uint64(rank), 1)))
+		r.SetRank(rank, 1)
+		r.RecordSuccess()
+		is.True(r.NextRead(1000)-1000 < 2500) // new tables must be in force after 3 s
+	}
+}
+
 // If the VM of rank 0 sends no view because the store answers slowly, 100 VMs must not read at
 // once (bench kinarez-ist-grown trouble-2: 85 calls within one second of a slow store). The view
 // of the VM of rank 1 arrives within about 300 ms.
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -215,7 +215,7 @@
 	d.mu.Lock()
 	d.engine.Sweep(now)
 	d.updateEngine()
-	d.readScheduler.SetRank(d.discovery.Rank(now, d.members.Rank(now)), 1+len(d.members.Alive(now)))
+	d.updateRank(now)
 	d.engine.SetLocalVMs(1 + d.members.CountLocal(now))
 	if d.catalog.IsComplete() {
 		d.metrics.viewAges.RecordValue(float64(d.catalog.Age(now)))
--- a/front/reading.go
+++ b/front/reading.go
@@ -30,7 +30,7 @@
 	for ctx.Err() == nil {
 		now := d.clock.Now()
 		d.mu.Lock()
-		wait := d.readScheduler.NextRead(now-d.catalog.Age(now)) - now
+		wait := d.nextRead(now) - now
 		isFull, revision := d.readScheduler.NeedsFullRead(), d.catalog.Revision()
 		d.mu.Unlock()
 		if wait > 0 {
@@ -41,6 +41,22 @@
 	}
 }
 
+// nextRead returns when the next read is due. The caller holds the lock.
+func (d *Daemon) nextRead(now clock.Millis) clock.Millis {
+	return d.readScheduler.NextRead(now - d.catalog.Age(now))
+}
+
+// updateRank updates which VMs read before this one. If the next read is due earlier now, because VMs
+// are gone or the time of discovery is over, the reader must not sleep until the time it had computed
+// before. The caller holds the lock.
+func (d *Daemon) updateRank(now clock.Millis) {
+	due := d.nextRead(now)
+	d.readScheduler.SetRank(d.discovery.Rank(now, d.members.Rank(now)), 1+len(d.members.Alive(now)))
+	if d.nextRead(now) < due {
+		d.wakeReader()
+	}
+}
+
 // waitUntilDue waits for the given time, or less if the due time of the next read changes.
 func (d *Daemon) waitUntilDue(ctx context.Context, wait clock.Millis) {
 	timer := time.NewTimer(wait.Duration())
