Leave a tag's open flows with the target that had it first

Cause: of two targets with one tag the lower id kept it. Change: the one that started first keeps it, unless only the other one has not left, at every VM alike. Neither gets new flows, as before.

Test: TestNewTargetWithTheSameTagTakesNoOpenFlows failed before for the lower id, at a VM that knows the flow, one that does not, and one that started later.

--- a/inband/targets.go
+++ b/inband/targets.go
@@ -93,6 +93,19 @@
 	return e.pools[service]
 }
 
+// keepsTagBefore reports whether the flows with a tag are this target's and not the other's, which has
+// the same tag. It is the same at every VM: targets get no new flows once they share a tag, so the
+// flows are those of the one that started first, unless only the other one has not left.
+func (b *Backend) keepsTagBefore(other *Backend) bool {
+	if hasLeft := b.target.State == Gone; hasLeft != (other.target.State == Gone) {
+		return !hasLeft
+	}
+	if b.target.StartedAtMS != other.target.StartedAtMS {
+		return b.target.StartedAtMS < other.target.StartedAtMS
+	}
+	return b.target.ID < other.target.ID
+}
+
 func (e *Engine) setTargets(published []Published) {
 	byID := make(map[string]*Backend, len(published))
 	byTag := make(map[Tag]*Backend, len(published))
@@ -108,8 +121,8 @@
 		byID[p.Target.ID] = b
 		if other := byTag[b.tag]; other != nil {
 			other.sharesTag, b.sharesTag = true, true
-			if other.target.State != Gone {
-				continue // the tag stays with the other target, which may have flows
+			if !b.keepsTagBefore(other) {
+				continue
 			}
 		}
 		byTag[b.tag] = b
