Handle SIGHUP from the first moment of the daemon

Change: the handler comes before the settings are read; a reload waits until the daemon runs. What is left is the start of the Go runtime itself.

Test: TestHangUpDuringTheStart; before, the signal ended the test's own process.

--- a/cmd/almondflow-entry/main.go
+++ b/cmd/almondflow-entry/main.go
@@ -24,6 +24,9 @@
 }
 
 func run() error {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP) // before all else, as it would terminate the process
+	defer signal.Stop(hangUps)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	settings, err := front.LoadSettings(os.Getenv(settingsVariable))
@@ -40,15 +43,13 @@
 	if err != nil {
 		return err
 	}
-	go reloadOnHangUp(daemon)
+	go reloadOnHangUp(daemon, hangUps)
 	return daemon.Run(ctx)
 }
 
-// reloadOnHangUp reloads the settings on SIGHUP, which would otherwise terminate the process.
-func reloadOnHangUp(daemon *front.Daemon) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+// reloadOnHangUp reloads the settings on each SIGHUP.
+func reloadOnHangUp(daemon *front.Daemon, hangUps <-chan os.Signal) {
+	for range hangUps {
 		daemon.Reload(os.Getenv(settingsVariable))
 	}
 }
--- a/cmd/almondflow-entry/main_test.go
+++ b/cmd/almondflow-entry/main_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -279,3 +280,22 @@
 		})
 	}
 }
+
+// Guards against a SIGHUP right after the start that ends the process, as its handler was installed
+// only after the sockets were bound. The settings are a pipe here, so the signal arrives while the
+// program waits for them; without the handler it ends the test.
+func TestHangUpDuringTheStart(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir() + "/settings.json"
+	is.NoErr(syscall.Mkfifo(path, 0o600))
+	t.Setenv(settingsVariable, path)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the program opens it
+	is.NoErr(err)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	_, err = pipe.WriteString("{")
+	is.NoErr(err)
+	is.NoErr(pipe.Close())
+	is.True(strings.Contains((<-ended).Error(), "decode settings"))
+}
