Give each script of the command's tests an address of its own

TestScripts/startup was flaky: it reserved ports of 127.0.0.1 for TCP, and the daemon then bound such a number for UDP, which another package's test could hold. Scripts now listen on a loopback address that no other test uses.

Shown with 29,700 UDP ports of 127.0.0.1 held by another process: three of three runs failed before ("listen udp4 ...: bind: address already in use"), three of three pass.

--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,12 @@
 	retryInterval = 25 * time.Millisecond
 )
 
+// firstScriptOctet is below the second octet of the addresses on which scripts listen.
+const firstScriptOctet = 64
+
+// scriptCount numbers the scripts, which run at the same time.
+var scriptCount atomic.Int32
+
 // portVariables are the environment variables that provide scripts with addresses of free
 // ports. NAME holds the address, NAME_PORT the port alone.
 var portVariables = []string{"DATA", "PEER", "OPERATOR", "PLATFORM", "FABRIC", "ROUTE"}
@@ -40,9 +48,15 @@
 	})
 }
 
+// setup reserves a port for each variable, on a loopback address that no other test uses: a port that
+// is free for TCP may be in use for UDP, which some daemons bind, and others may take it before the
+// script does.
 func setup(env *testscript.Env) error {
+	scripts := scriptCount.Add(1)
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, firstScriptOctet + byte(scripts), byte(pid >> 8), byte(pid)})
 	for _, name := range portVariables {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 		if err != nil {
 			return err
 		}
