Do not take a client's reset for an answer to its opening

Cause: a client that gives up its opening sends a reset without an acknowledgment. On a flow that waits for its opening's answer any packet counted as that answer, so the target's evidence was cleared, and the client counted as reachable in between, which made its next silent opening an independent sign.

Ruled out: reports of other VMs (no other client used the target), the excuse of a fault that had just ended (the target had none).

Change: only an acknowledgment confirms an opening. Test: TestResetOfAnUnansweredOpeningIsNoAnswer failed before; the world holds now.

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -143,7 +143,9 @@
 		return Verdict{Action: Drop, Reason: UnknownTag} // names an unknown target, not the one chosen by this VM
 	}
 	if f.phase == opening {
-		e.confirmTarget(now, p, f)
+		if p.Flags.Has(Acknowledging) { // a client that gives up has received nothing
+			e.confirmTarget(now, p, f)
+		}
 	} else if e.isPortReuse(now, p, f) {
 		e.endFlow(f)
 		e.flows.remove(p.Key)
--- a/inband/evidence_test.go
+++ b/inband/evidence_test.go
@@ -246,3 +246,17 @@
 	is.Equal(e.Suspects(), 0)
 	is.Equal(len(e.TakeSuspicions(1300)), 0)
 }
+
+// Guards against a client that gives up its opening and resets the flow: that is no answer of the
+// target, which stays suspect (random world of package experiment, seed 46228).
+func TestResetOfAnUnansweredOpeningIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	e.Handle(1000, opening(1, feedAddress, 0))
+	e.Handle(1200, opening(1, feedAddress, 1))
+	is.Equal(e.Suspects(), 1)
+	v := e.Handle(1300, &inband.Packet{Key: key(1, feedAddress), Flags: inband.Resetting, Seq: 101})
+	is.Equal(v.Action, inband.Forward) // the target may have answered meanwhile
+	is.Equal(e.Suspects(), 1)
+	is.Equal(e.Flows(), 0)
+}
