Check by random worlds that living targets keep their flows

Package experiment gets clients with bad links in both directions, graceful restarts, clients that keep flows for requests that may not be repeated, holds of clients that have feeds, synchronized clients, targets that repeat unacknowledged answers, and drawn rotation lags and deadlines.

--- a/experiment/client.go
+++ b/experiment/client.go
@@ -10,7 +10,7 @@
 // Parameters of clients.
 const (
 	latencyTarget         = 100 * clock.Millisecond
-	deadline              = 1000 * clock.Millisecond
+	defaultDeadline       = 1000 * clock.Millisecond
 	openTimeout           = 1400 * clock.Millisecond // from the first opening until an unanswered attempt is given up
 	minRetransmitInterval = 200 * clock.Millisecond
 	maxRetransmitInterval = 1600 * clock.Millisecond
@@ -20,16 +20,16 @@
 	firstClientOctet      = 64 // second octet of client addresses in the first domain
 )
 
-// client sends one request at a time. A feed reuses its flow; a hold uses a new one for each
-// request.
+// client sends one request at a time. A feed and a booking reuse their flow; a hold uses a new one.
 type client struct {
-	sim     *simulation
-	domain  int
-	number  int
-	isFeed  bool
-	port    uint16
-	flow    *clientFlow
-	request *request
+	sim          *simulation
+	domain       int
+	number       int // of its address in the domain
+	isRepeatable bool
+	keepsFlow    bool
+	port         uint16
+	flow         *clientFlow
+	request      *request
 }
 
 // clientFlow is a flow as its client sees it.
@@ -60,17 +60,15 @@
 	return c.domain
 }
 
-// feedClient returns the client of a repeatable flow, found by its address.
-func (s *simulation) feedClient(key inband.Key) *client {
-	octets := key.Client.Addr().As4()
-	domain, number := int(octets[1])-firstClientOctet, int(octets[2])<<8|int(octets[3])
-	return s.clients[domain*s.size.Feeds+number]
+// address returns the client's address.
+func (c *client) address() netip.Addr {
+	return netip.AddrFrom4([4]byte{100, byte(firstClientOctet + c.domain), byte(c.number >> 8), byte(c.number)})
 }
 
 // send sends a packet through the router to an entry VM.
 func (c *client) send(p inband.Packet) {
 	s := c.sim
-	if s.lossRate > 0 && s.random.Float64() < s.lossRate {
+	if s.mute[c.address()] || s.lossRate > 0 && s.random.Float64() < s.lossRate {
 		return
 	}
 	s.schedule(clientLatency, func() {
@@ -83,7 +81,7 @@
 func (c *client) startRequest() {
 	r := &request{client: c, sentAt: c.sim.now}
 	c.request = r
-	c.sim.schedule(deadline, func() { c.finish(r, false) })
+	c.sim.schedule(c.sim.size.Deadline, func() { c.finish(r, false) })
 	c.attempt(r)
 }
 
@@ -100,12 +98,12 @@
 func (c *client) open(r *request) {
 	c.port++
 	address := routeAddresses[1]
-	if c.isFeed {
+	if c.isRepeatable {
 		address = routeAddresses[0]
 	}
-	ip := netip.AddrFrom4([4]byte{100, byte(firstClientOctet + c.domain), byte(c.number >> 8), byte(c.number)})
-	f := &clientFlow{key: inband.Key{Client: netip.AddrPortFrom(ip, 1024+c.port), Destination: address}, nextSeq: 101}
+	f := &clientFlow{key: inband.Key{Client: netip.AddrPortFrom(c.address(), 1024+c.port), Destination: address}, nextSeq: 101}
 	c.flow = f
+	c.sim.clientOf[f.key] = c
 	for retransmits, delay := range []clock.Millis{0, 200, 600} {
 		c.sim.schedule(delay, func() {
 			if !f.isOpen && !f.isEnded && !r.isDone {
@@ -146,11 +144,15 @@
 	if f == nil || f.key != key || f.isEnded {
 		return
 	}
-	f.tag = response.tag
 	if response.isOpening {
 		c.handleOpened(f, response)
 		return
 	}
+	f.tag = response.tag
+	if int32(response.ack-f.ack) <= 0 && f.responses > 0 {
+		c.send(inband.Packet{Key: f.key, Flags: inband.Acknowledging, Seq: f.nextSeq, Ack: f.ack, Tag: f.tag}) // the acknowledgment was lost
+		return
+	}
 	if int32(response.ack-f.ack) <= 0 || response.nextSeq != f.nextSeq {
 		return
 	}
@@ -160,7 +162,7 @@
 	f.isEnded = f.isEnded || response.isLast || response.isError
 	switch r := c.request; {
 	case r == nil:
-	case response.isError && c.isFeed:
+	case response.isError && c.isRepeatable:
 		c.retry(r)
 	default:
 		c.finish(r, !response.isError)
@@ -170,18 +172,18 @@
 // handleOpened marks the flow as open and sends the pending request.
 func (c *client) handleOpened(f *clientFlow, response targetPacket) {
 	if f.isOpen {
-		return
+		return // of another target, whose copy of the opening waited in a paused VM
 	}
-	f.isOpen, f.ack = true, response.ack
+	f.isOpen, f.ack, f.tag = true, response.ack, response.tag
 	if r := c.request; r != nil && !r.isDone {
 		c.sendRequest(r)
 	}
 }
 
-// acknowledge acknowledges a response. A hold ends its flow with it; a feed delays every other
+// acknowledge acknowledges a response. A hold ends its flow with it; the others delay every other
 // acknowledgment.
 func (c *client) acknowledge(f *clientFlow) {
-	if !c.isFeed {
+	if !c.keepsFlow {
 		f.isEnded = true
 		c.send(inband.Packet{Key: f.key, Flags: inband.Acknowledging | inband.Ending, Seq: f.nextSeq, Ack: f.ack, Tag: f.tag})
 		return
@@ -207,7 +209,7 @@
 	if r == nil || r.isDone {
 		return
 	}
-	if f.isOpen && !c.isFeed {
+	if f.isOpen && !c.isRepeatable {
 		c.finish(r, false)
 		return
 	}
@@ -245,6 +247,17 @@
 	c.send(inband.Packet{Key: f.key, Flags: inband.Resetting, Seq: f.nextSeq, Ack: f.ack, Tag: f.tag})
 }
 
+// countLateFailure counts a request that failed on an open flow whose target was lost long before.
+func (c *client) countLateFailure(r *request) {
+	f := c.flow
+	if !c.isRepeatable || f == nil || !f.isOpen || f.isEnded {
+		return
+	}
+	if t := c.sim.byTag[f.tag]; t.isLostFor(c.entryDomain(), r.sentAt, leaveTime) {
+		c.sim.report.LateFailures++
+	}
+}
+
 // finish records the outcome of a request. Later calls for the request have no effect.
 func (c *client) finish(r *request, isServed bool) {
 	if r.isDone {
@@ -252,8 +265,9 @@
 	}
 	r.isDone = true
 	if !isServed {
+		c.countLateFailure(r)
 		c.abortFlow()
 	}
 	latency := c.sim.now - r.sentAt
-	c.sim.report.record(latency, !c.isFeed, isServed)
+	c.sim.report.record(latency, !c.isRepeatable, isServed)
 }
--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -18,6 +18,9 @@
 	DrainTargets        FaultKind = "drain_targets" // targets are drained and replaced by new ones
 	KillVMs             FaultKind = "kill_vms"      // VMs crash, and start again without state
 	PauseVMs            FaultKind = "freeze_vms"    // VMs are suspended, and then process what arrived meanwhile
+	RestartVMs          FaultKind = "restart_vms"   // VMs shut down gracefully, and start again without state
+	DeafClients         FaultKind = "deaf_clients"  // what targets send to a share of the clients is lost
+	MuteClients         FaultKind = "mute_clients"  // what a share of the clients sends is lost
 	LosePackets         FaultKind = "lose_packets"  // a share of all packets is lost
 	LoadBurst           FaultKind = "burst"         // clients send more requests
 	ShiftClients        FaultKind = "shift"         // clients of one domain enter through another
@@ -28,8 +31,8 @@
 	Kind   FaultKind
 	At     clock.Millis // start
 	For    clock.Millis // duration
-	Domain int          // affected domain, for partitions and ShiftClients
-	Share  float64      // share of targets, VMs or packets affected, or of load added
+	Domain int          // affected domain, for partitions and ShiftClients; that of a single client
+	Share  float64      // share of targets, VMs, clients or packets affected, or of load added; of clients, zero is one
 }
 
 // Pattern is a named sequence of faults.
@@ -62,6 +65,9 @@
 		{"flapping_targets", "an eighth of the targets alternates between down and up", []Fault{{Kind: FlapTargets, At: at, For: 5 * clock.Second, Share: 0.125}}},
 		{"herd_kill", "most VMs crash and restart together", []Fault{{Kind: KillVMs, At: at, For: 700, Share: 0.55}}},
 		{"kill_all", "all VMs crash and restart together", []Fault{{Kind: KillVMs, At: at, For: 700, Share: 1}}},
+		{"restart", "a quarter of the VMs is restarted gracefully", []Fault{{Kind: RestartVMs, At: at, For: 2 * clock.Second, Share: 0.25}}},
+		{"deaf_clients", "an eighth of the clients receives nothing for a while", []Fault{{Kind: DeafClients, At: at, For: 230, Share: 0.125}}},
+		{"mute_clients", "nothing that an eighth of the clients sends arrives for a while", []Fault{{Kind: MuteClients, At: at, For: 230, Share: 0.125}}},
 		{"freeze", "a VM is suspended and resumes", []Fault{{Kind: PauseVMs, At: at, For: 4 * clock.Second, Share: 0.13}}},
 		{"link_loss", "2% of all packets are lost", []Fault{{Kind: LosePackets, At: at, For: 5 * clock.Second, Share: 0.02}}},
 		{"cut_and_dark", "targets crash just before one domain is partitioned", []Fault{
@@ -80,6 +86,11 @@
 	Feeds          int          // clients that send repeatable requests on one long-lived flow
 	FeedInterval   clock.Millis // mean time between requests of a feed
 	HoldsPerSecond float64      // rate of non-repeatable requests, each on its own flow
+	Bookings       int          // clients that send non-repeatable requests on one long-lived flow
+	SharedClients  bool         // holds are sent by the clients that have feeds
+	Synchronized   bool         // clients that keep their flow send their requests at nearly the same times
+	RotationLag    clock.Millis // how long the router keeps sending packets to a VM that stopped; 1 s if zero
+	Deadline       clock.Millis // when a client gives up a request; 1 s if zero
 	ProcessingTime clock.Millis // mean time that a target takes for a request
 	Duration       clock.Millis // length of the run in virtual time
 }
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -6,6 +6,10 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
+// leaveTime is how long after a target is lost its flows are reset at the latest, so that no repeatable
+// request that is sent later waits there until its deadline.
+const leaveTime = clock.Second
+
 // lateCredit is the credit for a response after latencyTarget; one in time counts 1.
 const lateCredit = 0.3
 
@@ -20,14 +24,16 @@
 	InTime            int          `json:"in_time"`       // requests answered within the latency target
 	Late              int          `json:"late"`          // requests answered after the latency target
 	Failed            int          `json:"failed"`
-	Credit            float64      `json:"credit"`    // mean credit per request; 1 if all were answered in time
-	P99               clock.Millis `json:"p99_ms"`    // 99th percentile latency of answered requests
-	Resets            int          `json:"resets"`    // of open flows
-	UnexplainedResets int          `json:"broken"`    // resets of open flows that no fault explains
-	Refused           int          `json:"refused"`   // openings reset for lack of a target or because of overload
-	Shed              int          `json:"shed"`      // requests rejected by a target with a full queue
-	Dropped           int          `json:"dropped"`   // packets that an entry VM dropped
-	Imbalance         float64      `json:"imbalance"` // requests of the busiest target over the mean
+	Credit            float64      `json:"credit"`                 // mean credit per request; 1 if all were answered in time
+	P99               clock.Millis `json:"p99_ms"`                 // 99th percentile latency of answered requests
+	Resets            int          `json:"resets"`                 // of open flows
+	UnexplainedResets int          `json:"broken"`                 // resets of open flows that no fault explains
+	FirstUnexplained  string       `json:"first_broken,omitempty"` // what the first of them was
+	Refused           int          `json:"refused"`                // openings reset for lack of a target or because of overload
+	LateFailures      int          `json:"late_failures"`          // repeatable requests that failed at a target lost long before
+	Shed              int          `json:"shed"`                   // requests rejected by a target with a full queue
+	Dropped           int          `json:"dropped"`                // packets that an entry VM dropped
+	Imbalance         float64      `json:"imbalance"`              // requests of the busiest target over the mean
 	latencies         []clock.Millis
 }
 
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -1,10 +1,18 @@
 package experiment
 
 import (
+	"net/netip"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
 
+// synchronizedSpread is the time in milliseconds over which synchronized clients spread their requests.
+const synchronizedSpread = 60
+
+// firstHoldPort is above the ports that clients use for their other flows.
+const firstHoldPort = 30000
+
 // Run simulates a pattern of load and faults under a policy and returns the results. The
 // policy name only labels the report.
 func Run(size Size, pattern Pattern, policyName string, policy inband.Policy, seed uint64) Report {
@@ -26,15 +34,27 @@
 func (s *simulation) addClients() {
 	for domain := range s.size.Domains {
 		for i := range s.size.Feeds {
-			c := &client{sim: s, domain: domain, number: i, isFeed: true}
-			s.clients = append(s.clients, c)
-			s.schedule(clock.Millis(s.random.Int64N(int64(s.size.FeedInterval))), c.runFeed)
+			s.startFeed(&client{sim: s, domain: domain, number: i, isRepeatable: true, keepsFlow: true})
+		}
+		for i := range s.size.Bookings {
+			s.startFeed(&client{sim: s, domain: domain, number: s.size.Feeds + i, keepsFlow: true})
 		}
-		s.scheduleHold(domain, s.size.Feeds)
+		if s.size.HoldsPerSecond > 0 {
+			s.scheduleHold(domain, s.size.Feeds+s.size.Bookings)
+		}
+	}
+}
+
+// startFeed starts a client that keeps its flow, at a random time or together with the others.
+func (s *simulation) startFeed(c *client) {
+	if s.size.Synchronized {
+		s.schedule(0, c.runFeed)
+		return
 	}
+	s.schedule(clock.Millis(s.random.Int64N(int64(s.size.FeedInterval))), c.runFeed)
 }
 
-// runFeed sends a request at random intervals, skipping one while the previous request is
+// runFeed sends a request at random intervals, or at the times of synchronized clients, skipping one while the previous request is
 // unfinished.
 func (c *client) runFeed() {
 	s := c.sim
@@ -42,14 +62,22 @@
 		c.startRequest()
 	}
 	interval := float64(s.size.FeedInterval) * (0.5 + s.random.Float64()) / s.loadFactor
+	if s.size.Synchronized {
+		next := (s.now/s.size.FeedInterval + 1) * s.size.FeedInterval
+		interval = float64(next - s.now + clock.Millis(s.random.Int64N(synchronizedSpread)))
+	}
 	s.schedule(clock.Millis(interval), c.runFeed)
 }
 
-// scheduleHold schedules the holds of a domain, each from a new client, as a Poisson process.
+// scheduleHold schedules the holds of a domain as a Poisson process. Each comes from a new client or,
+// if clients are shared, from one that has a feed.
 func (s *simulation) scheduleHold(domain, number int) {
 	interval := clock.Millis(1000 * s.random.ExpFloat64() / (s.size.HoldsPerSecond * s.loadFactor))
 	s.schedule(interval, func() {
 		c := &client{sim: s, domain: domain, number: number}
+		if s.size.SharedClients && s.size.Feeds > 0 {
+			c.number, c.port = s.random.IntN(s.size.Feeds), uint16(firstHoldPort+number)
+		}
 		c.startRequest()
 		s.scheduleHold(domain, number+1)
 	})
@@ -59,7 +87,7 @@
 func (s *simulation) inject(f Fault) {
 	switch f.Kind {
 	case PartitionDomain:
-		s.partitioned = f.Domain
+		s.partitioned, s.partitionedAt = f.Domain, s.now
 		s.schedule(f.For, func() { s.partitioned = none; s.healedAt = s.now; s.publish() })
 	case PartitionOneWay:
 		s.oneWayPartitioned = f.Domain
@@ -73,8 +101,12 @@
 	case ShiftClients:
 		s.shiftedDomain = f.Domain
 		s.schedule(f.For, func() { s.shiftedDomain = none })
-	case KillVMs, PauseVMs:
+	case KillVMs, PauseVMs, RestartVMs:
 		s.injectVMFault(f)
+	case DeafClients:
+		s.injectClientFault(f, s.deaf)
+	case MuteClients:
+		s.injectClientFault(f, s.mute)
 	default:
 		s.injectTargetFault(f)
 	}
@@ -84,13 +116,33 @@
 func (s *simulation) injectVMFault(f Fault) {
 	for _, i := range s.random.Perm(len(s.vms))[:shareOf(len(s.vms), f.Share)] {
 		v := s.vms[i]
-		if f.Kind == PauseVMs {
+		switch {
+		case !v.isUp || v.paused: // another fault ends later
+		case f.Kind == PauseVMs:
 			v.pause()
 			s.schedule(f.For, v.resume)
-			continue
+		case f.Kind == RestartVMs:
+			v.leave()
+			s.schedule(f.For, v.start)
+		default:
+			v.stop()
+			s.schedule(f.For, v.start)
 		}
-		v.stop()
-		s.schedule(f.For, v.start)
+	}
+}
+
+// injectClientFault makes the links of some clients that keep their flow lose all packets in one
+// direction. If the share is zero, it is the first client of the domain.
+func (s *simulation) injectClientFault(f Fault, lossy map[netip.Addr]bool) {
+	perDomain := s.size.Feeds + s.size.Bookings
+	clients := []int{f.Domain * perDomain}
+	if f.Share > 0 {
+		clients = s.random.Perm(s.size.Domains * perDomain)[:shareOf(s.size.Domains*perDomain, f.Share)]
+	}
+	for _, i := range clients {
+		c := client{domain: i / perDomain, number: i % perDomain}
+		lossy[c.address()] = true
+		s.schedule(f.For, func() { delete(lossy, c.address()) })
 	}
 }
 
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -56,12 +57,16 @@
 	vms               []*vm
 	targets           []*target
 	byID              map[string]*target
-	clients           []*client
-	partitioned       int // domain that others cannot reach in either direction, or none
-	oneWayPartitioned int // domain that packets from other domains do not reach, or none
+	byTag             map[inband.Tag]*target
+	clientOf          map[inband.Key]*client
+	deaf              map[netip.Addr]bool // clients that receive nothing from targets
+	mute              map[netip.Addr]bool // clients whose packets are lost
+	partitioned       int                 // domain that others cannot reach in either direction, or none
+	oneWayPartitioned int                 // domain that packets from other domains do not reach, or none
 	lossRate          float64
 	loadFactor        float64
 	shiftedDomain     int          // domain whose clients enter through the next domain, or none
+	partitionedAt     clock.Millis // when the domain was partitioned
 	healedAt          clock.Millis // when the last network fault ended
 	report            Report
 	targetsStarted    int // for ids and addresses of targets
@@ -72,9 +77,12 @@
 
 func newSimulation(size Size, policy inband.Policy, seed uint64) *simulation {
 	s := &simulation{
-		size: size, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*target{},
+		size: size, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*target{}, byTag: map[inband.Tag]*target{},
+		clientOf: map[inband.Key]*client{}, deaf: map[netip.Addr]bool{}, mute: map[netip.Addr]bool{},
 		partitioned: none, oneWayPartitioned: none, shiftedDomain: none, loadFactor: 1, healedAt: -resetGracePeriod,
 	}
+	s.size.RotationLag = cmp.Or(size.RotationLag, defaultRotationLag)
+	s.size.Deadline = cmp.Or(size.Deadline, defaultDeadline)
 	for domain := range size.Domains {
 		for range size.Targets {
 			s.addTarget(domain)
@@ -113,7 +121,7 @@
 	s.targetsStarted++
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(domain), byte(s.targetsStarted >> 8), byte(s.targetsStarted)}), 80)
 	t := &target{
-		sim: s, domain: domain, slowdown: 1, flows: map[inband.Key]*targetFlow{},
+		sim: s, domain: domain, slowdown: 1, disturbedAt: -resetGracePeriod, flows: map[inband.Key]*targetFlow{},
 		spec: inband.Target{
 			ID: fmt.Sprintf("i-%04x", s.targetsStarted), Identity: uint64(s.targetsStarted), Service: service,
 			Address: address, Domain: domainName(domain), Slots: 2,
@@ -121,7 +129,7 @@
 	}
 	t.listed = t.spec
 	s.targets = append(s.targets, t)
-	s.byID[t.spec.ID] = t
+	s.byID[t.spec.ID], s.byTag[inband.TagOf(t.spec.ID)] = t, t
 	return t
 }
 
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -26,6 +26,7 @@
 	nextSeq uint32
 	running bool   // a request is queued or in progress
 	ack     uint32 // sequence number after the last byte that the target sent
+	acked   uint32 // the newest of them that the client acknowledged
 	isError bool   // the latest response is an error
 }
 
@@ -63,6 +64,9 @@
 		return
 	}
 	f := t.flows[p.Key]
+	if f != nil && !p.IsOpening() && int32(p.Ack-f.acked) > 0 {
+		f.acked = p.Ack
+	}
 	switch {
 	case p.IsOpening():
 		if f == nil {
@@ -130,21 +134,40 @@
 	if isFailing {
 		f.ack -= responseLength - errorResponseLength
 	}
+	t.retransmit(f, tag, f.ack, minRetransmitInterval)
+}
+
+// retransmit sends a response, and again at doubling intervals until the client acknowledges it.
+func (t *target) retransmit(f *targetFlow, tag inband.Tag, ack uint32, interval clock.Millis) {
+	if f.ack != ack || int32(f.acked-ack) >= 0 || t.flows[f.key] != f {
+		return
+	}
 	if !t.isDown {
 		t.respond(f, tag, false)
 	}
+	t.sim.schedule(interval, func() { t.retransmit(f, tag, ack, min(2*interval, maxRetransmitInterval)) })
 }
 
 // respond sends the client the current state of its flow.
 func (t *target) respond(f *targetFlow, tag inband.Tag, isOpening bool) {
 	s := t.sim
-	if s.lossRate > 0 && s.random.Float64() < s.lossRate {
+	if s.deaf[f.key.Client.Addr()] || s.lossRate > 0 && s.random.Float64() < s.lossRate {
 		return
 	}
 	response := targetPacket{tag: tag, ack: f.ack, nextSeq: f.nextSeq, isOpening: isOpening, isLast: !isOpening && t.listed.State == inband.Leaving, isError: f.isError}
 	s.schedule(clientLatency, func() { f.client.receive(f.key, response) })
 }
 
+// isLostFor reports whether the target was lost for the VMs of a domain at some time before a point in
+// time, and has been since: it crashed, or the domain is partitioned from it.
+func (t *target) isLostFor(domain int, at, before clock.Millis) bool {
+	s := t.sim
+	if t.isDown && at-t.disturbedAt >= before {
+		return true
+	}
+	return domain != t.domain && (s.partitioned == domain || s.partitioned == t.domain) && at-s.partitionedAt >= before
+}
+
 // isDegraded reports whether the target is slow or fails requests.
 func (t *target) isDegraded() bool { return t.slowdown != 1 || t.fault != "" }
 
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"net/netip"
 
 	"github.com/almondflow/almondflow/clock"
@@ -8,8 +9,10 @@
 )
 
 const (
-	// rotationLag is how long the router keeps sending packets to a VM that stopped.
-	rotationLag = clock.Second
+	// defaultRotationLag is how long the router keeps sending packets to a VM that stopped.
+	defaultRotationLag = clock.Second
+	// discoveryLag is how long the other VMs take to notice that a VM started or shuts down.
+	discoveryLag = 20 * clock.Millisecond
 	// minReportInterval is the least time between two reports of unresponsive targets, as in
 	// the daemon.
 	minReportInterval = 50 * clock.Millisecond
@@ -47,13 +50,32 @@
 	v.isUp, v.inRotation = true, true
 	v.updateView()
 	v.tick(v.incarnation)
+	v.notifySiblings()
+}
+
+// notifySiblings tells the other VMs that this one started or shuts down.
+func (v *vm) notifySiblings() {
+	v.sim.schedule(discoveryLag, func() {
+		for _, sibling := range v.sim.vms {
+			if sibling != v {
+				sibling.do(func() { sibling.engine.MarkFlowsMoved(v.sim.now) })
+			}
+		}
+	})
+}
+
+// leave takes the VM out of rotation. It stops once no packet is on its way to it.
+func (v *vm) leave() {
+	v.inRotation = false
+	v.notifySiblings()
+	v.sim.schedule(clientLatency, func() { v.isUp = false })
 }
 
 // stop ends the VM. The router notices after a lag.
 func (v *vm) stop() {
 	v.isUp = false
 	incarnation := v.incarnation
-	v.sim.schedule(rotationLag, func() {
+	v.sim.schedule(v.sim.size.RotationLag, func() {
 		if !v.isUp && v.incarnation == incarnation {
 			v.inRotation = false
 		}
@@ -89,7 +111,7 @@
 // pause suspends the VM. The router notices after a lag.
 func (v *vm) pause() {
 	v.paused = true
-	v.sim.schedule(rotationLag, func() { v.inRotation = !v.paused })
+	v.sim.schedule(v.sim.size.RotationLag, func() { v.inRotation = !v.paused })
 }
 
 // resume runs the calls that arrived during the pause.
@@ -128,7 +150,7 @@
 			s.schedule(latencyBetween(v.domain, t.domain), func() { t.receive(c, p) })
 		}
 	case inband.Reset:
-		s.countReset(p.Key, verdict.Backend)
+		s.countReset(v, p.Key, verdict.Backend)
 		s.schedule(clientLatency, func() { c.handleReset(p.Key) })
 	case inband.Drop:
 		s.report.Dropped++
@@ -158,8 +180,8 @@
 		v.probe(domain)
 	}
 	for _, f := range v.engine.EndFlowsOfLostTargets(s.now) {
-		s.countReset(f.Key, f.Backend)
-		s.schedule(clientLatency, func() { s.feedClient(f.Key).handleReset(f.Key) })
+		s.countReset(v, f.Key, f.Backend)
+		s.schedule(clientLatency, func() { s.clientOf[f.Key].handleReset(f.Key) })
 	}
 }
 
@@ -201,15 +223,23 @@
 
 // countReset counts a reset sent to a client. It is unexplained if the flow was open on a
 // running target and no recent fault explains the reset.
-func (s *simulation) countReset(key inband.Key, backend *inband.Backend) {
+func (s *simulation) countReset(v *vm, key inband.Key, backend *inband.Backend) {
 	if backend == nil {
 		s.report.Refused++
 		return
 	}
 	s.report.Resets++
 	t := s.byID[backend.Target().ID]
-	isDisturbed := t.isDegraded() || s.now-s.healedAt < resetGracePeriod || s.partitioned != none || s.oneWayPartitioned != none || s.lossRate > 0
+	isDisturbed := t.isDegraded() || s.lossRate > 0 || s.now-s.healedAt < resetGracePeriod || s.isAffectedByPartition(v, t)
 	if t.isUp && t.flows[key] != nil && !isDisturbed && s.now-t.disturbedAt >= resetGracePeriod {
+		if s.report.UnexplainedResets == 0 {
+			s.report.FirstUnexplained = fmt.Sprintf("at %v by VM %d of %s: %v at %s", s.now, v.number, domainName(v.domain), key.Client, t.spec.ID)
+		}
 		s.report.UnexplainedResets++
 	}
 }
+
+// isAffectedByPartition reports whether a partition separates a VM from a target.
+func (s *simulation) isAffectedByPartition(v *vm, t *target) bool {
+	return v.domain != t.domain && (s.partitioned == v.domain || s.partitioned == t.domain || s.oneWayPartitioned == t.domain)
+}
--- /dev/null
+++ b/experiment/worlds_test.go
@@ -0,0 +1,135 @@
+package experiment_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/experiment"
+	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/seedtest"
+)
+
+// randomWorlds is the number of random worlds that CI plays.
+const randomWorlds = 300
+
+func TestMain(m *testing.M) { seedtest.MainWithChecks(m, randomWorlds) }
+
+// drawWorld draws a deployment and its faults. Most deployments are quiet, as few other answers then
+// refute a wrong suspicion. faults names the kinds that may occur.
+func drawWorld(t *rapid.T, kinds []experiment.FaultKind) (experiment.Size, experiment.Pattern) {
+	size := experiment.Size{
+		Domains: rapid.IntRange(2, 4).Draw(t, "domains"),
+		VMs:     rapid.IntRange(1, 3).Draw(t, "vms"),
+		Targets: rapid.IntRange(1, 3).Draw(t, "targets"),
+		Feeds:   rapid.IntRange(1, 16).Draw(t, "feeds"), Bookings: rapid.IntRange(0, 8).Draw(t, "bookings"),
+		FeedInterval: clock.Millis(rapid.OneOf(rapid.IntRange(350, 450), rapid.IntRange(300, 5000)).Draw(t, "feed interval")), Synchronized: rapid.Bool().Draw(t, "synchronized"),
+		HoldsPerSecond: float64(rapid.IntRange(0, 8).Draw(t, "holds")), SharedClients: rapid.Bool().Draw(t, "shared clients"),
+		ProcessingTime: clock.Millis(rapid.IntRange(5, 30).Draw(t, "processing time")),
+		RotationLag:    clock.Millis(rapid.OneOf(rapid.IntRange(300, 1000), rapid.IntRange(550, 600)).Draw(t, "rotation lag")),
+		Deadline:       clock.Millis(rapid.IntRange(1000, 2000).Draw(t, "deadline")),
+		Duration:       14 * clock.Second,
+	}
+	pattern := experiment.Pattern{Name: "random"}
+	// Few kinds in one world make it likely that they meet.
+	few := rapid.SliceOfNDistinct(rapid.SampledFrom(kinds), 1, 4, rapid.ID[experiment.FaultKind])
+	kinds = rapid.OneOf(few, rapid.SampledFrom(meetings)).Draw(t, "kinds")
+	clientDomain := rapid.IntRange(0, size.Domains-1).Draw(t, "domain of the client")
+	for range rapid.IntRange(1, 12).Draw(t, "faults") {
+		f := experiment.Fault{
+			Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
+			At:     clock.Millis(rapid.IntRange(2000, 11000).Draw(t, "at")),
+			For:    clock.Millis(rapid.IntRange(100, 4000).Draw(t, "for")),
+			Domain: rapid.IntRange(0, size.Domains-1).Draw(t, "domain"),
+			Share:  rapid.Float64Range(0.05, 0.6).Draw(t, "share"),
+		}
+		// Faults come while requests are under way, and VMs leave the rotation just before targets
+		// repeat their answers for the second time, after 600 ms.
+		if size.Synchronized {
+			f.At = f.At/size.FeedInterval*size.FeedInterval + clock.Millis(rapid.IntRange(0, 150).Draw(t, "after requests"))
+		}
+		if f.Kind == experiment.DeafClients || f.Kind == experiment.MuteClients {
+			f.Domain, f.Share = clientDomain, 0 // one client has a bad link
+		}
+		pattern.Faults = append(pattern.Faults, f)
+	}
+	return size, pattern
+}
+
+// meetings are kinds of faults that made VMs reset flows of living targets when they met.
+var meetings = [][]experiment.FaultKind{
+	{experiment.PauseVMs}, // review/2
+	{experiment.PauseVMs, experiment.KillVMs, experiment.RestartVMs},              // review/2
+	{experiment.DeafClients, experiment.MuteClients},                              // review/3
+	{experiment.DeafClients, experiment.RestartVMs},                               // review/1
+	{experiment.DeafClients, experiment.PauseVMs, experiment.DrainTargets},        // review/4
+	{experiment.PauseVMs, experiment.CrashTargets, experiment.PartitionDomain},    // kinarez-ist hunt-876d-3
+	{experiment.PartitionDomain, experiment.PauseVMs, experiment.KillVMs},         // kinarez-ist-grown restart-under-cut
+	{experiment.DeafClients, experiment.PauseVMs, experiment.UnresponsiveTargets}, // silence of several targets
+}
+
+// TestLiveTargetsKeepTheirFlows guards against resets of open flows whose target lives undisturbed,
+// whatever else fails at the same time: links of clients in either direction, other targets, entry
+// VMs that freeze, crash or restart, flows that move between them, releases, domains that are cut off.
+func TestLiveTargetsKeepTheirFlows(t *testing.T) {
+	t.Parallel()
+	kinds := []experiment.FaultKind{
+		experiment.DeafClients, experiment.MuteClients, experiment.PauseVMs, experiment.KillVMs, experiment.RestartVMs, experiment.DrainTargets, experiment.CrashTargets, experiment.ReuseAddresses,
+		experiment.SlowTargets, experiment.FailTargets, experiment.UnresponsiveTargets, experiment.FlapTargets,
+		experiment.PartitionDomain, experiment.PartitionOneWay, experiment.LoadBurst, experiment.ShiftClients,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		size, pattern := drawWorld(t, kinds)
+		report := experiment.Run(size, pattern, "local", inband.Local{}, rapid.Uint64().Draw(t, "seed"))
+		if report.UnexplainedResets > 0 {
+			t.Fatalf("%d of %d resets hit open flows of undisturbed targets, the first: %s", report.UnexplainedResets, report.Resets, report.FirstUnexplained)
+		}
+	})
+}
+
+// TestRequestsLostInAFrozenVM guards against the fault of review/2 in the worlds in which it is likely:
+// a VM freezes while answers are on their way to its clients, and leaves the rotation just before
+// the targets repeat these answers for the second time.
+func TestRequestsLostInAFrozenVM(t *testing.T) {
+	is := is.New(t)
+	size := experiment.Size{
+		Domains: 2, VMs: 2, Targets: 2, Feeds: 16, FeedInterval: 380, Synchronized: true, ProcessingTime: 25,
+		RotationLag: 590, Deadline: 2 * clock.Second, Duration: 5 * clock.Second,
+	}
+	for seed := range uint64(150) {
+		pattern := experiment.Pattern{Faults: []experiment.Fault{{Kind: experiment.PauseVMs, At: 2660 + clock.Millis(seed), For: 4 * clock.Second, Share: 0.25}}}
+		report := experiment.Run(size, pattern, "local", inband.Local{}, seed)
+		is.Equal(report.FirstUnexplained, "")
+	}
+}
+
+// busyWorld is a deployment in which each target has flows of several clients at each VM.
+func busyWorld(t *rapid.T) experiment.Size {
+	return experiment.Size{
+		Domains: rapid.IntRange(2, 4).Draw(t, "domains"), VMs: rapid.IntRange(1, 2).Draw(t, "vms"), Targets: 4,
+		Feeds: rapid.IntRange(40, 80).Draw(t, "feeds"), FeedInterval: clock.Second, HoldsPerSecond: 20,
+		ProcessingTime: 16, Duration: 12 * clock.Second,
+	}
+}
+
+// TestLostTargetsAreLeftInTime guards against suspicion that has become too careful: a request that is
+// sent to a crashed target, or into a domain that is cut off, later than a second after the fault
+// began must not wait there until its deadline, as its flow has been reset by then.
+func TestLostTargetsAreLeftInTime(t *testing.T) {
+	for _, kind := range []experiment.FaultKind{experiment.CrashTargets, experiment.PartitionDomain} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(t *rapid.T) {
+				pattern := experiment.Pattern{Faults: []experiment.Fault{{
+					Kind: kind, At: 5 * clock.Second, For: 4 * clock.Second, Domain: 1, Share: rapid.Float64Range(0.05, 0.2).Draw(t, "share"),
+				}}}
+				report := experiment.Run(busyWorld(t), pattern, "local", inband.Local{}, rapid.Uint64().Draw(t, "seed"))
+				if report.LateFailures > 0 {
+					t.Fatalf("%d requests to lost targets waited until their deadline", report.LateFailures)
+				}
+			})
+		})
+	}
+}
--- a/inband/sign_test.go
+++ b/inband/sign_test.go
@@ -109,3 +109,20 @@
 	is.Equal(len(suspicions), 9)
 	is.True(len(text) <= 1100)
 }
+
+// Guards against old silence that adds up with new silence: a client that waited eight seconds ago may
+// have been answered through another VM since.
+func TestOldDataIsNoSign(t *testing.T) {
+	for _, pause := range []clock.Millis{500, 8000} {
+		t.Run(fmt.Sprintf("%v ms between two clients", pause), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			tag := openFlow(e, 9, feedAddress) // idle
+			for _, at := range []clock.Millis{1000, 1200} {
+				e.Handle(at, data(1, feedAddress, tag, 101, 500))
+				e.Handle(at+pause, data(2, feedAddress, tag, 101, 500))
+			}
+			is.Equal(len(e.EndFlowsOfLostTargets(1210+pause)) > 0, pause == 500)
+		})
+	}
+}
