Notice that the process stood still, not only that the machine was suspended

Cause: pauses were told by the difference of two clocks that both run on while only the process stands still. So messages that had waited for seconds counted as new, and targets were judged by what was seen before.

Test: TestStalledProcessNoticesItsPause failed before.

--- a/front/packets.go
+++ b/front/packets.go
@@ -49,6 +49,9 @@
 // that cannot be served yet are queued.
 func (d *Daemon) handlePacket(packet *inband.Packet, buffer, reset []byte) {
 	now := d.clock.Now()
+	if d.pauseDetector.isStalled(now) {
+		d.checkForPause(now) // before what waited meanwhile is taken for evidence
+	}
 	d.mu.Lock()
 	if !d.isServable(packet) {
 		d.enqueue(now, packet, buffer)
--- a/front/pausedetector_test.go
+++ b/front/pausedetector_test.go
@@ -89,6 +89,22 @@
 	is.True(!d.ignoresMessages(m.monotonic.Now()))
 }
 
+// Guards against a process that was stopped while the clocks ran on, as a frozen VM: it must ignore the
+// messages that waited meanwhile, read the store again and reset no flows, from the first packet on.
+func TestStalledProcessNoticesItsPause(t *testing.T) {
+	is := is.New(t)
+	d, m, _ := newPausableDaemon(t)
+	d.checkForPause(m.monotonic.Now())
+	m.run(1400 * clock.Millisecond)
+	is.Equal(d.checkForPause(m.monotonic.Now()), 0) // late ticks of a slow machine
+	m.run(4 * clock.Second)
+	packet := &inband.Packet{Flags: inband.Acknowledging}
+	d.handlePacket(packet, make([]byte, 100), make([]byte, 100))
+	is.Equal(d.checkForPause(m.monotonic.Now()), 1)
+	is.True(d.ignoresMessages(m.monotonic.Now()))
+	is.True(d.readScheduler.NextRead(0) <= m.monotonic.Now())
+}
+
 // A view that VMs forward to each other must not appear younger with every transfer.
 func TestForwardedViewAgesInTransit(t *testing.T) {
 	is := is.New(t)
