Do not measure silence across a stall of the VM itself

Cause: it read copies of requests that had waited, before the acknowledgments of answers that had come in the meantime, and measured the silence by the time since it had forwarded the requests, its own pause included. Two clients were enough. Ruled out: the target (busy, it answered after 270 ms).

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -7,6 +7,10 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
+// maxInactivity is the longest time between two sweeps of a process that runs, with room for one that is
+// late. A longer one means that the process stood still.
+const maxInactivity = 500 * clock.Millisecond
+
 // Options configures an Engine.
 type Options struct {
 	Domain       string       // failure domain of the entry VM
@@ -29,6 +33,8 @@
 	flows            *flowTable
 	holdOffUntil     clock.Millis // until when this VM resets no flows and sends no reports
 	hasNewSuspicions bool         // a target timed out since the last TakeSuspicions
+	activeAt         clock.Millis // when a packet or a sweep was last handled
+	resumedAt        clock.Millis // when the process last went on after it had stood still
 	flowsMovedAt     clock.Millis // when flows may last have moved to another VM without notice
 	slowUntil        clock.Millis // until when targets are known to be slow to answer
 	links            map[string]*link
@@ -63,8 +69,21 @@
 // shut down. What this VM saw last of a flow need not be the latest since.
 func (e *Engine) MarkFlowsMoved(now clock.Millis) { e.flowsMovedAt = now }
 
+// recordActivity notices that the process stood still: callers sweep more often than every maxInactivity.
+func (e *Engine) recordActivity(now clock.Millis) {
+	if now-e.activeAt >= maxInactivity {
+		e.resumedAt = now
+	}
+	e.activeAt = max(e.activeAt, now)
+}
+
+// isMeasurable reports whether silence after a flow's newest packet can be measured. After the process
+// stood still, answers that came meanwhile may be read later than copies of the packet.
+func (e *Engine) isMeasurable(f *flow) bool { return f.sentAt >= e.resumedAt }
+
 // Handle decides what happens to one packet of a client.
 func (e *Engine) Handle(now clock.Millis, p *Packet) Verdict {
+	e.recordActivity(now)
 	f := e.flows.find(p.Key)
 	if p.IsOpening() {
 		return e.handleOpening(now, p, f)
@@ -99,6 +118,10 @@
 	if now-f.sentAt < answerTimeout {
 		return forward(f.backend, Repeated)
 	}
+	if !e.isMeasurable(f) {
+		f.sentAt = now
+		return forward(f.backend, Repeated)
+	}
 	previous, route := f.backend, f.route
 	e.recordTimeout(now, f, false)
 	e.endFlow(f)
--- a/inband/evidence_test.go
+++ b/inband/evidence_test.go
@@ -260,3 +260,29 @@
 	is.Equal(e.Suspects(), 1)
 	is.Equal(e.Flows(), 0)
 }
+
+// Guards against silence that is measured across a time in which this VM stood still: it reads copies
+// of requests that waited, and only then the acknowledgments of answers that came in the meantime
+// (random world of package experiment, seed 1532902).
+func TestSilenceIsNotMeasuredAcrossAStall(t *testing.T) {
+	for _, isStalled := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stalled: %v", isStalled), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			tag := openFlow(e, 9, feedAddress) // idle
+			e.Handle(1000, data(1, feedAddress, tag, 101, 500))
+			e.Handle(1000, data(2, feedAddress, tag, 101, 500))
+			e.Handle(1000, opening(3, feedAddress, 0))
+			for at := clock.Millis(1250); at < 1700 && !isStalled; at += 250 {
+				e.Sweep(at)
+			}
+			for client := 1; client <= 2; client++ {
+				e.Handle(1700, data(client, feedAddress, tag, 101, 500))
+			}
+			e.Handle(1700, opening(3, feedAddress, 1))
+			is.Equal(e.Targets()[0].Timeouts, map[bool]int{false: 3, true: 0}[isStalled])
+			e.Handle(1710, data(1, feedAddress, tag, 151, 600)) // an answer that came meanwhile
+			is.Equal(len(e.EndFlowsOfLostTargets(1720)), 0)
+		})
+	}
+}
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -31,6 +31,10 @@
 	if f.isTimedOut || now-f.sentAt < answerTimeout {
 		return false
 	}
+	if !e.isMeasurable(f) {
+		f.sentAt = now
+		return false
+	}
 	f.isTimedOut = true
 	e.recordTimeout(now, f, true)
 	return true
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -35,9 +35,10 @@
 	return clock.Millis(e.random.IntN(int(minRetryInterval)))
 }
 
-// Sweep records the outcomes of idle requests and removes expired flows, checking a limited
+// Sweep is called at least every maxInactivity/2. It records the outcomes of idle requests and removes expired flows, checking a limited
 // number of slots per call. It also stops watching targets that have recovered.
 func (e *Engine) Sweep(now clock.Millis) {
+	e.recordActivity(now)
 	e.watchlist.prune(now, e.byID)
 	e.suspectClients.removeExpired(now)
 	const maxSlots = 256
