--- a/cmd/almondflow-entry/main.go
+++ b/cmd/almondflow-entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -16,7 +17,12 @@
 // settingsVariable is the environment variable that holds the path of the settings file.
 const settingsVariable = "ALMONDFLOW_CONFIG"
 
+var errNoSettings = errors.New("the environment variable " + settingsVariable + " does not name a settings file")
+
 func main() {
+	if len(os.Args) > 1 {
+		os.Exit(answer(os.Args[1:], os.Stdout, os.Stderr))
+	}
 	if err := run(); err != nil {
 		fmt.Fprintf(os.Stderr, "level=ERROR msg=ended error=%q\n", err)
 		os.Exit(1)
@@ -29,7 +35,11 @@
 	defer signal.Stop(hangUps)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	settings, err := front.LoadSettings(os.Getenv(settingsVariable))
+	path := os.Getenv(settingsVariable)
+	if path == "" {
+		return errNoSettings
+	}
+	settings, err := front.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -37,7 +47,7 @@
 		PacketCodec:   platform.PacketCodec{},
 		Store:         platform.NewStore(settings.StoreAddress.String()),
 		ReadinessPath: platform.ReadinessPath,
-		SettingsPath:  os.Getenv(settingsVariable),
+		SettingsPath:  path,
 		LogOutput:     os.Stdout,
 	})
 	if err != nil {
