Leave dead targets as soon as before also with flows that may have moved

In the harness a partition that replaces another one now ends it, which left resets unexcused (random world).

--- a/experiment/run.go
+++ b/experiment/run.go
@@ -87,9 +87,11 @@
 func (s *simulation) inject(f Fault) {
 	switch f.Kind {
 	case PartitionDomain:
+		s.endPartitions()
 		s.partitioned, s.partitionedAt = f.Domain, s.now
 		s.schedule(f.For, func() { s.partitioned = none; s.healedAt = s.now; s.publish() })
 	case PartitionOneWay:
+		s.endPartitions()
 		s.oneWayPartitioned = f.Domain
 		s.schedule(f.For, func() { s.oneWayPartitioned = none; s.healedAt = s.now })
 	case LosePackets:
@@ -112,6 +114,13 @@
 	}
 }
 
+// endPartitions ends a partition that another one replaces.
+func (s *simulation) endPartitions() {
+	if s.partitioned != none || s.oneWayPartitioned != none {
+		s.partitioned, s.oneWayPartitioned, s.healedAt = none, none, s.now
+	}
+}
+
 // injectVMFault pauses or restarts randomly selected VMs.
 func (s *simulation) injectVMFault(f Fault) {
 	for _, i := range s.random.Perm(len(s.vms))[:shareOf(len(s.vms), f.Share)] {
--- a/inband/evidence.go
+++ b/inband/evidence.go
@@ -17,6 +17,10 @@
 	// minDeadSigns is the number of independent signs, an opening and data among them, at which a
 	// target counts as dead. Signs of different clients are independent, see clientSet.
 	minDeadSigns = 2
+	// minDeadSignsForMoved applies instead to flows that other VMs may carry, as a wrong reset may hit a
+	// request under way there, unless the target has been silent for movedTimeout.
+	minDeadSignsForMoved = 3
+	movedTimeout         = 600 * clock.Millisecond
 	// A target counts as dead if the data of minStuckClients clients has been unanswered for
 	// stuckTimeout, even if no opening timed out.
 	minStuckClients = 2
@@ -147,6 +151,26 @@
 	return all.size()
 }
 
+// sharedSigns returns the number of independent signs seen here and at other VMs, as far as they still
+// count as evidence.
+func (e *evidence) sharedSigns(now clock.Millis) int {
+	if !e.isRecentlyUnresponsive(now) {
+		return 0
+	}
+	reported := e.reports.signs(now, signLifetime)
+	all := e.recentOpenings(now)
+	all.merge(&e.dataClients)
+	all.merge(&reported.openings)
+	all.merge(&reported.data)
+	return all.size()
+}
+
+// isDeadBeyondDoubt reports whether a target that counts as dead has given more signs, or has been
+// silent for longer, than that takes.
+func (e *evidence) isDeadBeyondDoubt(now clock.Millis) bool {
+	return e.sharedSigns(now) >= minDeadSignsForMoved || now-e.unresponsiveSince >= movedTimeout
+}
+
 // isSuspect reports whether new flows avoid the target.
 func (e *evidence) isSuspect(now clock.Millis) bool {
 	return e.openings > 0 || now < e.reports.avoidUntil
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -84,7 +84,10 @@
 // later may have been answered by a target that has restarted.
 func (e *Engine) isIdleAtDeadTarget(now clock.Millis, f *flow) bool {
 	evidence := &f.backend.evidence
-	if f.phase != open || f.isBusy || !evidence.isUnresponsive() || e.mayGoElsewhere(f) {
+	if f.phase != open || f.isBusy || !evidence.isUnresponsive() {
+		return false
+	}
+	if e.mayGoElsewhere(f) && !evidence.isDeadBeyondDoubt(now) {
 		return false
 	}
 	return f.seenAt <= evidence.unresponsiveSince+answerTimeout && evidence.isDead(now, now < e.slowUntil)
