--- a/inband/evidence.go
+++ b/inband/evidence.go
@@ -141,34 +141,33 @@
 	return e.openingClients
 }
 
-// independentSigns returns the number of independent signs seen here that still count as evidence.
-func (e *evidence) independentSigns(now clock.Millis) int {
+// localSigns returns the clients whose packets timed out here, as far as they still count as evidence.
+func (e *evidence) localSigns(now clock.Millis) clientSet {
 	if !e.isRecentlyUnresponsive(now) {
-		return 0
+		return clientSet{}
 	}
 	all := e.recentOpenings(now)
 	all.merge(&e.dataClients)
-	return all.size()
+	return all
 }
 
-// sharedSigns returns the number of independent signs seen here and at other VMs, as far as they still
-// count as evidence.
-func (e *evidence) sharedSigns(now clock.Millis) int {
-	if !e.isRecentlyUnresponsive(now) {
-		return 0
+// sharedSigns adds to localSigns, if there are any, the clients that other VMs reported recently.
+func (e *evidence) sharedSigns(now clock.Millis) clientSet {
+	all := e.localSigns(now)
+	if all.size() == 0 {
+		return all
 	}
 	reported := e.reports.signs(now, signLifetime)
-	all := e.recentOpenings(now)
-	all.merge(&e.dataClients)
 	all.merge(&reported.openings)
 	all.merge(&reported.data)
-	return all.size()
+	return all
 }
 
 // isDeadBeyondDoubt reports whether a target that counts as dead has given more signs, or has been
 // silent for longer, than that takes.
 func (e *evidence) isDeadBeyondDoubt(now clock.Millis) bool {
-	return e.sharedSigns(now) >= minDeadSignsForMoved || now-e.unresponsiveSince >= movedTimeout
+	signs := e.sharedSigns(now)
+	return signs.size() >= minDeadSignsForMoved || now-e.unresponsiveSince >= movedTimeout
 }
 
 // isSuspect reports whether new flows avoid the target.
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -36,7 +36,8 @@
 	if isTimedOut && b.isRemoved(now) {
 		return true
 	}
-	if (isTimedOut || b.evidence.independentSigns(now) >= minDeadSigns) && e.IsPartitioned(now, b.target.Domain) {
+	signs := b.evidence.localSigns(now)
+	if (isTimedOut || signs.size() >= minDeadSigns) && e.IsPartitioned(now, b.target.Domain) {
 		return true
 	}
 	return b.evidence.isDead(now, now < e.slowUntil) && e.isIsolatedFailure()
