--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -28,6 +28,7 @@
 				Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontExplain,
 			},
 			{Name: "audit", Usage: "list the state changes that the daemon recorded", Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontAudit},
+			newFrontTraceCommand(),
 		},
 	}
 }
