--- a/cmd/almondflow-entry/soak_faults_test.go
+++ b/cmd/almondflow-entry/soak_faults_test.go
@@ -29,6 +29,7 @@
 	{"store_one_way", func(_ *soak, v *entryVM) { v.link.SetFault(standin.LinkOneWay) }},
 	{"store_breaking", func(_ *soak, v *entryVM) { v.link.SetFault(standin.LinkResetting) }},
 	{"host_silent", func(s *soak, _ *entryVM) { s.failHostLink(standin.LinkDropping) }},
+	{"host_ended", (*soak).endHost},
 	{"host_lossy", func(s *soak, _ *entryVM) { s.failHostLink(standin.LinkLossy) }},
 	{"host_slow", func(s *soak, _ *entryVM) { s.failHostLink(standin.LinkSlow) }},
 	{"stale_tables", (*soak).publishStaleTables},
@@ -105,6 +106,18 @@
 	s.replaceHost(h)
 }
 
+// endHost ends a host: nothing comes from it, and it refuses connections. VMs reset its flows.
+func (s *soak) endHost(_ *entryVM) {
+	h := s.randomHost()
+	s.mu.Lock()
+	h.hasFailedLink = true
+	s.mu.Unlock()
+	h.link.SetFault(standin.LinkDropping)
+	s.requireNoError(h.CloseHealth())
+	s.awaitProgress()
+	s.replaceHost(h)
+}
+
 // restoreLinks ends the faults of the links between VMs and the store.
 func (s *soak) restoreLinks() {
 	for _, v := range s.vms {
--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -21,6 +21,10 @@
 	RestartVMs          FaultKind = "restart_vms"   // VMs shut down gracefully, and start again without state
 	DeafClients         FaultKind = "deaf_clients"  // what targets send to a share of the clients is lost
 	MuteClients         FaultKind = "mute_clients"  // what a share of the clients sends is lost
+	HangTargets         FaultKind = "hang_targets"  // targets accept connections and answer no packet
+	FullTargets         FaultKind = "full_targets"  // targets answer no openings and serve their flows
+	LateProbes          FaultKind = "late_probes"   // targets take long to accept connections
+	LoseProbes          FaultKind = "lose_probes"   // connections to targets time out
 	LosePackets         FaultKind = "lose_packets"  // a share of all packets is lost
 	LoadBurst           FaultKind = "burst"         // clients send more requests
 	ShiftClients        FaultKind = "shift"         // clients of one domain enter through another
@@ -88,6 +92,8 @@
 	HoldsPerSecond float64      // rate of non-repeatable requests, each on its own flow
 	Bookings       int          // clients that send non-repeatable requests on one long-lived flow
 	SharedClients  bool         // holds are sent by the clients that have feeds
+	OneAddress     bool         // all clients of a domain have the same address, as behind address translation
+	NoProbes       bool         // targets refuse connections from the start
 	Synchronized   bool         // clients that keep their flow send their requests at nearly the same times
 	RotationLag    clock.Millis // how long the router keeps sending packets to a VM that stopped; 1 s if zero
 	Deadline       clock.Millis // when a client gives up a request; 1 s if zero
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -149,7 +149,7 @@
 		clients = s.random.Perm(s.size.Domains * perDomain)[:shareOf(s.size.Domains*perDomain, f.Share)]
 	}
 	for _, i := range clients {
-		c := client{domain: i / perDomain, number: i % perDomain}
+		c := client{sim: s, domain: i / perDomain, number: i % perDomain}
 		lossy[c.address()] = true
 		s.schedule(f.For, func() { delete(lossy, c.address()) })
 	}
@@ -171,7 +171,10 @@
 		case SlowTargets:
 			t.slowdown, t.disturbedAt = 10, s.now
 			s.schedule(f.For, func() { t.slowdown, t.disturbedAt = 1, s.now })
-		case FailTargets, UnresponsiveTargets:
+		case FullTargets, LateProbes: // the target lives, undisturbed as far as its flows are concerned
+			t.fault = f.Kind
+			s.schedule(f.For, func() { t.fault = "" })
+		case FailTargets, UnresponsiveTargets, HangTargets, LoseProbes:
 			t.fault, t.disturbedAt = f.Kind, s.now
 			s.schedule(f.For, func() { t.fault, t.disturbedAt = "", s.now })
 		case FlapTargets:
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -45,6 +45,7 @@
 type Options struct {
 	PacketCodec   PacketCodec
 	Store         Store
+	Connector     Connector // connects to targets; the daemon's own if nil
 	ReadinessPath string    // URL path of readiness checks
 	SettingsPath  string    // reloaded when it changes; empty if there is no file
 	LogOutput     io.Writer // receives log lines
@@ -79,8 +80,11 @@
 	readScheduler       *catalog.ReadScheduler
 	members             *siblings.Members
 	discovery           siblings.Discovery
-	controlBucket       *tokenBucket     // limits messages to other VMs
-	viewBucket          *tokenBucket     // limits views that other VMs fetch
+	controlBucket       *tokenBucket // limits messages to other VMs
+	viewBucket          *tokenBucket // limits views that other VMs fetch
+	probeBucket         *tokenBucket // limits probes of targets
+	probesOut           int          // probes that wait for their outcome
+	random              *rand.Rand
 	recentTargets       []*inband.Target // changed recently, sent with announcements
 	recentUntil         clock.Millis
 	reasonCounts        [inband.ReasonCount]uint64
@@ -100,7 +104,8 @@
 	newestVersion   int64
 	previousVersion int64
 	newestVersionAt clock.Millis
-	hasDiverged     bool          // the view differs from a sibling's view of the same revision
+	hasDiverged     bool // the view differs from a sibling's view of the same revision
+	probes          chan queuedProbe
 	readerWakeUp    chan struct{} // makes readStore recompute when the next read is due
 }
 
@@ -112,11 +117,16 @@
 		options: options, clock: clock.NewSystem(),
 		logWriter: newAsyncWriter(), lineLimiter: newLineLimiter(settings.LogLinesPerSecond),
 		catalog: catalog.New(), readScheduler: catalog.NewReadScheduler(random),
-		readerWakeUp: make(chan struct{}, 1), metrics: newMetrics(),
+		readerWakeUp: make(chan struct{}, 1), probes: make(chan queuedProbe, maxProbesAtOnce), metrics: newMetrics(),
 	}
 	d.settings.Store(settings)
 	d.controlBucket = newTokenBucket(controlBytesPerSecond)
 	d.viewBucket = newTokenBucket(settings.viewBytesPerSecond())
+	d.probeBucket = newTokenBucket(probesPerSecond)
+	d.random = random
+	if d.options.Connector == nil {
+		d.options.Connector = tcpConnector{}
+	}
 	d.pauseDetector.detector = clock.NewPauseDetector(d.clock)
 	d.log = newLogger(d.logWriter)
 	d.engine = inband.New(inband.Options{
@@ -150,6 +160,7 @@
 	go d.readStore(work)
 	servers := d.startServers()
 	go d.readMessages(work)
+	go d.runProbes(work)
 	go d.runPeriodicTasks(work)
 	d.log.Info("started", "at_ms", d.clock.Now(), "name", d.settings.Load().Name, "domain", d.settings.Load().Domain,
 		"policy", d.settings.Load().Policy, "packets", localAddress(d.sockets.packets))
@@ -194,6 +205,7 @@
 		d.checkForPause(now)
 		d.runMaintenance(now)
 		d.handleUnresponsive(now)
+		d.startFirstContact(now)
 		if i%settingsCheckTicks == 0 {
 			d.reloadChanged()
 		}
--- a/front/health.go
+++ b/front/health.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/siblings"
 )
 
@@ -28,16 +30,47 @@
 		return
 	}
 	d.suspectsSentAt = now
-	message := siblings.Message{Kind: siblings.Suspect, Suspicions: d.engine.TakeSuspicions(now)}
-	recipients := addressesOf(append(d.members.SampleLocal(now, maxSuspicionRecipients), d.members.SampleRemote(now, remoteRecipientsPerDomain)...))
+	suspicions := d.engine.TakeSuspicions(now)
+	recipients := d.suspicionRecipients(now, suspicions)
 	probed := d.probeDomains(now)
+	d.mu.Unlock()
+	d.startProbes(now)
+	d.resetFlowsOfLostTargets(now)
+	d.send(siblings.Message{Kind: siblings.Suspect, Suspicions: suspicions}, recipients)
+	d.send(siblings.Message{Kind: siblings.Hello}, probed)
+}
+
+// suspicionRecipients returns the VMs that are told suspicions: those that probe the targets and, if
+// openings timed out, others whose new flows should avoid the targets. The caller holds the lock.
+func (d *Daemon) suspicionRecipients(now clock.Millis, suspicions []inband.Suspicion) []netip.AddrPort {
+	var recipients []netip.AddrPort
+	hasOpening := false
+	for _, s := range suspicions {
+		hasOpening = hasOpening || s.OpeningTimeouts > 0
+		for _, prober := range d.members.ProbersOf(now, s.ID, d.engine.DomainOf(s.ID)) {
+			if !slices.Contains(recipients, prober) {
+				recipients = append(recipients, prober)
+			}
+		}
+	}
+	if !hasOpening {
+		return recipients
+	}
+	for _, c := range append(d.members.SampleLocal(now, maxSuspicionRecipients), d.members.SampleRemote(now, remoteRecipientsPerDomain)...) {
+		if !slices.Contains(recipients, c.Address) {
+			recipients = append(recipients, c.Address)
+		}
+	}
+	return recipients
+}
+
+// resetFlowsOfLostTargets ends the flows that wait for lost targets, or are idle at dead ones, and resets
+// their clients.
+func (d *Daemon) resetFlowsOfLostTargets(now clock.Millis) {
+	d.mu.Lock()
 	ended, lines := d.endFlowsOfLostTargets(now)
 	d.mu.Unlock()
 	d.sendResets(ended, lines)
-	if len(message.Suspicions) > 0 {
-		d.send(message, recipients)
-	}
-	d.send(siblings.Message{Kind: siblings.Hello}, probed)
 }
 
 // evaluateTargets logs which targets started or stopped failing, and reports request outcomes to
--- a/front/messages.go
+++ b/front/messages.go
@@ -112,7 +112,9 @@
 	d.updateMembers(now, m)
 	d.engine.MarkReachable(m.From.Domain)
 	d.engine.ReceiveSuspicions(now, m.From.Address, m.From.Domain, m.Suspicions)
+	d.engine.ReceiveProbes(now, m.From.Domain, m.Probes)
 	d.engine.ReceiveOutcomes(now, m.From.Domain, m.Outcomes)
+	known := d.engine.KnownOutcomes(now, m.Suspicions)
 	applied, isNewer, needsFetch := d.mergeMessage(now, m)
 	isFetching := needsFetch && !d.isFetching
 	d.isFetching = d.isFetching || isFetching
@@ -126,6 +128,15 @@
 	if isFetching {
 		go d.updateFromSibling(ctx, m.From.Address, version, revision)
 	}
+	if len(known) > 0 {
+		d.send(siblings.Message{Kind: siblings.Suspect, Probes: known}, []netip.AddrPort{m.From.Address})
+	}
+	if len(m.Suspicions) > 0 {
+		d.startProbes(now)
+	}
+	if len(m.Probes) > 0 {
+		d.resetFlowsOfLostTargets(now)
+	}
 	if m.Kind == siblings.Hello {
 		d.send(reply, []netip.AddrPort{m.From.Address})
 	}
@@ -144,17 +155,13 @@
 func (d *Daemon) updateMembers(now clock.Millis, m *siblings.Message) {
 	if m.Kind == siblings.Leave {
 		d.members.Remove(m.From.Address)
-		d.engine.MarkFlowsMoved(now)
 		return
 	}
 	if d.members.MarkAlive(now, m.From) {
-		d.engine.MarkFlowsMoved(now)
 		d.log.Info("sibling_seen", "at_ms", now, "sibling", m.From.Address, "domain", m.From.Domain)
 	}
 	for _, c := range m.Contacts {
-		if d.members.MarkAlive(now, c) {
-			d.engine.MarkFlowsMoved(now)
-		}
+		d.members.MarkAlive(now, c)
 	}
 }
 
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -46,6 +46,8 @@
 	unsentMessagesMetric  = Metric{"almondflow_front_control_left_out", counterType, "messages", "Messages to other entry VMs that were not sent because of the rate limit."}
 	storeCallMetric       = Metric{"almondflow_front_store_call", histogramType, "milliseconds", "Duration of calls to the store, including failed ones."}
 	viewAgeMetric         = Metric{"almondflow_front_view_age", histogramType, "milliseconds", "Age of the view, sampled four times a second."}
+	probesMetric          = Metric{"almondflow_front_target_probes", counterType, "probes", "TCP connections to targets, by what they showed (tag outcome)."}
+	probeTimeMetric       = Metric{"almondflow_front_probe_time", histogramType, "milliseconds", "Time until a probe of a target had an outcome."}
 	packetTimeMetric      = Metric{"almondflow_front_packet_time", histogramType, "microseconds", "Time from reading a packet to sending it on, sampled for one packet in 64."}
 )
 
@@ -53,7 +55,7 @@
 func AllMetrics() []Metric {
 	return []Metric{
 		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, overloadedPoolsMetric, tablesVersionMetric, readyAfterMetric,
-		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric,
+		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
 	}
 }
 
@@ -61,6 +63,7 @@
 var (
 	storeCallBuckets  = tally.ValueBuckets{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 1500}
 	viewAgeBuckets    = tally.ValueBuckets{100, 200, 500, 1000, 1500, 2000, 3000, 5000, 10000, 30000}
+	probeTimeBuckets  = tally.ValueBuckets{1, 2, 5, 10, 20, 50, 100, 200, 500}
 	packetTimeBuckets = tally.ValueBuckets{5, 10, 20, 50, 100, 200, 500, 1000, 10000}
 )
 
@@ -70,6 +73,7 @@
 	storeCalls      tally.Histogram
 	viewAges        tally.Histogram
 	packetTimes     tally.Histogram
+	probeTimes      tally.Histogram
 	controlBytes    tally.Counter
 	droppedLines    tally.Counter
 	unsentMessages  tally.Counter
@@ -85,6 +89,7 @@
 		storeCalls:   scope.Histogram(storeCallMetric.Name, storeCallBuckets),
 		viewAges:     scope.Histogram(viewAgeMetric.Name, viewAgeBuckets),
 		packetTimes:  scope.Histogram(packetTimeMetric.Name, packetTimeBuckets),
+		probeTimes:   scope.Histogram(probeTimeMetric.Name, probeTimeBuckets),
 		controlBytes: scope.Counter(controlBytesMetric.Name),
 		droppedLines: scope.Counter(droppedLinesMetric.Name), unsentMessages: scope.Counter(unsentMessagesMetric.Name),
 	}
@@ -102,6 +107,12 @@
 	}
 }
 
+// recordProbe records what a probe of a target showed, and how long that took.
+func (m *metrics) recordProbe(outcome inband.ProbeOutcome, took clock.Millis) {
+	m.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter(probesMetric.Name).Inc(1)
+	m.probeTimes.RecordValue(float64(took))
+}
+
 // serveMetrics answers with all metrics in the Prometheus text format.
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	d.updateMetrics(d.clock.Now())
--- /dev/null
+++ b/front/probes.go
@@ -0,0 +1,147 @@
+package front
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/siblings"
+)
+
+const (
+	// maxProbesAtOnce and probesPerSecond limit the probes of targets by this VM.
+	maxProbesAtOnce = 8
+	probesPerSecond = 16
+	// maxProbeDelay is the longest random delay before a probe, so that VMs do not probe a target together.
+	maxProbeDelay = 5 * time.Millisecond
+	// firstContactDelay is how long a VM serves before it probes targets that nobody suspects.
+	firstContactDelay = 500 * clock.Millisecond
+)
+
+// startProbes starts the probes of suspected targets that this VM is to probe, as far as the limits
+// permit. The others are probed by the VMs to which the suspicions are reported.
+func (d *Daemon) startProbes(now clock.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isStopping {
+		return
+	}
+	for _, id := range d.engine.SuspectsToProbe(now) {
+		if !d.isProber(now, id) {
+			continue
+		}
+		if !d.allowProbe(now) {
+			return
+		}
+		if probe := d.engine.StartProbe(now, id); probe != nil {
+			d.queueProbe(probe)
+		}
+	}
+}
+
+// startFirstContact probes one target that this VM is to probe and that is not known to answer.
+func (d *Daemon) startFirstContact(now clock.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isStopping || !d.catalog.IsComplete() || now-d.readyAt < firstContactDelay || d.probesOut >= maxProbesAtOnce {
+		return
+	}
+	probe := d.engine.FirstContact(now, func(id string) bool { return d.members.IsProber(now, id) })
+	if probe != nil {
+		d.queueProbe(probe)
+	}
+}
+
+// isProber reports whether this VM probes a target. The caller holds the lock.
+func (d *Daemon) isProber(now clock.Millis, id string) bool {
+	return d.engine.IsLocal(id) && d.members.IsProber(now, id)
+}
+
+// allowProbe reports whether the limits permit another probe. The caller holds the lock.
+func (d *Daemon) allowProbe(now clock.Millis) bool {
+	return d.probesOut < maxProbesAtOnce && d.probeBucket.allow(now, 1, 0)
+}
+
+// queueProbe passes a probe to runProbes. There is room, as probesOut is limited. The caller holds the lock.
+func (d *Daemon) queueProbe(probe *inband.TargetProbe) {
+	d.probesOut++
+	d.probes <- queuedProbe{probe, time.Duration(d.random.Int64N(int64(maxProbeDelay)))}
+}
+
+// queuedProbe is a probe that starts after a delay.
+type queuedProbe struct {
+	probe *inband.TargetProbe
+	delay time.Duration
+}
+
+// runProbes runs the queued probes, each in a goroutine of its own, until the context is done.
+func (d *Daemon) runProbes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case queued := <-d.probes:
+			go d.runProbe(ctx, queued)
+		}
+	}
+}
+
+func (d *Daemon) runProbe(ctx context.Context, queued queuedProbe) {
+	time.Sleep(queued.delay)
+	now := d.clock.Now()
+	pauses := d.checkForPause(now)
+	d.finishProbe(queued.probe, now, pauses, checkTarget(ctx, d.options.Connector, queued.probe))
+}
+
+// finishProbe records the outcome of a probe, resets the flows of the target if it is dead, and reports the
+// outcome to siblings.
+func (d *Daemon) finishProbe(probe *inband.TargetProbe, sentAt clock.Millis, pauses int, result attempt) {
+	now := d.clock.Now()
+	if d.checkForPause(now) != pauses && result.outcome != inband.Answered {
+		result.outcome = inband.Inconclusive
+	}
+	d.mu.Lock()
+	d.probesOut--
+	shown := d.engine.RecordProbe(now, inband.ProbeResult{Probe: probe, SentAt: sentAt, Outcome: result.outcome})
+	message := siblings.Message{Kind: siblings.Suspect}
+	var recipients []netip.AddrPort
+	if report, reporters := d.engine.ReportOf(now, probe.ID); report != nil && shown != inband.Inconclusive && probe.Cause != inband.CauseFirstContact {
+		message.Probes = []inband.ProbeReport{*report}
+		recipients = d.probeRecipients(now, shown, reporters)
+	}
+	d.metrics.recordProbe(shown, now-sentAt)
+	d.mu.Unlock()
+	d.resetFlowsOfLostTargets(now)
+	if len(recipients) > 0 {
+		d.send(message, recipients)
+	}
+	d.logProbe(now, now-sentAt, probe, shown, result.err)
+}
+
+// probeRecipients returns the VMs that are told the outcome of a probe: those that reported the target,
+// and, if it is dead, many of this VM's failure domain. The caller holds the lock.
+func (d *Daemon) probeRecipients(now clock.Millis, shown inband.ProbeOutcome, reporters []netip.AddrPort) []netip.AddrPort {
+	recipients := slices.Clone(reporters)
+	if shown == inband.Answered {
+		return recipients
+	}
+	for _, c := range d.members.SampleLocal(now, maxSuspicionRecipients) {
+		if !slices.Contains(recipients, c.Address) {
+			recipients = append(recipients, c.Address)
+		}
+	}
+	return recipients
+}
+
+// logProbe logs one probe: why it was sent, how long the target had been suspected, and what it showed.
+func (d *Daemon) logProbe(now, took clock.Millis, probe *inband.TargetProbe, shown inband.ProbeOutcome, err error) {
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	d.log.Info("target_probed", "at_ms", now, "target", probe.ID, "address", probe.Address, "cause", probe.Cause,
+		"suspected_ms", probe.SuspectedFor, "took_ms", took, "outcome", shown, "reason", reason)
+}
--- a/inband/backend.go
+++ b/inband/backend.go
@@ -16,6 +16,7 @@
 	flows          int // open flows that this VM placed or forwards
 	busy           int // those of them that wait for an answer
 	evidence       evidence
+	probe          probeState
 	latency        latency
 	pool           *pool
 	stats          requestStats  // outcomes of its requests, seen here and reported by other VMs
@@ -28,7 +29,7 @@
 // target has restarted.
 func (b *Backend) applyPublished(p Published) {
 	if b.target != nil && b.target.StartedAtMS != p.Target.StartedAtMS && p.Target.State != Gone {
-		b.evidence, b.stats, b.unreported = evidence{}, requestStats{}, outcomeCounts{}
+		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, requestStats{}, outcomeCounts{}
 	}
 	b.target, b.slowStartUntil = p.Target, p.SlowStartUntil
 	b.fallbackUntil, b.mayReturnUntil = p.FallbackUntil, p.MayReturnUntil
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -30,13 +30,13 @@
 	byTag            map[Tag]*Backend
 	byID             map[string]*Backend
 	pools            map[string]*pool
+	local            []*Backend // targets of the own failure domain
+	contactIndex     int        // in local, of the last target that FirstContact checked
 	flows            *flowTable
 	holdOffUntil     clock.Millis // until when this VM resets no flows and sends no reports
 	hasNewSuspicions bool         // a target timed out since the last TakeSuspicions
 	activeAt         clock.Millis // when a packet or a sweep was last handled
 	resumedAt        clock.Millis // when the process last went on after it had stood still
-	flowsMovedAt     clock.Millis // when flows may last have moved to another VM without notice
-	slowUntil        clock.Millis // until when targets are known to be slow to answer
 	links            map[string]*link
 	watchlist        watchlist
 	suspectClients   suspectClients
@@ -65,10 +65,6 @@
 // are assumed to load the same targets equally. The least number is 1.
 func (e *Engine) SetLocalVMs(vms int) { e.localVMs = max(1, vms) }
 
-// MarkFlowsMoved records that flows may have moved to other VMs, because a VM started, returned or
-// shut down. What this VM saw last of a flow need not be the latest since.
-func (e *Engine) MarkFlowsMoved(now clock.Millis) { e.flowsMovedAt = now }
-
 // recordActivity notices that the process stood still: callers sweep more often than every maxInactivity.
 func (e *Engine) recordActivity(now clock.Millis) {
 	if now-e.activeAt >= maxInactivity {
@@ -206,7 +202,7 @@
 	}
 	if !p.Flags.Has(Ending) && !p.Flags.Has(Resetting) && e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
-		f.backend, f.route, f.phase, f.isMoved = b, e.routes[p.Key.Destination], open, true
+		f.backend, f.route, f.phase = b, e.routes[p.Key.Destination], open
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.ack = p.Ack
 		f.startAt(p.Seq)
--- a/inband/engine_test.go
+++ b/inband/engine_test.go
@@ -38,6 +38,7 @@
 func newEngine(targets ...*inband.Target) *inband.Engine {
 	e := inband.New(inband.Options{Domain: "a", Policy: inband.Local{}, MaxFlows: 1000, FlowLifetime: clock.Minute, Seed: 1})
 	e.ReplaceView(tables(1), published(targets...))
+	introduce(e, targets...)
 	return e
 }
 
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -20,7 +20,6 @@
 	isBusy        bool // data was sent and no answer has been acknowledged since
 	isTimedOut    bool // the newest packet was counted as timed out
 	hasOutcome    bool // the outcome of the newest request was recorded
-	isMoved       bool // it was opened through another VM, and may go through that one again
 	retransmits   int  // retransmissions of the newest packet
 	openedAt      clock.Millis
 	seenAt        clock.Millis
--- a/inband/link.go
+++ b/inband/link.go
@@ -138,7 +138,9 @@
 func (e *Engine) recordTimeout(now clock.Millis, f *flow, isData bool) {
 	b, client := f.backend, clientIDOf(f.key.Client.Addr())
 	isIndependent := e.suspectClients.recordSign(now, f.sentAt, client)
-	b.evidence.recordTimeout(now, timeout{sentAt: f.sentAt, isData: isData, client: client, isIndependent: isIndependent}, e.jitter())
+	b.evidence.recordTimeout(now, timeout{
+		sentAt: f.sentAt, isData: isData, client: client, isIndependent: isIndependent, isRefuted: b.probe.isRefuted(f.sentAt),
+	}, e.jitter())
 	e.watchTarget(b)
 	if l := e.linkTo(b); l != nil {
 		l.recordTimeout(now, f.sentAt)
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -40,17 +40,17 @@
 	return true
 }
 
-// recordAnswer records that the flow's target answered. An answer after a timeout shows that
-// the target was slow, not unresponsive.
+// recordAnswer records that the flow's target answered. If the target counted as dead, something near
+// this VM was the cause.
 func (e *Engine) recordAnswer(now clock.Millis, f *flow) {
 	b := f.backend
 	e.suspectClients.recordAnswer(f.sentAt, f.key.Client.Addr())
-	if b.evidence.recordAnswer(now, f.sentAt) {
+	wasDead := b.isDead(now)
+	b.evidence.recordAnswer(now, f.sentAt)
+	b.probe.refute(f.sentAt)
+	if wasDead && !b.isDead(now) {
 		e.holdOffUntil = now + holdOffTime
 	}
-	if f.isTimedOut {
-		e.slowUntil = now + slowPeriod
-	}
 	if f.isBusy && f.phase == open {
 		b.latency.add(now, now-f.sentAt)
 	}
--- /dev/null
+++ b/inband/probe_test.go
@@ -0,0 +1,336 @@
+package inband_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// introduce lets targets answer their first contact, those of other domains through the VMs there.
+func introduce(e *inband.Engine, targets ...*inband.Target) {
+	for _, t := range targets {
+		e.ReceiveProbes(0, t.Domain, []inband.ProbeReport{{ID: t.ID, StartedAtMS: t.StartedAtMS, Outcome: inband.Answered, AgeMS: 1}})
+	}
+}
+
+// probeSuspects probes the suspected targets at a point in time, with the given outcome for all, and
+// returns their number.
+func probeSuspects(e *inband.Engine, now clock.Millis, outcome inband.ProbeOutcome) int {
+	ids := e.SuspectsToProbe(now)
+	for _, id := range ids {
+		e.RecordProbe(now, inband.ProbeResult{Probe: e.StartProbe(now, id), SentAt: now, Outcome: outcome})
+	}
+	return len(ids)
+}
+
+// silenceClients lets an opening and data of each of several clients time out at target i-1.
+func silenceClients(e *inband.Engine, clients int) {
+	tag := inband.TagOf("i-1")
+	for _, at := range []clock.Millis{1000, 1200, 1600} {
+		for client := range clients {
+			e.Handle(at, data(20+client, feedAddress, tag, 101, 500))
+			e.Handle(at, opening(40+client, feedAddress, uint32(at-1000)/200))
+		}
+	}
+}
+
+// Each outcome of a probe proves something else. Guards against flows that are reset although a target's
+// process runs, or that wait for one that is gone.
+func TestWhatProbesShow(t *testing.T) {
+	tests := []struct {
+		name     string
+		hasSigns bool // packets timed out before the probe
+		outcome  inband.ProbeOutcome
+		isReset  bool
+	}{
+		{"silent, and packets timed out", true, inband.Silent, true},
+		{"silent, and no packet timed out here", false, inband.Silent, false},
+		{"refused", true, inband.Refused, true},
+		{"refused, and no packet timed out here", false, inband.Refused, true},
+		{"answered", true, inband.Answered, false},
+		{"inconclusive", true, inband.Inconclusive, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			openFlow(e, 9, holdAddress) // idle
+			if tt.hasSigns {
+				makeSilent(e, feedAddress)
+				is.Equal(probeSuspects(e, 1210, tt.outcome), 1)
+			} else {
+				e.ReceiveSuspicions(1200, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
+				is.Equal(probeSuspects(e, 1210, tt.outcome), 1)
+			}
+			is.Equal(len(e.EndFlowsOfLostTargets(1220)) > 0, tt.isReset)
+		})
+	}
+}
+
+// Guards against a living target that has no TCP port, as those of the review: its refusal and silence
+// show nothing, however long and however many clients are silent, as it never answered a probe.
+func TestTargetsThatNeverAnsweredAreNotJudged(t *testing.T) {
+	for _, outcome := range []inband.ProbeOutcome{inband.Refused, inband.Silent} {
+		t.Run(string(outcome), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine()
+			e.ReplaceView(tables(1), published(target("i-1", "a")))
+			openFlow(e, 9, holdAddress)
+			silenceClients(e, 8)
+			for now := clock.Millis(1610); now < 4000; now += 100 {
+				probeSuspects(e, now, outcome)
+				is.Equal(len(e.EndFlowsOfLostTargets(now)), 0)
+			}
+		})
+	}
+}
+
+// Guards against a target that is judged by what its predecessor under the same id answered.
+func TestRestartedTargetHasNotAnswered(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	restarted := target("i-1", "a")
+	restarted.StartedAtMS = 5
+	e.UpdateTargets(published(restarted))
+	openFlow(e, 9, holdAddress)
+	silenceClients(e, 2)
+	is.Equal(probeSuspects(e, 1610, inband.Refused), 1)
+	is.Equal(len(e.EndFlowsOfLostTargets(1620)), 0)
+	e.ReceiveProbes(1700, "a", []inband.ProbeReport{{ID: "i-1", Outcome: inband.Refused}}) // of the earlier incarnation
+	is.Equal(len(e.EndFlowsOfLostTargets(1710)), 0)
+}
+
+// Guards against an outcome that comes back after the target started again.
+func TestOutcomeOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	silenceClients(e, 2)
+	probe := e.StartProbe(1610, "i-1")
+	restarted := target("i-1", "a")
+	restarted.StartedAtMS = 5
+	e.UpdateTargets(published(restarted))
+	is.Equal(e.RecordProbe(1620, inband.ProbeResult{Probe: probe, SentAt: 1610, Outcome: inband.Refused}), inband.Inconclusive)
+	is.Equal(len(e.EndFlowsOfLostTargets(1630)), 0)
+}
+
+// Guards against a verdict that outlives its target's recovery: an answer to a packet that was sent after
+// the probe refutes it; one to an earlier packet does not.
+func TestAnswersRefuteProbes(t *testing.T) {
+	for _, outcome := range []inband.ProbeOutcome{inband.Silent, inband.Refused} {
+		for _, sentAt := range []clock.Millis{1100, 1300} {
+			t.Run(fmt.Sprintf("%s at 1200, answer to a packet of %d", outcome, sentAt), func(t *testing.T) {
+				is := is.New(t)
+				e := newEngine(target("i-1", "a"))
+				tag := inband.TagOf("i-1")
+				e.Handle(1000, data(1, feedAddress, tag, 101, 500))
+				for _, at := range []clock.Millis{1100, 1300} {
+					if at == sentAt {
+						e.Handle(at, data(2, feedAddress, tag, 101, 500))
+					}
+					if at == 1100 {
+						e.Handle(1200, data(1, feedAddress, tag, 101, 500))
+						is.Equal(probeSuspects(e, 1200, outcome), 1)
+					}
+				}
+				e.Handle(1330, acknowledge(2, tag, 600))
+				is.Equal(len(e.EndFlowsOfLostTargets(1340)) > 0, sentAt == 1100 && outcome == inband.Refused)
+			})
+		}
+	}
+}
+
+// Guards against flows that are reset because an older incarnation died: a flow that comes to this VM after
+// the probe may be one with a target that has started again under the same id.
+func TestFlowsThatComeAfterAProofAreKept(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	makeSilent(e, feedAddress)
+	probeSuspects(e, 1210, inband.Refused)
+	e.EndFlowsOfLostTargets(1220)
+	v := e.Handle(3000, data(30, feedAddress, inband.TagOf("i-1"), 101, 500))
+	is.Equal(v.Action, inband.Forward)
+	is.Equal(len(e.EndFlowsOfLostTargets(3010)), 0)
+	v = e.Handle(3200, data(30, feedAddress, inband.TagOf("i-1"), 101, 500)) // met silence itself
+	is.Equal(v.Action, inband.Reset)
+}
+
+// Guards against a dead target that seems to live because another one has its address by now.
+func TestAnswerOfASuccessorAtTheAddressIsAProof(t *testing.T) {
+	for _, startedAt := range []int64{0, 10} {
+		t.Run(fmt.Sprintf("successor started at %d", startedAt), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			openFlow(e, 9, holdAddress)
+			successor := target("i-2", "a")
+			successor.Service, successor.StartedAtMS = "other", startedAt
+			e.UpdateTargets(published(successor))
+			silenceClients(e, 1)
+			is.Equal(probeSuspects(e, 1610, inband.Answered), 1)
+			is.Equal(len(e.EndFlowsOfLostTargets(1620)) > 0, startedAt > 0)
+		})
+	}
+}
+
+// Guards against silence that is this VM's own: its process stood still while the probe was out.
+func TestProbesAcrossAStallShowNothing(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	openFlow(e, 9, holdAddress)
+	silenceClients(e, 2)
+	probe := e.StartProbe(1610, "i-1")
+	e.Sweep(2500)
+	is.Equal(e.RecordProbe(2500, inband.ProbeResult{Probe: probe, SentAt: 1610, Outcome: inband.Silent}), inband.Inconclusive)
+	is.Equal(len(e.EndFlowsOfLostTargets(2510)), 0)
+}
+
+// Outcomes of other VMs count as own ones, from VMs that reach the target by the same path or are near
+// it, and only while they are recent.
+func TestProbesOfOtherVMs(t *testing.T) {
+	tests := []struct {
+		name    string
+		domain  string
+		report  inband.ProbeReport
+		isReset bool
+	}{
+		{"of the own domain, refused", "a", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused}, true},
+		{"of the target's domain, refused", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused}, true},
+		{"of a third domain, refused", "c", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused}, false},
+		{"silent, as here", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Silent}, true},
+		{"old", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused, AgeMS: 5000}, false},
+		{"of a time to come", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused, AgeMS: -1}, false},
+		{"of another incarnation", "b", inband.ProbeReport{ID: "i-1", StartedAtMS: 7, Outcome: inband.Refused}, false},
+		{"of an unknown kind", "b", inband.ProbeReport{ID: "i-1", Outcome: "gone"}, false},
+		{"answered", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Answered}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "b"))
+			openFlow(e, 9, holdAddress)
+			silenceClients(e, 1)
+			e.ReceiveProbes(1610, tt.domain, []inband.ProbeReport{tt.report})
+			is.Equal(len(e.EndFlowsOfLostTargets(1620)) > 0, tt.isReset)
+		})
+	}
+}
+
+// A VM that reports a target which another one found dead is told so at once, without another probe.
+func TestKnownOutcomesAreTold(t *testing.T) {
+	for _, outcome := range []inband.ProbeOutcome{inband.Answered, inband.Silent, inband.Refused, inband.Inconclusive} {
+		t.Run(string(outcome), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			silenceClients(e, 1)
+			probeSuspects(e, 1610, outcome)
+			suspicions := []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}, {ID: "i-9"}, {ID: "i-1", StartedAtMS: 3}}
+			e.ReceiveSuspicions(1700, sibling, "a", suspicions)
+			known := e.KnownOutcomes(1700, suspicions)
+			is.Equal(len(known) == 1, outcome == inband.Silent || outcome == inband.Refused)
+			for _, r := range known {
+				is.Equal(r, inband.ProbeReport{ID: "i-1", Outcome: outcome, AgeMS: 90})
+			}
+			is.Equal(len(e.SuspectsToProbe(1710)), 0)
+		})
+	}
+}
+
+// Guards against reports of a dead target that a VM ignores because the target answered it just before it
+// died: no other VM may be there to probe it (pattern dark_targets, four feeds waited for their deadline).
+func TestReportSoonAfterAnAnswerCausesAProbe(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	tag := openFlow(e, 1, feedAddress)
+	e.Handle(1000, data(1, feedAddress, tag, 101, 500))
+	e.Handle(1020, acknowledge(1, tag, 600))
+	e.ReceiveSuspicions(1230, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
+	is.Equal(e.SuspectsToProbe(1230), []string{"i-1"})
+	is.Equal(e.Handle(1240, opening(2, feedAddress, 0)).Backend.Target().ID, "i-1") // not kept away
+}
+
+// A target is probed once for each suspicion, however many clients are silent, and at intervals while the
+// silence goes on. A target that left is not asked.
+func TestProbesAreFew(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome inband.ProbeOutcome
+		state   inband.State
+		want    int
+	}{
+		{"answered", inband.Answered, inband.Serving, 5}, // one each 0.4 s
+		{"silent", inband.Silent, inband.Serving, 1},     // a verdict
+		{"refused", inband.Refused, inband.Serving, 1},
+		{"left", inband.Refused, inband.Gone, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			changed := target("i-1", "a")
+			changed.State = tt.state
+			e.UpdateTargets(published(changed))
+			probes := 0
+			for now := clock.Millis(1000); now < 3000; now += 10 {
+				e.Sweep(now)
+				for client := range 3 { // each sends a request each 0.2 s, which is repeated once and never answered
+					number := uint32(now-1000) / 400
+					e.Handle(now, data(client, feedAddress, inband.TagOf("i-1"), 101+50*number, 500))
+				}
+				probes += probeSuspects(e, now, tt.outcome)
+			}
+			is.Equal(probes, tt.want)
+		})
+	}
+}
+
+// Targets of the own domain that this VM is responsible for are contacted once, so that a refusal of them
+// means something later. Those that do not answer are tried again at growing intervals.
+func TestFirstContacts(t *testing.T) {
+	is := is.New(t)
+	e := newEngine()
+	leaving := target("i-3", "a")
+	leaving.State = inband.Leaving
+	e.ReplaceView(tables(1), published(target("i-1", "a"), target("i-2", "a"), leaving, target("i-4", "b"), target("i-5", "a")))
+	outcomes := map[string]inband.ProbeOutcome{"i-1": inband.Answered, "i-2": inband.Refused, "i-5": inband.Answered}
+	contacts := map[string]int{}
+	for now := clock.Millis(0); now < 20*clock.Second; now += 250 {
+		probe := e.FirstContact(now, func(id string) bool { return id != "i-5" })
+		if probe == nil {
+			continue
+		}
+		contacts[probe.ID]++
+		is.Equal(probe.Cause, inband.CauseFirstContact)
+		e.RecordProbe(now, inband.ProbeResult{Probe: probe, SentAt: now, Outcome: outcomes[probe.ID]})
+	}
+	is.Equal(contacts, map[string]int{"i-1": 1, "i-2": 5}) // after about 1, 3, 7 and 15 s
+}
+
+// The targets that are asked along with a silent one have answered before and are not suspected.
+func TestControlsOfAProbe(t *testing.T) {
+	is := is.New(t)
+	var targets []*inband.Target
+	for i := range 6 {
+		targets = append(targets, target(fmt.Sprintf("i-%d", i), "a"))
+		targets[i].Address = netip4(byte(i))
+	}
+	e := newEngine()
+	e.ReplaceView(tables(1), published(targets...))
+	introduce(e, targets[:3]...)
+	e.Handle(1000, data(1, feedAddress, inband.TagOf("i-0"), 101, 500))
+	e.Handle(1000, data(2, feedAddress, inband.TagOf("i-1"), 101, 500))
+	e.Handle(1200, data(1, feedAddress, inband.TagOf("i-0"), 101, 500))
+	e.Handle(1200, data(2, feedAddress, inband.TagOf("i-1"), 101, 500))
+	is.Equal(e.SuspectsToProbe(1200), []string{"i-0", "i-1"})
+	for _, address := range e.StartProbe(1200, "i-0").Controls {
+		is.Equal(address, netip4(2))
+	}
+	is.Equal(e.StartProbe(1200, "i-0"), nil) // it is out
+}
+
+func netip4(host byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 80)
+}
--- a/inband/queries.go
+++ b/inband/queries.go
@@ -15,6 +15,10 @@
 	Busy      int    `json:"busy"`   // flows that wait for an answer
 	Timeouts  int    `json:"silent"` // openings and flows that timed out since the target last answered
 	Reporters int    `json:"rumors"` // VMs that have reported timeouts since then
+	// AnswersProbes is set once this start of the target has accepted a connection. Until then refusals
+	// and silence show nothing.
+	AnswersProbes bool         `json:"answers_probes"`
+	Probe         ProbeOutcome `json:"probe,omitempty"` // what the newest probe of the suspected target showed
 }
 
 // KnowsTag reports whether a tag belongs to a known target.
@@ -30,6 +34,7 @@
 		all = append(all, Health{
 			ID: id, Service: b.target.Service, Domain: b.target.Domain, State: b.target.State.String(),
 			Flows: b.flows, Busy: b.busy, Timeouts: b.evidence.openings + b.evidence.data, Reporters: b.evidence.reports.count,
+			AnswersProbes: b.probe.hasAnswered, Probe: b.probe.outcome,
 		})
 	}
 	slices.SortFunc(all, func(a, b Health) int { return strings.Compare(a.ID, b.ID) })
--- a/inband/reports.go
+++ b/inband/reports.go
@@ -10,8 +10,6 @@
 	// avoidTime is how long the report of another VM keeps new flows from a target. It is
 	// longer than the longest interval between two retries, after which the report is renewed.
 	avoidTime = 6 * clock.Second
-	// signLifetime is how long the report of another VM counts as a sign that a target is dead.
-	signLifetime = 2 * clock.Second
 	// maxReporters is the number of VMs whose reports on a target are kept.
 	maxReporters = 3
 )
@@ -20,9 +18,7 @@
 type report struct {
 	from       netip.AddrPort
 	at         clock.Millis
-	hasOpening bool      // an opening timed out there
-	openings   clientSet // clients of the openings that timed out there
-	data       clientSet // clients of the data that timed out there
+	hasOpening bool // an opening timed out there, so new flows avoid the target
 }
 
 // reports holds the latest report of each of several other VMs about one target.
@@ -58,22 +54,20 @@
 	r.entries[oldest] = latest
 }
 
-// reportedSigns are the signs that several other VMs reported together.
-type reportedSigns struct {
-	openings, data clientSet
-	vms            int // VMs that sent the reports
+// newestAt returns when the newest report arrived, or zero if there is none.
+func (r *reports) newestAt() clock.Millis {
+	newest := clock.Millis(0)
+	for i := range r.entries[:r.count] {
+		newest = max(newest, r.entries[i].at)
+	}
+	return newest
 }
 
-// signs combines the reports younger than lifetime.
-func (r *reports) signs(now, lifetime clock.Millis) reportedSigns {
-	var all reportedSigns
+// senders returns the VMs whose reports are kept.
+func (r *reports) senders() []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, r.count)
 	for i := range r.entries[:r.count] {
-		entry := &r.entries[i]
-		if now-entry.at < lifetime {
-			all.openings.merge(&entry.openings)
-			all.data.merge(&entry.data)
-			all.vms++
-		}
+		all = append(all, r.entries[i].from)
 	}
 	return all
 }
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -17,7 +17,7 @@
 // mayReset reports whether to reset a flow because it sends data to a lost target. Its client
 // is then better off with a new flow.
 func (e *Engine) mayReset(now clock.Millis, p *Packet, f *flow) bool {
-	return p.DataLength > 0 && e.isResettable(now, f) && e.isTargetLost(now, f.backend, f.isTimedOut)
+	return p.DataLength > 0 && e.isResettable(now, f) && e.isLostToTarget(now, f)
 }
 
 // isResettable reports whether the flow's client will repeat its request on a new flow after a
@@ -33,14 +33,11 @@
 // removed, is partitioned from this VM, or is dead. In a domain that seems partitioned, the flow
 // itself or two clients of its target must have met silence.
 func (e *Engine) isTargetLost(now clock.Millis, b *Backend, isTimedOut bool) bool {
-	if isTimedOut && b.isRemoved(now) {
+	if isTimedOut && b.isRemoved(now) || b.isDead(now) {
 		return true
 	}
 	signs := b.evidence.localSigns(now)
-	if (isTimedOut || signs.size() >= minDeadSigns) && e.IsPartitioned(now, b.target.Domain) {
-		return true
-	}
-	return b.evidence.isDead(now, now < e.slowUntil) && e.isIsolatedFailure()
+	return (isTimedOut || signs.size() >= minPartitionTargets) && e.IsPartitioned(now, b.target.Domain)
 }
 
 // EndFlowsOfLostTargets stops tracking the flows whose target is lost and returns them, at most
@@ -50,11 +47,10 @@
 	if !e.options.Policy.ResetsFlowsOfDeadTargets() || now < e.holdOffUntil || !e.hasLostTarget(now) {
 		return nil
 	}
-	isIsolated := e.isIsolatedFailure()
 	var all []EndedFlow
 	for i := range e.flows.slots {
 		f := &e.flows.slots[i]
-		if f.backend == nil || !e.isOfLostTarget(now, f, isIsolated) {
+		if f.backend == nil || !e.isOfLostTarget(now, f) {
 			continue
 		}
 		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend})
@@ -67,37 +63,32 @@
 	return all
 }
 
-// isOfLostTarget reports whether to reset a flow because its target is lost. isIsolated is the
-// result of isIsolatedFailure, which is the same for all flows.
-func (e *Engine) isOfLostTarget(now clock.Millis, f *flow, isIsolated bool) bool {
-	return e.isWaitingForLostTarget(now, f) || isIsolated && e.isIdleAtDeadTarget(now, f)
+// isOfLostTarget reports whether to reset a flow because its target is lost.
+func (e *Engine) isOfLostTarget(now clock.Millis, f *flow) bool {
+	return e.isWaitingForLostTarget(now, f) || e.isIdleAtDeadTarget(now, f)
 }
 
 // isWaitingForLostTarget reports whether a flow waits for a lost target and its client will repeat
 // the request.
 func (e *Engine) isWaitingForLostTarget(now clock.Millis, f *flow) bool {
-	return f.isWaiting(now) && e.isResettable(now, f) && e.isTargetLost(now, f.backend, f.isTimedOut)
+	return f.isWaiting(now) && e.isResettable(now, f) && e.isLostToTarget(now, f)
 }
 
-// isIdleAtDeadTarget reports whether a flow of any route has been idle since before its target
-// died. No request is lost by a reset, while the next one on this flow would never be answered,
-// and of a route that is not repeatable its client could not send it again. A flow that was seen
-// later may have been answered by a target that has restarted.
-func (e *Engine) isIdleAtDeadTarget(now clock.Millis, f *flow) bool {
-	evidence := &f.backend.evidence
-	if f.phase != open || f.isBusy || !evidence.isUnresponsive() {
+// isLostToTarget reports whether a flow's target is lost to it. A flow that came here after a probe showed
+// the target's death must have met silence itself, as it may be one with a target that has started again.
+func (e *Engine) isLostToTarget(now clock.Millis, f *flow) bool {
+	if !f.isTimedOut && f.openedAt > f.backend.probe.sentAt && f.backend.isDead(now) {
 		return false
 	}
-	if e.mayGoElsewhere(f) && !evidence.isDeadBeyondDoubt(now) {
-		return false
-	}
-	return f.seenAt <= evidence.unresponsiveSince+answerTimeout && evidence.isDead(now, now < e.slowUntil)
+	return e.isTargetLost(now, f.backend, f.isTimedOut)
 }
 
-// mayGoElsewhere reports whether other VMs may carry a flow by now: those of its client's domain get
-// it back once they serve again, and a VM that joins takes over a part of all flows. A request of the
-// flow may then be under way although it was idle here.
-func (e *Engine) mayGoElsewhere(f *flow) bool { return f.isMoved || f.seenAt <= e.flowsMovedAt }
+// isIdleAtDeadTarget reports whether a flow of any route has been idle since before its target
+// died. No request is lost by a reset, while the next one on this flow would never be answered,
+// and of a route that is not repeatable its client could not send it again.
+func (e *Engine) isIdleAtDeadTarget(now clock.Millis, f *flow) bool {
+	return f.phase == open && !f.isBusy && f.backend.isDead(now) && f.seenAt <= f.backend.silentSince()
+}
 
 // isWaiting reports whether the client has waited for an answer for some time and still sends
 // packets through this VM. Otherwise it uses another VM or has given up.
--- a/inband/sign.go
+++ b/inband/sign.go
@@ -10,7 +10,7 @@
 const (
 	// maxSignClients is how many clients are kept for each target and kind of packet. It is the
 	// largest number that any rule about dead targets asks for.
-	maxSignClients = minSharedData
+	maxSignClients = minPartitionTargetsSingleVM
 	// maxSuspectClients limits the clients whose answers are watched.
 	maxSuspectClients = 1024
 )
@@ -70,15 +70,6 @@
 // size returns the number of independent signs.
 func (s *clientSet) size() int { return int(s.count + s.repeats) }
 
-// newClientSet returns the set of clients that another VM reported.
-func newClientSet(ids []ClientID) clientSet {
-	var s clientSet
-	for _, id := range ids {
-		s.add(id, false)
-	}
-	return s
-}
-
 // suspectClient is a client that gave a sign. Its own link may be the cause.
 type suspectClient struct {
 	signSentAt     clock.Millis // when the packet of its latest sign was sent
--- a/inband/suspicion.go
+++ b/inband/suspicion.go
@@ -15,19 +15,12 @@
 	StartedAtMS     int64  `json:"born"`               // start time of the target in Unix milliseconds
 	OpeningTimeouts int    `json:"openings,omitempty"` // openings that timed out since the target last answered
 	DataTimeouts    int    `json:"data,omitempty"`     // flows whose data timed out since then
-	// Clients of these openings and of this data, at most maxSignClients of each.
-	OpeningClients []ClientID `json:"opening_clients,omitempty"`
-	DataClients    []ClientID `json:"data_clients,omitempty"`
 }
 
-// report converts the suspicion to the form kept by its receiver. VMs of earlier versions name no
-// clients, and some of them no numbers: new flows avoid the target, but such a report is no sign that
-// it is dead, as it may be about the same client as another.
+// report converts the suspicion to the form kept by its receiver. VMs of earlier versions send no
+// numbers.
 func (s *Suspicion) report(now clock.Millis, from netip.AddrPort) report {
-	return report{
-		from: from, at: now, hasOpening: s.OpeningTimeouts > 0 || s.DataTimeouts == 0,
-		openings: newClientSet(s.OpeningClients), data: newClientSet(s.DataClients),
-	}
+	return report{from: from, at: now, hasOpening: s.OpeningTimeouts > 0 || s.DataTimeouts == 0}
 }
 
 // isIsolatedFailure reports whether most targets used by this VM in its own failure domain
@@ -56,7 +49,7 @@
 
 // seemsUnresponsive reports whether an opening, or the data of several flows, timed out.
 func (b *Backend) seemsUnresponsive() bool {
-	return b.evidence.openings > 0 || b.evidence.data >= minStuckClients
+	return b.evidence.openings > 0 || b.evidence.data >= minUnresponsiveFlows
 }
 
 // HasNewSuspicions reports whether a target timed out since the last TakeSuspicions.
@@ -83,26 +76,16 @@
 	}
 	var all []Suspicion
 	for _, b := range e.watchlist.backends {
-		openings, data := b.evidence.reportable(now)
+		openings, data := b.evidence.openings, b.evidence.data
 		if b.target.State == Gone || openings+data <= b.evidence.reported || len(all) == maxSuspicions {
 			continue
 		}
 		b.evidence.reported = openings + data
-		all = append(all, b.suspicion(openings, data))
+		all = append(all, Suspicion{ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, OpeningTimeouts: openings, DataTimeouts: data})
 	}
 	return all
 }
 
-// suspicion returns the report of a number of timed-out openings and flows.
-func (b *Backend) suspicion(openings, data int) Suspicion {
-	s := Suspicion{ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, OpeningTimeouts: openings, DataTimeouts: data}
-	s.OpeningClients = append([]ClientID(nil), b.evidence.openingClients.clients()...)
-	if data > 0 {
-		s.DataClients = append([]ClientID(nil), b.evidence.dataClients.clients()...)
-	}
-	return s
-}
-
 // ReceiveSuspicions adds suspicions reported by a VM of the given failure domain. They are
 // ignored unless that VM is in this VM's own domain, and so reaches the target by the same path,
 // or in the target's domain.
@@ -114,6 +97,7 @@
 		}
 		if domain == e.options.Domain || domain == b.target.Domain {
 			b.evidence.mergeReport(s.report(now, from), e.jitter())
+			e.watchTarget(b)
 		}
 	}
 }
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -64,7 +64,7 @@
 		b.applyPublished(p)
 		b.pool = e.poolOf(p.Target.Service)
 		e.byID[p.Target.ID], e.byTag[b.tag] = b, b
-		b.pool.add(b, e.options.Domain)
+		e.addToPool(b)
 		return true
 	}
 	if b.sharesTag || b.target.Service != p.Target.Service || b.target.Domain != p.Target.Domain {
@@ -93,6 +93,14 @@
 	return e.pools[service]
 }
 
+// addToPool adds a new target to its pool and, if it is of this VM's failure domain, to the local targets.
+func (e *Engine) addToPool(b *Backend) {
+	b.pool.add(b, e.options.Domain)
+	if b.target.Domain == e.options.Domain {
+		e.local = append(e.local, b)
+	}
+}
+
 // keepsTagBefore reports whether the flows with a tag are this target's and not the other's, which has
 // the same tag. It is the same at every VM: targets get no new flows once they share a tag, so the
 // flows are those of the one that started first, unless only the other one has not left.
@@ -110,7 +118,7 @@
 	byID := make(map[string]*Backend, len(published))
 	byTag := make(map[Tag]*Backend, len(published))
 	previousPools := e.pools
-	e.pools = map[string]*pool{}
+	e.pools, e.local = map[string]*pool{}, nil
 	for _, p := range published {
 		b := e.byID[p.Target.ID]
 		if b == nil {
@@ -126,7 +134,7 @@
 			}
 		}
 		byTag[b.tag] = b
-		b.pool.add(b, e.options.Domain)
+		e.addToPool(b)
 	}
 	e.byID, e.byTag = byID, byTag
 	e.watchlist.backends = slices.DeleteFunc(e.watchlist.backends, func(b *Backend) bool { return byID[b.target.ID] != b })
--- a/siblings/message.go
+++ b/siblings/message.go
@@ -53,6 +53,7 @@
 	Targets    []*inband.Target       `json:"targets,omitempty"` // changed recently
 	Contacts   []Contact              `json:"contacts,omitempty"`
 	Suspicions []inband.Suspicion     `json:"suspects,omitempty"`
+	Probes     []inband.ProbeReport   `json:"probes,omitempty"` // of suspected targets
 	Outcomes   []inband.OutcomeReport `json:"grades,omitempty"` // of targets with failed requests
 }
 
@@ -73,6 +74,8 @@
 			m.Contacts = m.Contacts[:len(m.Contacts)/2]
 		case len(m.Outcomes) > 0:
 			m.Outcomes = m.Outcomes[:len(m.Outcomes)/2]
+		case len(m.Probes) > 0:
+			m.Probes = m.Probes[:len(m.Probes)/2]
 		case len(m.Suspicions) > 0:
 			m.Suspicions = m.Suspicions[:len(m.Suspicions)/2]
 		case m.Tables != nil:
