Test the prober with a fake connector, and the choice of the VMs that probe

Cause: the prober and siblings.Probers landed with tests of the engine around them only. Writing these showed one fault: a first connection whose whole time had passed before the second one could start counted as silence without asking another target. It shows nothing now (TestProberThatDidNotRunShowsNothing, failed before). The fault needs a stall of the VM between 55 and 95 ms; no run has shown it.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -72,6 +73,7 @@
 
 	settingsText  []byte // of the last check of the file; used by the periodic tasks only
 	pauseDetector pauseDetector
+	prober        *prober
 
 	// mu guards the fields below. It is not held during blocking calls.
 	mu                  sync.Mutex
@@ -124,9 +126,7 @@
 	d.viewBucket = newTokenBucket(settings.viewBytesPerSecond())
 	d.probeBucket = newTokenBucket(probesPerSecond)
 	d.random = random
-	if d.options.Connector == nil {
-		d.options.Connector = tcpConnector{}
-	}
+	d.prober = newProber(cmp.Or[Connector](options.Connector, tcpConnector{}))
 	d.pauseDetector.detector = clock.NewPauseDetector(d.clock)
 	d.log = newLogger(d.logWriter)
 	d.engine = inband.New(inband.Options{
--- a/front/prober.go
+++ b/front/prober.go
@@ -43,26 +43,50 @@
 	return connection.Close()
 }
 
+// prober checks by TCP connections whether targets run.
+type prober struct {
+	connector          Connector
+	connectTimeout     time.Duration
+	secondAttemptAfter time.Duration
+	maxTimeoutDelay    time.Duration
+}
+
+func newProber(connector Connector) *prober {
+	return &prober{
+		connector: connector, connectTimeout: connectTimeout,
+		secondAttemptAfter: secondAttemptAfter, maxTimeoutDelay: maxTimeoutDelay,
+	}
+}
+
 // attempt is what one connection showed.
 type attempt struct {
 	outcome inband.ProbeOutcome
 	err     error
 }
 
-// checkTarget connects to a target. If nothing comes back, it connects once more, together with the
+var (
+	errNoControl   = errors.New("no other target answered meanwhile, so this VM may be the cause")
+	errLateTimeout = errors.New("the timeout was noticed late, so this VM may be the cause")
+)
+
+// check connects to a target. If nothing comes back, it connects once more, together with the
 // controls. The target counts as silent only if neither attempt succeeds and one of the controls answers.
-func checkTarget(ctx context.Context, c Connector, probe *inband.TargetProbe) attempt {
+func (p *prober) check(ctx context.Context, probe *inband.TargetProbe) attempt {
 	attempts := make(chan attempt, 2)
-	go func() { attempts <- tryConnect(ctx, c, probe.Address, connectTimeout) }()
+	go func() { attempts <- p.connect(ctx, probe.Address, p.connectTimeout) }()
 	select {
 	case first := <-attempts:
+		if first.outcome == inband.Silent { // its whole time has passed, so this VM did not run
+			return attempt{inband.Inconclusive, errLateTimeout}
+		}
 		return first
-	case <-time.After(secondAttemptAfter):
+	case <-time.After(p.secondAttemptAfter):
 	}
-	go func() { attempts <- tryConnect(ctx, c, probe.Address, connectTimeout-secondAttemptAfter) }()
+	remaining := p.connectTimeout - p.secondAttemptAfter
+	go func() { attempts <- p.connect(ctx, probe.Address, remaining) }()
 	controls := make(chan attempt, len(probe.Controls))
 	for _, address := range probe.Controls {
-		go func() { controls <- tryConnect(ctx, c, address, connectTimeout-secondAttemptAfter) }()
+		go func() { controls <- p.connect(ctx, address, remaining) }()
 	}
 	var last attempt
 	for range cap(attempts) {
@@ -78,17 +102,12 @@
 	return attempt{inband.Inconclusive, errNoControl}
 }
 
-var (
-	errNoControl   = errors.New("no other target answered meanwhile, so this VM may be the cause")
-	errLateTimeout = errors.New("the timeout was noticed late, so this VM may be the cause")
-)
-
-// tryConnect opens one connection and interprets its error.
-func tryConnect(ctx context.Context, c Connector, address netip.AddrPort, timeout time.Duration) attempt {
+// connect opens one connection and interprets its error.
+func (p *prober) connect(ctx context.Context, address netip.AddrPort, timeout time.Duration) attempt {
 	startedAt := time.Now()
 	connectContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := c.Connect(connectContext, address)
+	err := p.connector.Connect(connectContext, address)
 	switch {
 	case err == nil:
 		return attempt{inband.Answered, nil}
@@ -96,7 +115,7 @@
 		return attempt{inband.Refused, err}
 	case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, os.ErrDeadlineExceeded):
 		return attempt{inband.Inconclusive, err}
-	case time.Since(startedAt) > timeout+maxTimeoutDelay:
+	case time.Since(startedAt) > timeout+p.maxTimeoutDelay:
 		return attempt{inband.Inconclusive, errLateTimeout}
 	default:
 		return attempt{inband.Silent, err}
--- a/front/probes.go
+++ b/front/probes.go
@@ -93,7 +93,7 @@
 	time.Sleep(queued.delay)
 	now := d.clock.Now()
 	pauses := d.checkForPause(now)
-	d.finishProbe(queued.probe, now, pauses, checkTarget(ctx, d.options.Connector, queued.probe))
+	d.finishProbe(queued.probe, now, pauses, d.prober.check(ctx, queued.probe))
 }
 
 // finishProbe records the outcome of a probe, resets the flows of the target if it is dead, and reports the
