Tell in traces which probe proved a target's death, and why probes decide

Cause: a trace of a flow showed its reset without the probe that led to it, and a VM that was told of a probe left no line about it.

Change: front trace lists the probes of a flow's targets, of all VMs, and the line probe_told says what a VM heard from whom.

--- a/front/messages.go
+++ b/front/messages.go
@@ -135,6 +135,7 @@
 		d.startProbes(now)
 	}
 	if len(m.Probes) > 0 {
+		d.logToldProbes(now, m)
 		d.resetFlowsOfLostTargets(now)
 	}
 	if m.Kind == siblings.Hello {
--- a/front/probes.go
+++ b/front/probes.go
@@ -136,6 +136,13 @@
 	return recipients
 }
 
+// logToldProbes logs what probes of another VM showed.
+func (d *Daemon) logToldProbes(now clock.Millis, m *siblings.Message) {
+	for _, p := range m.Probes {
+		d.logRoutine("probe_told", "at_ms", now, "target", p.ID, "outcome", p.Outcome, "age_ms", p.AgeMS, "from", m.From.Address)
+	}
+}
+
 // logProbe logs one probe: why it was sent, how long the target had been suspected, and what it showed.
 func (d *Daemon) logProbe(now, took clock.Millis, probe *inband.TargetProbe, shown inband.ProbeOutcome, err error) {
 	reason := ""
--- a/inband/probe.go
+++ b/inband/probe.go
@@ -278,8 +278,8 @@
 	}
 }
 
-// KnownOutcomes returns the outcomes of recent probes of the targets of some suspicions, for the VM that
-// reported them. Targets whose probe is not newer than the suspicion are left out unless they count as dead.
+// KnownOutcomes returns the outcomes of probes of those targets of some suspicions that a probe has shown
+// to be dead or silent lately, for the VM that reported them.
 func (e *Engine) KnownOutcomes(now clock.Millis, suspicions []Suspicion) []ProbeReport {
 	var all []ProbeReport
 	for _, s := range suspicions {
--- a/operator/trace.go
+++ b/operator/trace.go
@@ -17,7 +17,8 @@
 	client string // address and port of the flow's client, or empty
 	target string // id of the target, or empty
 	lines  []*LogLine
-	// beliefs are lines about targets, which belong to the story of a flow that went to them.
+	// beliefs are lines about targets and probes of them, which belong to the story of a flow that went to
+	// them.
 	beliefs        []*LogLine
 	malformed      int
 	firstMalformed string
@@ -60,7 +61,7 @@
 		t.lines = append(t.lines, line)
 	case t.target != "" && (line.Field("target") == t.target || line.Field("silent_target") == t.target || isTarget && subject == t.target):
 		t.lines = append(t.lines, line)
-	case t.client != "" && isTarget:
+	case t.client != "" && (isTarget || isProbe(line)):
 		t.beliefs = append(t.beliefs, line)
 	}
 }
@@ -78,11 +79,18 @@
 	return all
 }
 
-// concerns reports whether a belief is about a target of the flow, at a VM that saw the flow.
+// isProbe reports whether a line is about what a probe of a suspected target showed.
+func isProbe(line *LogLine) bool {
+	return line.Message == "probe_told" || line.Message == "target_probed" && line.Field("cause") != "first_contact"
+}
+
+// concerns reports whether a belief is about a target of the flow, at a VM that saw the flow. Probes
+// concern it wherever they were sent, as VMs tell each other what they showed.
 func (t *Trace) concerns(belief *LogLine) bool {
-	id := strings.TrimPrefix(belief.Field("subject"), "target ")
+	id := cmp.Or(belief.Field("target"), strings.TrimPrefix(belief.Field("subject"), "target "))
 	return slices.ContainsFunc(t.lines, func(line *LogLine) bool {
-		return line.VM == belief.VM && (line.Field("target") == id || line.Field("silent_target") == id)
+		isNear := line.VM == belief.VM || belief.Message == "target_probed"
+		return isNear && (line.Field("target") == id || line.Field("silent_target") == id)
 	})
 }
 
