--- a/front/prober_test.go
+++ b/front/prober_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/netip"
 	"sync/atomic"
 	"syscall"
@@ -114,3 +115,29 @@
 		})
 	}
 }
+
+// BenchmarkConnect measures a probe of a target that answers, over loopback.
+func BenchmarkConnect(b *testing.B) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = connection.Close()
+		}
+	}()
+	p := newProber(tcpConnector{})
+	probe := &inband.TargetProbe{ID: "i-1", Address: listener.Addr().(*net.TCPAddr).AddrPort()}
+	b.ReportAllocs()
+	for b.Loop() {
+		if got := p.check(context.Background(), probe); got.outcome != inband.Answered {
+			b.Fatal(got.err)
+		}
+	}
+}
--- /dev/null
+++ b/inband/probestart_test.go
@@ -0,0 +1,95 @@
+package inband_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// A target is probed once for each suspicion, however many clients are silent, and at intervals while the
+// silence goes on. A target that left is not asked.
+func TestProbesAreFew(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome inband.ProbeOutcome
+		state   inband.State
+		want    int
+	}{
+		{"answered", inband.Answered, inband.Serving, 5}, // one each 0.4 s
+		{"silent", inband.Silent, inband.Serving, 1},     // a verdict
+		{"refused", inband.Refused, inband.Serving, 1},
+		{"left", inband.Refused, inband.Gone, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			changed := target("i-1", "a")
+			changed.State = tt.state
+			e.UpdateTargets(published(changed))
+			probes := 0
+			for now := clock.Millis(1000); now < 3000; now += 10 {
+				e.Sweep(now)
+				for client := range 3 { // each sends a request each 0.2 s, which is repeated once and never answered
+					number := uint32(now-1000) / 400
+					e.Handle(now, data(client, feedAddress, inband.TagOf("i-1"), 101+50*number, 500))
+				}
+				probes += probeSuspects(e, now, tt.outcome)
+			}
+			is.Equal(probes, tt.want)
+		})
+	}
+}
+
+// Targets of the own domain that this VM is responsible for are contacted once, so that a refusal of them
+// means something later. Those that do not answer are tried again at growing intervals.
+func TestFirstContacts(t *testing.T) {
+	is := is.New(t)
+	e := newEngine()
+	leaving := target("i-3", "a")
+	leaving.State = inband.Leaving
+	e.ReplaceView(tables(1), published(target("i-1", "a"), target("i-2", "a"), leaving, target("i-4", "b"), target("i-5", "a")))
+	outcomes := map[string]inband.ProbeOutcome{"i-1": inband.Answered, "i-2": inband.Refused, "i-5": inband.Answered}
+	contacts := map[string]int{}
+	for now := clock.Millis(0); now < 20*clock.Second; now += 250 {
+		probe := e.FirstContact(now, func(id string) bool { return id != "i-5" })
+		if probe == nil {
+			continue
+		}
+		contacts[probe.ID]++
+		is.Equal(probe.Cause, inband.CauseFirstContact)
+		e.RecordProbe(now, inband.ProbeResult{Probe: probe, SentAt: now, Outcome: outcomes[probe.ID]})
+	}
+	is.Equal(contacts, map[string]int{"i-1": 1, "i-2": 5}) // after about 1, 3, 7 and 15 s
+}
+
+// The targets that are asked along with a silent one have answered before and are not suspected.
+func TestControlsOfAProbe(t *testing.T) {
+	is := is.New(t)
+	var targets []*inband.Target
+	for i := range 6 {
+		targets = append(targets, target(fmt.Sprintf("i-%d", i), "a"))
+		targets[i].Address = netip4(byte(i))
+	}
+	e := newEngine()
+	e.ReplaceView(tables(1), published(targets...))
+	introduce(e, targets[:3]...)
+	e.Handle(1000, data(1, feedAddress, inband.TagOf("i-0"), 101, 500))
+	e.Handle(1000, data(2, feedAddress, inband.TagOf("i-1"), 101, 500))
+	e.Handle(1200, data(1, feedAddress, inband.TagOf("i-0"), 101, 500))
+	e.Handle(1200, data(2, feedAddress, inband.TagOf("i-1"), 101, 500))
+	is.Equal(e.SuspectsToProbe(1200), []string{"i-0", "i-1"})
+	for _, address := range e.StartProbe(1200, "i-0").Controls {
+		is.Equal(address, netip4(2))
+	}
+	is.Equal(e.StartProbe(1200, "i-0"), nil) // it is out
+}
+
+func netip4(host byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 80)
+}
