Let the silent probes of two VMs stand in for an own sign

Change: a VM that knows of the silent probes of two VMs needs no sign of its own. The two VMs that probe a target tell each other, and whoever knows of both tells the others.

Tests: TestSilenceIsConfirmedByASecondVM, rows for one VM that is told twice, and for an answer in between.

--- a/experiment/probe.go
+++ b/experiment/probe.go
@@ -133,7 +133,8 @@
 		}
 		s.schedule(latencyBetween(v.domain, recipient.domain), func() {
 			recipient.do(func() {
-				recipient.engine.ReceiveProbes(s.now, domainName(v.domain), reports)
+				confirmed := recipient.engine.ReceiveProbes(s.now, domainName(v.domain), reports)
+				recipient.tellProbes(s.vms, confirmed)
 				recipient.resetFlowsOfLostTargets()
 			})
 		})
--- a/front/health.go
+++ b/front/health.go
@@ -47,21 +47,23 @@
 	hasOpening := false
 	for _, s := range suspicions {
 		hasOpening = hasOpening || s.OpeningTimeouts > 0
-		for _, prober := range d.members.ProbersOf(now, s.ID, d.engine.DomainOf(s.ID)) {
-			if !slices.Contains(recipients, prober) {
-				recipients = append(recipients, prober)
-			}
-		}
+		recipients = addMissing(recipients, d.members.ProbersOf(now, s.ID, d.engine.DomainOf(s.ID)))
 	}
 	if !hasOpening {
 		return recipients
 	}
-	for _, c := range append(d.members.SampleLocal(now, maxSuspicionRecipients), d.members.SampleRemote(now, remoteRecipientsPerDomain)...) {
-		if !slices.Contains(recipients, c.Address) {
-			recipients = append(recipients, c.Address)
+	recipients = addMissing(recipients, addressesOf(d.members.SampleLocal(now, maxSuspicionRecipients)))
+	return addMissing(recipients, addressesOf(d.members.SampleRemote(now, remoteRecipientsPerDomain)))
+}
+
+// addMissing adds the addresses that are not in the list yet.
+func addMissing(all, more []netip.AddrPort) []netip.AddrPort {
+	for _, address := range more {
+		if !slices.Contains(all, address) {
+			all = append(all, address)
 		}
 	}
-	return recipients
+	return all
 }
 
 // resetFlowsOfLostTargets ends the flows that wait for lost targets, or are idle at dead ones, and resets
--- a/front/messages.go
+++ b/front/messages.go
@@ -112,7 +112,7 @@
 	d.updateMembers(now, m)
 	d.engine.MarkReachable(m.From.Domain)
 	d.engine.ReceiveSuspicions(now, m.From.Address, m.From.Domain, m.Suspicions)
-	d.engine.ReceiveProbes(now, m.From.Domain, m.Probes)
+	confirmed := d.engine.ReceiveProbes(now, m.From.Domain, m.Probes)
 	d.engine.ReceiveOutcomes(now, m.From.Domain, m.Outcomes)
 	known := d.engine.KnownOutcomes(now, m.Suspicions)
 	applied, isNewer, needsFetch := d.mergeMessage(now, m)
@@ -136,6 +136,7 @@
 	}
 	if len(m.Probes) > 0 {
 		d.logToldProbes(now, m)
+		d.tellConfirmed(now, confirmed)
 		d.resetFlowsOfLostTargets(now)
 	}
 	if m.Kind == siblings.Hello {
--- a/front/probes.go
+++ b/front/probes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/almondflow/almondflow/clock"
@@ -110,7 +109,7 @@
 	var recipients []netip.AddrPort
 	if report, reporters := d.engine.ReportOf(now, probe.ID); report != nil && shown != inband.Inconclusive && probe.Cause != inband.CauseFirstContact {
 		message.Probes = []inband.ProbeReport{*report}
-		recipients = d.probeRecipients(now, shown, reporters)
+		recipients = d.probeRecipients(now, probe.ID, shown, reporters)
 	}
 	d.metrics.recordProbe(shown, now-sentAt)
 	d.mu.Unlock()
@@ -122,18 +121,25 @@
 }
 
 // probeRecipients returns the VMs that are told the outcome of a probe: those that reported the target,
-// and, if it is dead, many of this VM's failure domain. The caller holds the lock.
-func (d *Daemon) probeRecipients(now clock.Millis, shown inband.ProbeOutcome, reporters []netip.AddrPort) []netip.AddrPort {
-	recipients := slices.Clone(reporters)
+// and, unless it answered, the other VM that probes it and many of this VM's failure domain. The caller
+// holds the lock.
+func (d *Daemon) probeRecipients(now clock.Millis, id string, shown inband.ProbeOutcome, reporters []netip.AddrPort) []netip.AddrPort {
 	if shown == inband.Answered {
-		return recipients
+		return reporters
 	}
-	for _, c := range d.members.SampleLocal(now, maxSuspicionRecipients) {
-		if !slices.Contains(recipients, c.Address) {
-			recipients = append(recipients, c.Address)
-		}
+	recipients := append(reporters, d.members.ProbersOf(now, id, d.engine.DomainOf(id))...)
+	return addMissing(recipients, addressesOf(d.members.SampleLocal(now, maxSuspicionRecipients)))
+}
+
+// tellConfirmed tells many VMs of this VM's failure domain which targets were silent to two VMs.
+func (d *Daemon) tellConfirmed(now clock.Millis, confirmed []inband.ProbeReport) {
+	if len(confirmed) == 0 {
+		return
 	}
-	return recipients
+	d.mu.Lock()
+	recipients := addressesOf(d.members.SampleLocal(now, maxSuspicionRecipients))
+	d.mu.Unlock()
+	d.send(siblings.Message{Kind: siblings.Suspect, Probes: confirmed}, recipients)
 }
 
 // logToldProbes logs what probes of another VM showed.
--- a/front/suspicion_test.go
+++ b/front/suspicion_test.go
@@ -106,7 +106,7 @@
 	report, reporters := e.ReportOf(now, deadTarget)
 	sampled := m.sample()
 	for vm, other := range m.engines {
-		if vm != p.vm && (slices.Contains(reporters, m.addresses[vm]) || slices.Contains(sampled, vm)) {
+		if vm != p.vm && (m.isProber(vm) || slices.Contains(reporters, m.addresses[vm]) || slices.Contains(sampled, vm)) {
 			other.ReceiveProbes(now, "a", []inband.ProbeReport{*report})
 		}
 	}
--- a/inband/probe.go
+++ b/inband/probe.go
@@ -55,6 +55,8 @@
 	StartedAtMS int64        `json:"born"`
 	Outcome     ProbeOutcome `json:"outcome"`
 	AgeMS       clock.Millis `json:"age_ms"` // time since the probe was sent
+	// Confirmed is set if the probes of two VMs were silent.
+	Confirmed bool `json:"confirmed,omitempty"`
 }
 
 // probeState is what is known of the probes of one incarnation of a target.
@@ -65,6 +67,9 @@
 	contactInterval clock.Millis // time between attempts of the first contact
 	outcome         ProbeOutcome // of the newest conclusive probe, or empty
 	sentAt          clock.Millis // when that was sent
+	// While outcome is Silent: whether probes of this VM and of another one were, and whether those of two
+	// VMs were.
+	hasOwnSilence, hasToldSilence, isConfirmed bool
 }
 
 // isRefuted reports whether the target has answered a probe that was sent later than a packet.
@@ -82,6 +87,17 @@
 	return p.outcome == Silent && now-p.sentAt <= outcomeLifetime
 }
 
+// recordSilence records that a probe of this VM or of another one was silent. isConfirmed is set if that
+// VM knows of the silent probe of yet another one.
+func (p *probeState) recordSilence(now clock.Millis, isOwn, isConfirmed bool) {
+	if !p.isSilent(now) {
+		p.hasOwnSilence, p.hasToldSilence, p.isConfirmed = false, false, false
+	}
+	p.hasOwnSilence = p.hasOwnSilence || isOwn
+	p.hasToldSilence = p.hasToldSilence || !isOwn
+	p.isConfirmed = p.isConfirmed || isConfirmed || p.hasOwnSilence && p.hasToldSilence
+}
+
 // refute forgets a probe that is older than a packet which the target answered.
 func (p *probeState) refute(answeredSentAt clock.Millis) {
 	if answeredSentAt >= p.sentAt {
@@ -91,16 +107,21 @@
 
 // isDead reports whether the target is dead: a probe showed that its process is gone, or a probe was not
 // answered and neither were packets that this VM forwarded. These are two independent signs, as no
-// client has part in the probe, and other targets answered this VM meanwhile.
+// client has part in the probe, and other targets answered the prober meanwhile. Without an own sign it
+// takes the silent probes of two VMs, beside the sign that caused them.
 func (b *Backend) isDead(now clock.Millis) bool {
-	return b.probe.isProof(now) || b.probe.isSilent(now) && b.evidence.isRecentlyUnresponsive(now)
+	if b.probe.isProof(now) {
+		return true
+	}
+	return b.probe.isSilent(now) && (b.probe.isConfirmed || b.evidence.isRecentlyUnresponsive(now))
 }
 
 // silentSince returns the time up to which flows of a dead target were last seen if they have been idle
 // since before it died. A later packet may have been answered by a target that has started again.
 func (b *Backend) silentSince(now clock.Millis) clock.Millis {
-	if b.probe.isProof(now) {
-		return max(b.probe.sentAt, b.evidence.unresponsiveSince+answerTimeout)
+	ownSilence := b.evidence.unresponsiveSince + answerTimeout
+	if b.probe.isProof(now) || b.probe.isConfirmed {
+		return max(b.probe.sentAt, ownSilence)
 	}
-	return b.evidence.unresponsiveSince + answerTimeout
+	return ownSilence
 }
--- a/inband/probe_test.go
+++ b/inband/probe_test.go
@@ -176,6 +176,49 @@
 	is.Equal(len(e.EndFlowsOfLostTargets(11100)), 0)
 }
 
+// A VM that saw no packet time out takes a target for dead by the silent probes of two VMs, not by one and
+// not by one that is told twice. Guards against idle flows that wait for their client's next request, and
+// against a single VM whose probes are lost.
+func TestSilenceIsConfirmedByASecondVM(t *testing.T) {
+	silent := inband.ProbeReport{ID: "i-1", Outcome: inband.Silent}
+	confirmed := inband.ProbeReport{ID: "i-1", Outcome: inband.Silent, Confirmed: true}
+	probe := func(e *inband.Engine, now clock.Millis) {
+		e.ReceiveSuspicions(now, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
+		probeSuspects(e, now, inband.Silent)
+	}
+	told := func(r inband.ProbeReport) func(e *inband.Engine, now clock.Millis) {
+		return func(e *inband.Engine, now clock.Millis) { e.ReceiveProbes(now, "a", []inband.ProbeReport{r}) }
+	}
+	tests := []struct {
+		name    string
+		steps   []func(e *inband.Engine, now clock.Millis) // one a second
+		isReset bool
+	}{
+		{"told once", []func(*inband.Engine, clock.Millis){told(silent)}, false},
+		{"told twice", []func(*inband.Engine, clock.Millis){told(silent), told(silent)}, false},
+		{"own probe", []func(*inband.Engine, clock.Millis){probe}, false},
+		{"own probe, then told", []func(*inband.Engine, clock.Millis){probe, told(silent)}, true},
+		{"told that it is confirmed", []func(*inband.Engine, clock.Millis){told(confirmed)}, true},
+		{"own probe, then told much later", []func(*inband.Engine, clock.Millis){probe, nil, nil, nil, told(silent)}, false},
+		{"own probe, then told that it answers, then told", []func(*inband.Engine, clock.Millis){probe, told(inband.ProbeReport{ID: "i-1", Outcome: inband.Answered}), told(silent)}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			openFlow(e, 9, holdAddress)
+			now := clock.Millis(0)
+			for _, step := range tt.steps {
+				now += clock.Second
+				if step != nil {
+					step(e, now)
+				}
+			}
+			is.Equal(len(e.EndFlowsOfLostTargets(now)) > 0, tt.isReset)
+		})
+	}
+}
+
 // Guards against flows that are reset because an older incarnation died: a flow that comes to this VM after
 // the probe may be one with a target that has started again under the same id.
 func TestFlowsThatComeAfterAProofAreKept(t *testing.T) {
@@ -186,7 +229,7 @@
 	e.EndFlowsOfLostTargets(1220)
 	v := e.Handle(3000, data(30, feedAddress, inband.TagOf("i-1"), 101, 500))
 	is.Equal(v.Action, inband.Forward)
-	is.Equal(len(e.EndFlowsOfLostTargets(3160)), 0) // it waits, but its packet has not come again
+	is.Equal(len(e.EndFlowsOfLostTargets(3160)), 0)                          // it waits, but its packet has not come again
 	v = e.Handle(3200, data(30, feedAddress, inband.TagOf("i-1"), 101, 500)) // met silence itself
 	is.Equal(v.Action, inband.Reset)
 	e.Sweep(3600)
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -15,7 +15,7 @@
 	}
 	b.probe.isOut = false
 	outcome := e.interpret(b, r)
-	e.applyOutcome(now, b, outcome, r.SentAt)
+	e.applyOutcome(now, b, shown{outcome: outcome, sentAt: r.SentAt, isOwn: true})
 	return outcome
 }
 
@@ -49,21 +49,34 @@
 	return false
 }
 
-// applyOutcome applies what a probe sent at sentAt, here or by another VM, showed of a target.
-func (e *Engine) applyOutcome(now clock.Millis, b *Backend, outcome ProbeOutcome, sentAt clock.Millis) {
-	switch outcome {
+// shown is what a probe showed of a target.
+type shown struct {
+	outcome     ProbeOutcome
+	sentAt      clock.Millis
+	isOwn       bool // this VM sent the probe
+	isConfirmed bool // the VM that sent it knows of another VM's silent probe
+}
+
+// applyOutcome applies what a probe showed of a target.
+func (e *Engine) applyOutcome(now clock.Millis, b *Backend, s shown) {
+	p := &b.probe
+	switch s.outcome {
 	case Answered:
-		b.probe.hasAnswered = true
-		b.evidence.refuteSigns(sentAt)
+		p.hasAnswered = true
+		b.evidence.refuteSigns(s.sentAt)
 	case Refused, Replaced, Silent:
-		if b.evidence.answeredSentAt > sentAt || b.probe.isProof(now) {
-			return // refuted already, or known already
+		isRefuted := b.evidence.answeredSentAt > s.sentAt || p.outcome == Answered && p.sentAt > s.sentAt
+		if isRefuted || p.isProof(now) {
+			return
 		}
 	default:
 		return
 	}
-	if sentAt >= b.probe.sentAt || b.probe.outcome == "" {
-		b.probe.outcome, b.probe.sentAt = outcome, sentAt
+	if s.outcome == Silent {
+		p.recordSilence(now, s.isOwn, s.isConfirmed)
+	}
+	if s.sentAt >= p.sentAt || p.outcome == "" {
+		p.outcome, p.sentAt = s.outcome, s.sentAt
 	}
 	if b.isDead(now) {
 		e.watchTarget(b)
@@ -71,17 +84,25 @@
 }
 
 // ReceiveProbes applies the outcomes of probes that a VM of the given failure domain sent. They are
-// ignored unless that VM is in this VM's own domain or in the target's domain.
-func (e *Engine) ReceiveProbes(now clock.Millis, domain string, reports []ProbeReport) {
+// ignored unless that VM is in this VM's own domain or in the target's domain. It returns the targets whose
+// silence is confirmed by that, by an own probe and another VM's, which the others do not know yet.
+func (e *Engine) ReceiveProbes(now clock.Millis, domain string, reports []ProbeReport) []ProbeReport {
+	var confirmed []ProbeReport
 	for _, r := range reports {
 		b := e.byID[r.ID]
 		if b == nil || b.target.StartedAtMS != r.StartedAtMS || r.AgeMS < 0 || r.AgeMS > outcomeLifetime {
 			continue
 		}
-		if domain == e.options.Domain || domain == b.target.Domain {
-			e.applyOutcome(now, b, r.Outcome, now-r.AgeMS)
+		if domain != e.options.Domain && domain != b.target.Domain {
+			continue
+		}
+		wasConfirmed := b.probe.isSilent(now) && b.probe.isConfirmed
+		e.applyOutcome(now, b, shown{outcome: r.Outcome, sentAt: now - r.AgeMS, isConfirmed: r.Confirmed})
+		if !wasConfirmed && !r.Confirmed && b.probe.isSilent(now) && b.probe.isConfirmed {
+			confirmed = append(confirmed, b.probeReport(now))
 		}
 	}
+	return confirmed
 }
 
 // KnownOutcomes returns the outcomes of probes of those targets of some suspicions that a probe has shown
@@ -108,5 +129,8 @@
 }
 
 func (b *Backend) probeReport(now clock.Millis) ProbeReport {
-	return ProbeReport{ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, Outcome: b.probe.outcome, AgeMS: now - b.probe.sentAt}
+	return ProbeReport{
+		ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, Outcome: b.probe.outcome, AgeMS: now - b.probe.sentAt,
+		Confirmed: b.probe.isSilent(now) && b.probe.isConfirmed,
+	}
 }
