Take a domain for cut off only after probes of its targets

Change: each VM connects to the silent targets of another domain itself. Only if two of them (three if one VM was asked there) are silent, and targets of its own domain answer, the domain counts as cut off. Answered or refused, the way works. Silence of a target of another domain is "unreachable", never its death.

Tests: TestSilenceOfClientsIsNoSignOfAPartition, TestFirstRequestsInAPartitionNeedAProbe and TestSilenceOfATargetOfAnotherDomainIsNoDeath take the places of those about two clients; the tests of real partitions probe the targets now.

--- a/experiment/probe.go
+++ b/experiment/probe.go
@@ -41,10 +41,7 @@
 
 // startProbes probes the suspected targets that this VM is to probe.
 func (v *vm) startProbes() {
-	for _, id := range v.engine.SuspectsToProbe(v.sim.now) {
-		if !v.isProber(id) {
-			continue
-		}
+	for _, id := range v.engine.SuspectsToProbe(v.sim.now, v.isProber) {
 		if probe := v.engine.StartProbe(v.sim.now, id); probe != nil {
 			v.runProbe(probe)
 		}
@@ -118,7 +115,7 @@
 func (v *vm) finishProbe(probe *inband.TargetProbe, sentAt clock.Millis, outcome inband.ProbeOutcome) {
 	s := v.sim
 	shown := v.engine.RecordProbe(s.now, inband.ProbeResult{Probe: probe, SentAt: sentAt, Outcome: outcome})
-	if report, _ := v.engine.ReportOf(s.now, probe.ID); report != nil && shown != inband.Inconclusive && probe.Cause != inband.CauseFirstContact {
+	if report, _ := v.engine.ReportOf(s.now, probe.ID); report != nil && shown.IsConclusive() && probe.Cause != inband.CauseFirstContact {
 		v.tellProbes(s.vms, []inband.ProbeReport{*report})
 	}
 	v.resetFlowsOfLostTargets()
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -152,7 +152,8 @@
 
 // reaches reports whether a packet of the VM reaches a target.
 func (v *vm) reaches(t *target) bool {
-	return !v.sim.isLost(v.domain, t.domain) && !(v.isCut && v.domain == t.domain)
+	isCutOff := v.isCut && v.domain == t.domain
+	return !isCutOff && !v.sim.isLost(v.domain, t.domain)
 }
 
 // reportAndProbe reports unresponsive targets to the siblings, probes the VMs of unreachable
--- a/front/probes.go
+++ b/front/probes.go
@@ -28,10 +28,7 @@
 	if d.isStopping {
 		return
 	}
-	for _, id := range d.engine.SuspectsToProbe(now) {
-		if !d.isProber(now, id) {
-			continue
-		}
+	for _, id := range d.engine.SuspectsToProbe(now, d.isProber(now)) {
 		if !d.allowProbe(now) {
 			return
 		}
@@ -48,15 +45,16 @@
 	if d.isStopping || !d.catalog.IsComplete() || now-d.readyAt < firstContactDelay || d.probesOut >= maxProbesAtOnce {
 		return
 	}
-	probe := d.engine.FirstContact(now, func(id string) bool { return d.members.IsProber(now, id) })
+	probe := d.engine.FirstContact(now, d.isProber(now))
 	if probe != nil {
 		d.queueProbe(probe)
 	}
 }
 
-// isProber reports whether this VM probes a target. The caller holds the lock.
-func (d *Daemon) isProber(now clock.Millis, id string) bool {
-	return d.engine.IsLocal(id) && d.members.IsProber(now, id)
+// isProber returns a function that reports whether this VM probes a target of its domain. The caller holds
+// the lock.
+func (d *Daemon) isProber(now clock.Millis) func(id string) bool {
+	return func(id string) bool { return d.members.IsProber(now, id) }
 }
 
 // allowProbe reports whether the limits permit another probe. The caller holds the lock.
@@ -107,7 +105,7 @@
 	shown := d.engine.RecordProbe(now, inband.ProbeResult{Probe: probe, SentAt: sentAt, Outcome: result.outcome})
 	message := siblings.Message{Kind: siblings.Suspect}
 	var recipients []netip.AddrPort
-	if report, reporters := d.engine.ReportOf(now, probe.ID); report != nil && shown != inband.Inconclusive && probe.Cause != inband.CauseFirstContact {
+	if report, reporters := d.engine.ReportOf(now, probe.ID); report != nil && shown.IsConclusive() && probe.Cause != inband.CauseFirstContact {
 		message.Probes = []inband.ProbeReport{*report}
 		recipients = d.probeRecipients(now, probe.ID, shown, reporters)
 	}
@@ -127,7 +125,7 @@
 	if shown == inband.Answered {
 		return reporters
 	}
-	recipients := append(reporters, d.members.ProbersOf(now, id, d.engine.DomainOf(id))...)
+	recipients := addMissing(reporters, d.members.ProbersOf(now, id, d.engine.DomainOf(id)))
 	return addMissing(recipients, addressesOf(d.members.SampleLocal(now, maxSuspicionRecipients)))
 }
 
--- a/front/suspicion_test.go
+++ b/front/suspicion_test.go
@@ -93,7 +93,7 @@
 		m.out = m.out[1:]
 	}
 	for vm, e := range m.engines {
-		if !m.isProber(vm) || len(e.SuspectsToProbe(now)) == 0 {
+		if len(e.SuspectsToProbe(now, func(string) bool { return m.isProber(vm) })) == 0 {
 			continue
 		}
 		m.out = append(m.out, probeOut{vm, now, e.StartProbe(now, deadTarget)})
--- a/inband/evidence.go
+++ b/inband/evidence.go
@@ -21,9 +21,6 @@
 	// timeoutLifetime is how long a timeout counts as evidence. Clients that wait retransmit
 	// their data after at most 1.6 s; the others were answered or use another VM.
 	timeoutLifetime = 2500 * clock.Millisecond
-	// openingTimeoutLifetime is how long the timeout of an opening counts as evidence. The next
-	// retry follows after at most maxRetryInterval plus jitter.
-	openingTimeoutLifetime = 5 * clock.Second
 	// holdOffTime is how long a VM resets no flows and sends no reports after a target that it
 	// took for dead answered.
 	holdOffTime = 10 * clock.Second
@@ -33,20 +30,17 @@
 // the target. They show nothing about its death by themselves, as the links of its clients explain
 // them as well.
 type evidence struct {
-	unresponsiveSince    clock.Millis // when the first unanswered packet was sent
-	hasSign              bool         // a packet timed out since the last answer to a packet or a probe
-	openings             int          // openings that timed out since the last answer to a packet
-	data                 int          // flows whose data timed out since the last answer
-	openingClients       clientSet    // clients of these openings
-	dataClients          clientSet    // clients of this data
-	lastTimeoutAt        clock.Millis // when the last timeout was detected
-	lastOpeningTimeoutAt clock.Millis // when the last timeout of an opening was detected
-	nextRetryAt          clock.Millis
-	retryInterval        clock.Millis
-	reported             int // timed-out openings and flows already reported to the other VMs
-	reports              reports
-	lastAnswerAt         clock.Millis
-	answeredSentAt       clock.Millis // when the newest packet was sent that was answered
+	unresponsiveSince clock.Millis // when the first unanswered packet was sent
+	hasSign           bool         // a packet timed out since the last answer to a packet or a probe
+	openings          int          // openings that timed out since the last answer to a packet
+	data              int          // flows whose data timed out since the last answer
+	lastTimeoutAt     clock.Millis // when the last timeout was detected
+	nextRetryAt       clock.Millis
+	retryInterval     clock.Millis
+	reported          int // timed-out openings and flows already reported to the other VMs
+	reports           reports
+	lastAnswerAt      clock.Millis
+	answeredSentAt    clock.Millis // when the newest packet was sent that was answered
 }
 
 // recordAnswer records that a client received an answer to a packet sent at sentAt. It refutes signs
@@ -65,14 +59,12 @@
 		return
 	}
 	e.hasSign, e.data, e.reported = false, 0, min(e.reported, e.openings)
-	e.openingClients, e.dataClients = clientSet{}, clientSet{}
 }
 
 // timeout is a packet that was forwarded here and not answered in time.
 type timeout struct {
 	sentAt    clock.Millis
 	isData    bool // not an opening
-	client    ClientID
 	isRefuted bool // the target has answered a probe that was sent later
 }
 
@@ -83,20 +75,13 @@
 	}
 	if !e.isRecentlyUnresponsive(now) {
 		e.unresponsiveSince, e.data, e.reported = t.sentAt, 0, min(e.reported, e.openings)
-		e.dataClients = clientSet{}
 	}
 	e.lastTimeoutAt, e.hasSign = now, e.hasSign || !t.isRefuted
 	if t.isData {
 		e.data++
-		e.dataClients.add(t.client)
 		return
 	}
-	if now-e.lastOpeningTimeoutAt > openingTimeoutLifetime {
-		e.openingClients = clientSet{}
-	}
 	e.openings++
-	e.openingClients.add(t.client)
-	e.lastOpeningTimeoutAt = now
 	if now >= e.nextRetryAt {
 		e.scheduleRetry(now, jitter)
 	}
@@ -133,24 +118,6 @@
 	return newest
 }
 
-// recentOpenings returns the clients of timed-out openings that still count as evidence.
-func (e *evidence) recentOpenings(now clock.Millis) clientSet {
-	if now-e.lastOpeningTimeoutAt > openingTimeoutLifetime {
-		return clientSet{}
-	}
-	return e.openingClients
-}
-
-// localSigns returns the clients whose packets timed out here, as far as they still count as evidence.
-func (e *evidence) localSigns(now clock.Millis) clientSet {
-	if !e.isRecentlyUnresponsive(now) {
-		return clientSet{}
-	}
-	all := e.recentOpenings(now)
-	all.merge(&e.dataClients)
-	return all
-}
-
 // isSuspect reports whether new flows avoid the target.
 func (e *evidence) isSuspect(now clock.Millis) bool {
 	return e.openings > 0 || now < e.reports.avoidUntil
--- a/inband/evidence_test.go
+++ b/inband/evidence_test.go
@@ -237,7 +237,7 @@
 	for client := 2; client < 10; client++ {
 		e.Handle(1210, opening(client, feedAddress, 1))
 	}
-	for _, id := range e.SuspectsToProbe(1210) {
+	for _, id := range e.SuspectsToProbe(1210, always) {
 		probe := e.StartProbe(1210, id)
 		is.Equal(len(probe.Controls), 0)
 		e.RecordProbe(1215, inband.ProbeResult{Probe: probe, SentAt: 1210, Outcome: inband.Inconclusive})
--- a/inband/link.go
+++ b/inband/link.go
@@ -12,11 +12,13 @@
 	probeTimeout = 120 * clock.Millisecond
 	// probeInterval is the time between unanswered probes.
 	probeInterval = 400 * clock.Millisecond
-	// minPartitionTargets is the number of unresponsive targets that a partitioned domain must
-	// have, and of clients that found them so. If only a single VM was probed there, which may
-	// have failed as well, the number is minPartitionTargetsSingleVM.
+	// minPartitionTargets is the number of targets of a partitioned domain that must be unresponsive, and
+	// silent to probes of this VM. If only a single VM was probed there, which may have failed as well,
+	// the number is minPartitionTargetsSingleVM.
 	minPartitionTargets         = 2
 	minPartitionTargetsSingleVM = 3
+	// timeoutMemory is how long a domain's timeouts count as of one cause.
+	timeoutMemory = 5 * clock.Second
 )
 
 // link is what this VM knows of the path to another failure domain. Unresponsive targets may be
@@ -42,7 +44,7 @@
 // recordTimeout records that one of the domain's targets did not answer a packet. Timeouts that are
 // too old to have the same cause are forgotten, unless a probe has been unanswered since.
 func (l *link) recordTimeout(now, sentAt clock.Millis) {
-	isStale := !l.isProbed && now-l.lastTimeoutAt > openingTimeoutLifetime
+	isStale := !l.isProbed && now-l.lastTimeoutAt > timeoutMemory
 	if !l.isUnresponsive || isStale {
 		*l = link{unresponsiveSince: sentAt, isUnresponsive: true}
 	}
@@ -65,7 +67,7 @@
 func (e *Engine) DomainsToProbe(now clock.Millis) []string {
 	var domains []string
 	for domain, l := range e.links {
-		if l.isUnresponsive && (!l.isProbed || now-l.lastProbeAt >= probeInterval) && e.partitionSigns(now, domain) >= minPartitionTargets {
+		if l.isUnresponsive && (!l.isProbed || now-l.lastProbeAt >= probeInterval) && e.unresponsiveTargets(now, domain) >= minPartitionTargets {
 			domains = append(domains, domain)
 		}
 	}
@@ -93,31 +95,45 @@
 }
 
 // IsPartitioned reports whether this VM appears to be partitioned from a failure domain: several
-// of its targets and all VMs probed there are unresponsive.
+// of its targets are unresponsive and do not answer probes of this VM, and no VM probed there does.
 func (e *Engine) IsPartitioned(now clock.Millis, domain string) bool {
 	l := e.links[domain]
-	return l != nil && l.isPartitioned(now) && e.partitionSigns(now, domain) >= l.minTargets()
+	return l != nil && l.isPartitioned(now) && e.unreachableTargets(now, domain) >= l.minTargets()
 }
 
-// partitionSigns returns the number of independent signs that a domain is partitioned: of targets
-// that are expected to run and did not answer, each found by another client. A client's own link
-// explains the silence of all targets that only this client found silent.
-func (e *Engine) partitionSigns(now clock.Millis, domain string) int {
-	l := e.links[domain]
-	if l == nil {
-		return 0
-	}
-	targets := 0
-	var clients clientSet
+// unresponsiveTargets returns how many targets of a domain did not answer packets, of those that are
+// expected to run.
+func (e *Engine) unresponsiveTargets(now clock.Millis, domain string) int {
+	return e.countWatched(func(b *Backend) bool { return b.target.Domain == domain && e.seemsCutOff(now, b) })
+}
+
+// unreachableTargets returns how many of the unresponsive targets of a domain did not answer a probe of
+// this VM either. Silence of clients alone is no sign that a domain is cut off, as their own links
+// explain it.
+func (e *Engine) unreachableTargets(now clock.Millis, domain string) int {
+	return e.countWatched(func(b *Backend) bool { return b.target.Domain == domain && e.isUnreachable(now, b) })
+}
+
+func (e *Engine) countWatched(isCounted func(*Backend) bool) int {
+	count := 0
 	for _, b := range e.watchlist.backends {
-		if b.target.Domain != domain || !b.evidence.isUnresponsive() || !b.isExpectedToRun(now) || b.evidence.lastTimeoutAt < l.unresponsiveSince {
-			continue
+		if isCounted(b) {
+			count++
 		}
-		targets++
-		clients.merge(&b.evidence.openingClients)
-		clients.merge(&b.evidence.dataClients)
 	}
-	return min(targets, clients.size())
+	return count
+}
+
+// seemsCutOff reports whether a target of another domain has been unresponsive since the domain's first
+// timeout, though it is expected to run.
+func (e *Engine) seemsCutOff(now clock.Millis, b *Backend) bool {
+	l := e.links[b.target.Domain]
+	return l != nil && b.evidence.isUnresponsive() && b.isExpectedToRun(now) && b.evidence.lastTimeoutAt >= l.unresponsiveSince
+}
+
+// isUnreachable reports whether a target that seems cut off did not answer a probe of this VM either.
+func (e *Engine) isUnreachable(now clock.Millis, b *Backend) bool {
+	return e.seemsCutOff(now, b) && b.probe.isPathSilent && b.probe.pathSilentAt >= e.links[b.target.Domain].unresponsiveSince
 }
 
 // linkTo returns the link to a target's domain, or nil for this VM's own domain.
@@ -138,7 +154,7 @@
 func (e *Engine) recordTimeout(now clock.Millis, f *flow, isData bool) {
 	b := f.backend
 	b.evidence.recordTimeout(now, timeout{
-		sentAt: f.sentAt, isData: isData, client: clientIDOf(f.key.Client.Addr()), isRefuted: b.probe.isRefuted(f.sentAt),
+		sentAt: f.sentAt, isData: isData, isRefuted: b.probe.isRefuted(f.sentAt),
 	}, e.jitter())
 	e.watchTarget(b)
 	if l := e.linkTo(b); l != nil {
--- a/inband/link_test.go
+++ b/inband/link_test.go
@@ -1,7 +1,6 @@
 package inband_test
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -33,6 +32,8 @@
 	tags := openUnansweredFlows(e, 4)
 	is.Equal(e.DomainsToProbe(1200), []string{"b"})
 	e.MarkProbed(1200, "b", 2)
+	is.True(!e.IsPartitioned(1330, "b")) // no target was probed
+	is.Equal(probeSuspects(e, 1200, inband.Silent), 2)
 	is.True(!e.IsPartitioned(1250, "b")) // the probe has not timed out
 	v := e.Handle(1250, data(0, feedAddress, tags[0], 101, 500))
 	is.Equal(v.Action, inband.Forward)
@@ -71,6 +72,7 @@
 			for _, domain := range e.DomainsToProbe(1200) {
 				e.MarkProbed(1200, domain, 2)
 			}
+			probeSuspects(e, 1200, inband.Silent)
 			tt.after(e, tags)
 			is.True(!e.IsPartitioned(2000, tt.targets[0]))
 		})
@@ -83,6 +85,7 @@
 	e := newEngine(target("i-1", "b"), target("i-2", "b"))
 	openUnansweredFlows(e, 4)
 	e.MarkProbed(1200, "b", 2)
+	probeSuspects(e, 1200, inband.Silent)
 	is.True(e.IsPartitioned(1400, "b"))
 	is.Equal(e.DomainsToProbe(1500), nil) // too early for the next probe
 	is.Equal(e.DomainsToProbe(1600), []string{"b"})
@@ -124,6 +127,7 @@
 		e.Handle(1200, data(client, feedAddress, inband.TagOf(id), 101, 500))
 	}
 	e.MarkProbed(1200, "b", 2)
+	probeSuspects(e, 1200, inband.Silent)
 	is.True(e.IsPartitioned(1330, "b"))
 	client, tag := tags[inband.TagOf("i-3")], inband.TagOf("i-3")
 	is.Equal(e.Handle(1330, data(client, feedAddress, tag, 101, 500)).Action, inband.Forward)
@@ -148,8 +152,10 @@
 		e.Handle(1200, p)
 	}
 	e.MarkProbed(1200, "b", 1)
+	probeSuspects(e, 1200, inband.Silent)
 	is.True(!e.IsPartitioned(1400, "b"))
 	e.Handle(1600, late)
+	probeSuspects(e, 1600, inband.Silent)
 	is.True(e.IsPartitioned(1600, "b"))
 }
 
@@ -191,54 +197,91 @@
 				e.Handle(1200, data(i, feedAddress, inband.TagOf(id), 101, 500))
 			}
 			e.MarkProbed(1200, "b", 1)
+			probeSuspects(e, 1200, inband.Silent)
 			is.Equal(e.IsPartitioned(1400, "b"), tt.isPartitioned)
 		})
 	}
 }
 
-// Guards against a domain that seems partitioned because one client's link lost the answers of several
-// targets while the domain's VMs were frozen.
-func TestOneClientIsNoSignOfAPartition(t *testing.T) {
-	for _, clients := range []int{1, 2} {
-		t.Run(fmt.Sprintf("%d clients", clients), func(t *testing.T) {
+// Guards against a domain that seems partitioned because the links of clients lost the answers of its
+// targets while its VMs were frozen or restarted (random worlds 913702 and 561873 of package experiment, with
+// two clients): what this VM's own probes of the targets show decides. A target that answers or refuses one is
+// no sign, as its way works.
+func TestSilenceOfClientsIsNoSignOfAPartition(t *testing.T) {
+	tests := []struct {
+		name          string
+		outcomes      map[string]inband.ProbeOutcome
+		isPartitioned bool
+	}{
+		{"not probed", nil, false},
+		{"both silent", map[string]inband.ProbeOutcome{"i-1": inband.Silent, "i-2": inband.Silent}, true},
+		{"one answers", map[string]inband.ProbeOutcome{"i-1": inband.Silent, "i-2": inband.Answered}, false},
+		{"one refuses", map[string]inband.ProbeOutcome{"i-1": inband.Silent, "i-2": inband.Refused}, false},
+		{"inconclusive", map[string]inband.ProbeOutcome{"i-1": inband.Silent, "i-2": inband.Inconclusive}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			e := newEngine(target("i-1", "b"), target("i-2", "b"))
+			e := newEngine()
+			e.ReplaceView(tables(1), published(target("i-1", "b"), target("i-2", "b")))
 			for _, at := range []clock.Millis{1000, 1200} {
 				for i, id := range []string{"i-1", "i-2"} {
-					e.Handle(at, sameClient(data(20+i, feedAddress, inband.TagOf(id), 101, 500), 1+i%clients))
+					for client := range 4 {
+						e.Handle(at, data(20+10*i+client, feedAddress, inband.TagOf(id), 101, 500))
+					}
 				}
 			}
 			e.MarkProbed(1200, "b", 2)
-			is.Equal(e.IsPartitioned(1400, "b"), clients > 1)
+			for id, outcome := range tt.outcomes {
+				e.RecordProbe(1200, inband.ProbeResult{Probe: e.StartProbe(1200, id), SentAt: 1200, Outcome: outcome})
+			}
+			is.Equal(e.IsPartitioned(1400, "b"), tt.isPartitioned)
 		})
 	}
 }
 
-// Guards against the flows of a target that one client found silent being reset with their first
-// request, before it could be answered, in a domain that only seems partitioned (review/4).
-func TestFirstRequestsInAPartitionNeedTwoClients(t *testing.T) {
-	for _, clients := range []int{1, 2} {
-		t.Run(fmt.Sprintf("%d clients", clients), func(t *testing.T) {
+// Guards against the flows of a target whose clients fell silent being reset with their first request,
+// before it could be answered, in a domain that only seems partitioned (review/4).
+func TestFirstRequestsInAPartitionNeedAProbe(t *testing.T) {
+	for _, outcome := range []inband.ProbeOutcome{inband.Silent, inband.Inconclusive} {
+		t.Run(string(outcome), func(t *testing.T) {
 			is := is.New(t)
 			e := newEngine(target("i-1", "b"), target("i-2", "b"), target("i-3", "b"))
 			tag := openFlow(e, 9, feedAddress)
 			for _, at := range []clock.Millis{1000, 1200} {
 				for i, id := range []string{"i-1", "i-2", "i-3"} {
-					if inband.TagOf(id) != tag {
-						e.Handle(at, data(20+i, feedAddress, inband.TagOf(id), 101, 500))
+					for client := range 2 {
+						e.Handle(at, data(20+10*i+client, feedAddress, inband.TagOf(id), 101, 500))
 					}
 				}
-				for client := range clients {
-					e.Handle(at, data(10+client, feedAddress, tag, 101, 500))
+			}
+			for _, id := range []string{"i-1", "i-2", "i-3"} {
+				shown := inband.Silent
+				if inband.TagOf(id) == tag {
+					shown = outcome
 				}
+				e.RecordProbe(1200, inband.ProbeResult{Probe: e.StartProbe(1200, id), SentAt: 1200, Outcome: shown})
 			}
 			e.MarkProbed(1200, "b", 2)
 			is.True(e.IsPartitioned(1330, "b"))
-			is.Equal(e.Handle(1330, data(9, feedAddress, tag, 101, 500)).Action == inband.Reset, clients > 1)
+			is.Equal(e.Handle(1330, data(9, feedAddress, tag, 101, 500)).Action == inband.Reset, outcome == inband.Silent)
 		})
 	}
 }
 
+// Guards against a cut that is taken for a death: of a target of another domain silence shows nothing but
+// that the way to it may be cut, however many signs there are, and it is not told to other VMs.
+func TestSilenceOfATargetOfAnotherDomainIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "b"))
+	openFlow(e, 9, holdAddress)
+	silenceClients(e, 8)
+	probe := e.StartProbe(1610, "i-1")
+	is.Equal(e.RecordProbe(1760, inband.ProbeResult{Probe: probe, SentAt: 1610, Outcome: inband.Silent}), inband.Unreachable)
+	is.True(!inband.Unreachable.IsConclusive())
+	is.Equal(len(e.EndFlowsOfLostTargets(1770)), 0)
+}
+
 // Old silence of two targets, whose flows went elsewhere, does not add up with new silence of a third.
 func TestOldTimeoutsAreNoSignOfAPartition(t *testing.T) {
 	is := is.New(t)
--- a/inband/probe.go
+++ b/inband/probe.go
@@ -19,9 +19,15 @@
 	Refused      ProbeOutcome = "refused"      // refused: no process runs there
 	Replaced     ProbeOutcome = "replaced"     // accepted by another target, which started later at this address
 	Silent       ProbeOutcome = "silent"       // no answer, although another target answered meanwhile
+	Unreachable  ProbeOutcome = "unreachable"  // as Silent, of a target of another domain, whose way may be cut
 	Inconclusive ProbeOutcome = "inconclusive" // not sent, or this VM may be the cause, or the target never answered a probe
 )
 
+// IsConclusive reports whether an outcome shows something of the target, which other VMs should know.
+func (o ProbeOutcome) IsConclusive() bool {
+	return o == Answered || o == Refused || o == Replaced || o == Silent
+}
+
 // ProbeCause is why a target is probed.
 type ProbeCause string
 
@@ -70,6 +76,10 @@
 	// While outcome is Silent: whether probes of this VM and of another one were, and whether those of two
 	// VMs were.
 	hasOwnSilence, hasToldSilence, isConfirmed bool
+	// Of a target of another domain: whether it did not answer this VM's newest probe, and when that was
+	// sent. A cut between the domains explains that as well as its death.
+	isPathSilent bool
+	pathSilentAt clock.Millis
 }
 
 // isRefuted reports whether the target has answered a probe that was sent later than a packet.
@@ -103,6 +113,9 @@
 	if answeredSentAt >= p.sentAt {
 		p.outcome = ""
 	}
+	if answeredSentAt >= p.pathSilentAt {
+		p.isPathSilent = false
+	}
 }
 
 // isDead reports whether the target is dead: a probe showed that its process is gone, or a probe was not
--- a/inband/probe_test.go
+++ b/inband/probe_test.go
@@ -10,6 +10,8 @@
 	"github.com/almondflow/almondflow/inband"
 )
 
+func always(string) bool { return true }
+
 // introduce lets targets answer their first contact, those of other domains through the VMs there.
 func introduce(e *inband.Engine, targets ...*inband.Target) {
 	for _, t := range targets {
@@ -20,7 +22,7 @@
 // probeSuspects probes the suspected targets at a point in time, with the given outcome for all, and
 // returns their number.
 func probeSuspects(e *inband.Engine, now clock.Millis, outcome inband.ProbeOutcome) int {
-	ids := e.SuspectsToProbe(now)
+	ids := e.SuspectsToProbe(now, always)
 	for _, id := range ids {
 		e.RecordProbe(now, inband.ProbeResult{Probe: e.StartProbe(now, id), SentAt: now, Outcome: outcome})
 	}
@@ -316,7 +318,7 @@
 			for _, r := range known {
 				is.Equal(r, inband.ProbeReport{ID: "i-1", Outcome: outcome, AgeMS: 90})
 			}
-			is.Equal(len(e.SuspectsToProbe(1710)), 0)
+			is.Equal(len(e.SuspectsToProbe(1710, always)), 0)
 		})
 	}
 }
@@ -330,6 +332,6 @@
 	e.Handle(1000, data(1, feedAddress, tag, 101, 500))
 	e.Handle(1020, acknowledge(1, tag, 600))
 	e.ReceiveSuspicions(1230, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
-	is.Equal(e.SuspectsToProbe(1230), []string{"i-1"})
+	is.Equal(e.SuspectsToProbe(1230, always), []string{"i-1"})
 	is.Equal(e.Handle(1240, opening(2, feedAddress, 0)).Backend.Target().ID, "i-1") // not kept away
 }
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -6,8 +6,7 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
-// RecordProbe records the outcome of a probe and returns what it shows. Anything but Inconclusive
-// should be reported to the other VMs.
+// RecordProbe records the outcome of a probe and returns what it shows.
 func (e *Engine) RecordProbe(now clock.Millis, r ProbeResult) ProbeOutcome {
 	b := e.byID[r.Probe.ID]
 	if b == nil || b.target.StartedAtMS != r.Probe.StartedAtMS {
@@ -15,12 +14,16 @@
 	}
 	b.probe.isOut = false
 	outcome := e.interpret(b, r)
+	if !e.isLocal(b) && r.Outcome != Inconclusive {
+		b.probe.isPathSilent, b.probe.pathSilentAt = outcome == Unreachable, r.SentAt
+	}
 	e.applyOutcome(now, b, shown{outcome: outcome, sentAt: r.SentAt, isOwn: true})
 	return outcome
 }
 
-// interpret returns what the outcome of a probe shows. A refusal or silence shows nothing if the target
-// never answered a probe, as it may not accept connections at all, or if this VM stood still.
+// interpret returns what the outcome of a probe shows. A refusal or silence shows nothing of the target if
+// it never answered a probe, as it may not accept connections at all, or if this VM stood still. Nor does
+// silence of a target of another domain, which may be cut off.
 func (e *Engine) interpret(b *Backend, r ProbeResult) ProbeOutcome {
 	switch r.Outcome {
 	case Answered:
@@ -29,6 +32,9 @@
 		}
 		return Answered
 	case Refused, Silent:
+		if r.Outcome == Silent && !e.isLocal(b) && e.resumedAt <= r.SentAt {
+			return Unreachable
+		}
 		if !b.probe.hasAnswered || e.resumedAt > r.SentAt {
 			return Inconclusive
 		}
--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -32,22 +32,43 @@
 	return newest > p.sentAt && now-newest <= timeoutLifetime
 }
 
-// SuspectsToProbe returns the ids of the targets that should be probed now, ordered by id.
-func (e *Engine) SuspectsToProbe(now clock.Millis) []string {
+// isPathProbeDue reports whether to probe an unresponsive target of another domain, to know whether this VM
+// reaches it.
+func (e *Engine) isPathProbeDue(now clock.Millis, b *Backend) bool {
+	p := &b.probe
+	if p.isOut || now < p.nextAt || !b.isExpectedToRun(now) || e.isUnreachable(now, b) {
+		return false
+	}
+	return b.evidence.isRecentlyUnresponsive(now)
+}
+
+// SuspectsToProbe returns the ids of the targets that should be probed now, ordered by id. isResponsible
+// selects the targets of this VM's domain that it probes. Unresponsive targets of other domains are probed
+// by each VM, as each has its own way to them.
+func (e *Engine) SuspectsToProbe(now clock.Millis, isResponsible func(id string) bool) []string {
 	var ids []string
 	for _, b := range e.watchlist.backends {
-		if b.isProbeDue(now) {
+		if e.shouldProbe(now, b) && (!e.isLocal(b) || isResponsible(b.target.ID)) {
 			ids = append(ids, b.target.ID)
 		}
 	}
 	return ids
 }
 
+func (e *Engine) isLocal(b *Backend) bool { return b.target.Domain == e.options.Domain }
+
+func (e *Engine) shouldProbe(now clock.Millis, b *Backend) bool {
+	if e.isLocal(b) {
+		return b.isProbeDue(now)
+	}
+	return e.isPathProbeDue(now, b)
+}
+
 // StartProbe starts the probe of a suspected target, whose outcome is passed to RecordProbe. It
 // returns nil if the target need not be probed any more.
 func (e *Engine) StartProbe(now clock.Millis, id string) *TargetProbe {
 	b := e.byID[id]
-	if b == nil || !b.isProbeDue(now) {
+	if b == nil || !e.shouldProbe(now, b) {
 		return nil
 	}
 	cause, since := CauseTimeout, b.evidence.unresponsiveSince
@@ -91,12 +112,6 @@
 	return ""
 }
 
-// IsLocal reports whether a target is of this VM's failure domain.
-func (e *Engine) IsLocal(id string) bool {
-	b := e.byID[id]
-	return b != nil && b.target.Domain == e.options.Domain
-}
-
 // isControl reports whether the target is expected to accept connections.
 func (b *Backend) isControl() bool {
 	return (b.probe.hasAnswered || b.evidence.lastAnswerAt > 0) && !b.evidence.isUnresponsive() && b.target.State == Serving
--- a/inband/probestart_test.go
+++ b/inband/probestart_test.go
@@ -83,7 +83,7 @@
 	e.Handle(1000, data(2, feedAddress, inband.TagOf("i-1"), 101, 500))
 	e.Handle(1200, data(1, feedAddress, inband.TagOf("i-0"), 101, 500))
 	e.Handle(1200, data(2, feedAddress, inband.TagOf("i-1"), 101, 500))
-	is.Equal(e.SuspectsToProbe(1200), []string{"i-0", "i-1"})
+	is.Equal(e.SuspectsToProbe(1200, always), []string{"i-0", "i-1"})
 	for _, address := range e.StartProbe(1200, "i-0").Controls {
 		is.Equal(address, netip4(2))
 	}
--- a/inband/reports_test.go
+++ b/inband/reports_test.go
@@ -68,8 +68,8 @@
 	for _, from := range []netip.AddrPort{sibling, secondSibling} {
 		e.ReceiveSuspicions(1000, from, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
 	}
-	is.Equal(len(e.SuspectsToProbe(3500)), 1)
-	is.Equal(len(e.SuspectsToProbe(4000)), 0)
+	is.Equal(len(e.SuspectsToProbe(3500, always)), 1)
+	is.Equal(len(e.SuspectsToProbe(4000, always)), 0)
 }
 
 // Each timeout is reported once, so that the VMs that probe the target hear of it.
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -31,13 +31,12 @@
 
 // isTargetLost reports whether a target will not answer the data that a flow waits for: it was
 // removed, is partitioned from this VM, or is dead. In a domain that seems partitioned, the flow
-// itself or two clients of its target must have met silence.
+// itself must have met silence, or its target a probe of this VM.
 func (e *Engine) isTargetLost(now clock.Millis, b *Backend, isTimedOut bool) bool {
 	if isTimedOut && b.isRemoved(now) || b.isDead(now) {
 		return true
 	}
-	signs := b.evidence.localSigns(now)
-	return (isTimedOut || signs.size() >= minPartitionTargets) && e.IsPartitioned(now, b.target.Domain)
+	return (isTimedOut || e.isUnreachable(now, b)) && e.IsPartitioned(now, b.target.Domain)
 }
 
 // EndFlowsOfLostTargets stops tracking the flows whose target is lost and returns them, at most
--- a/inband/reset_test.go
+++ b/inband/reset_test.go
@@ -77,6 +77,8 @@
 		openFlow(e, 9, holdAddress)
 		openUnansweredFlows(e, 3)
 		e.MarkProbed(1200, "b", 2)
+		probeSuspects(e, 1200, inband.Silent)
+		is.True(e.IsPartitioned(1330, "b"))
 		for _, f := range e.EndFlowsOfLostTargets(1330) {
 			is.True(f.Key != key(9, holdAddress))
 		}
@@ -148,6 +150,7 @@
 	e := newEngine(target("i-1", "b"), target("i-2", "b"))
 	openUnansweredFlows(e, 3)
 	e.MarkProbed(1200, "b", 2)
+	probeSuspects(e, 1200, inband.Silent)
 	is.Equal(len(e.EndFlowsOfLostTargets(1250)), 0) // the probe has not timed out
 	is.Equal(len(e.EndFlowsOfLostTargets(1330)), 3)
 	is.Equal(e.Handle(1340, &inband.Packet{Key: key(1, feedAddress), Flags: inband.Acknowledging, Tag: 7}).Action, inband.Drop)
@@ -161,6 +164,7 @@
 	is := is.New(t)
 	e := newEngine(target("i-1", "b"), target("i-2", "b"))
 	openUnansweredFlows(e, 3)
+	probeSuspects(e, 1200, inband.Silent)
 	e.MarkReachable("b")
 	e.MarkProbed(9000, "b", 2)
 	is.Equal(len(e.EndFlowsOfLostTargets(9130)), 0)
