Choose probers among all known VMs, and begin first contacts after discovery

Change: probers are chosen among the VMs that have not expired, and first contacts begin 4 s after the first view.

--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -57,7 +57,7 @@
 // leave takes the VM out of rotation. It stops once no packet is on its way to it.
 func (v *vm) leave() {
 	v.inRotation = false
-	v.sim.schedule(clientLatency, func() { v.isUp, v.stoppedAt = false, v.sim.now-aliveTimeout }) // it says goodbye
+	v.sim.schedule(clientLatency, func() { v.isUp, v.stoppedAt = false, v.sim.now-expiryTimeout }) // it says goodbye
 }
 
 // stop ends the VM. The router notices after a lag.
--- a/front/probes.go
+++ b/front/probes.go
@@ -17,7 +17,7 @@
 	// maxProbeDelay is the longest random delay before a probe, so that VMs do not probe a target together.
 	maxProbeDelay = 5 * time.Millisecond
 	// firstContactDelay is how long a VM serves before it probes targets that nobody suspects.
-	firstContactDelay = 500 * clock.Millisecond
+	firstContactDelay = 4 * clock.Second
 )
 
 // startProbes starts the probes of suspected targets that this VM is to probe, as far as the limits
--- a/siblings/probers.go
+++ b/siblings/probers.go
@@ -40,7 +40,7 @@
 	own := proberWeight(hash, m.self.readOrder)
 	before := 0
 	for _, known := range m.members {
-		if m.isAliveIn(known, now, m.self.contact.Domain) && proberWeight(hash, known.readOrder) > own {
+		if m.isMemberOf(known, now, m.self.contact.Domain) && proberWeight(hash, known.readOrder) > own {
 			before++
 		}
 		if before == ProbersPerTarget {
@@ -57,16 +57,19 @@
 		all = append(all, m.self.contact.Address)
 	}
 	for address, known := range m.members {
-		if m.isAliveIn(known, now, domain) {
+		if m.isMemberOf(known, now, domain) {
 			all = append(all, address)
 		}
 	}
 	return slices.DeleteFunc(Probers(targetID, all), func(vm netip.AddrPort) bool { return vm == m.self.contact.Address })
 }
 
-// isAliveIn reports whether a VM is alive and of a failure domain.
-func (m *Members) isAliveIn(vm *member, now clock.Millis, domain string) bool {
-	return vm.contact.Domain == domain && now-vm.aliveAt < aliveTimeout
+// isMemberOf reports whether a VM is of a failure domain and has not expired. It need not have been heard
+// lately: in large domains each VM hears of a part of the others within aliveTimeout, and VMs that know
+// different ones would choose different probers. A VM that fails for good leaves its targets to their other
+// prober until it expires.
+func (m *Members) isMemberOf(vm *member, now clock.Millis, domain string) bool {
+	return vm.contact.Domain == domain && now-vm.aliveAt < expiryTimeout
 }
 
 func hashText(text string) uint64 {
