Let a prober that has just started confirm what the other one found

Change: the silent or refused probe that another VM reports says that the target accepted a connection before. Whoever is told of silence probes as well, if it is a prober. A prober that finds a target answering which was silent to another tells as many VMs.

Tests: TestSilenceToldByAnotherVMSaysThatTheTargetAnsweredBefore, a row of TestSilenceIsConfirmedByASecondVM.

--- a/experiment/probe.go
+++ b/experiment/probe.go
@@ -132,6 +132,7 @@
 			recipient.do(func() {
 				confirmed := recipient.engine.ReceiveProbes(s.now, domainName(v.domain), reports)
 				recipient.tellProbes(s.vms, confirmed)
+				recipient.startProbes()
 				recipient.resetFlowsOfLostTargets()
 			})
 		})
--- a/front/messages.go
+++ b/front/messages.go
@@ -131,7 +131,7 @@
 	if len(known) > 0 {
 		d.send(siblings.Message{Kind: siblings.Suspect, Probes: known}, []netip.AddrPort{m.From.Address})
 	}
-	if len(m.Suspicions) > 0 {
+	if len(m.Suspicions)+len(m.Probes) > 0 {
 		d.startProbes(now)
 	}
 	if len(m.Probes) > 0 {
--- a/front/probes.go
+++ b/front/probes.go
@@ -102,12 +102,13 @@
 	}
 	d.mu.Lock()
 	d.probesOut--
+	wasSilent := d.engine.IsSilent(now, probe.ID)
 	shown := d.engine.RecordProbe(now, inband.ProbeResult{Probe: probe, SentAt: sentAt, Outcome: result.outcome})
 	message := siblings.Message{Kind: siblings.Suspect}
 	var recipients []netip.AddrPort
 	if report, reporters := d.engine.ReportOf(now, probe.ID); report != nil && shown.IsConclusive() && probe.Cause != inband.CauseFirstContact {
 		message.Probes = []inband.ProbeReport{*report}
-		recipients = d.probeRecipients(now, probe.ID, shown, reporters)
+		recipients = d.probeRecipients(now, probe.ID, shown == inband.Answered && !wasSilent, reporters)
 	}
 	d.metrics.recordProbe(shown, now-sentAt)
 	d.mu.Unlock()
@@ -118,11 +119,11 @@
 	d.logProbe(now, now-sentAt, probe, shown, result.err)
 }
 
-// probeRecipients returns the VMs that are told the outcome of a probe: those that reported the target,
-// and, unless it answered, the other VM that probes it and many of this VM's failure domain. The caller
-// holds the lock.
-func (d *Daemon) probeRecipients(now clock.Millis, id string, shown inband.ProbeOutcome, reporters []netip.AddrPort) []netip.AddrPort {
-	if shown == inband.Answered {
+// probeRecipients returns the VMs that are told the outcome of a probe: those that reported the target.
+// Unless it answered as expected, so are the other VM that probes it and many of this VM's failure
+// domain, which may have been told otherwise. The caller holds the lock.
+func (d *Daemon) probeRecipients(now clock.Millis, id string, isAsExpected bool, reporters []netip.AddrPort) []netip.AddrPort {
+	if isAsExpected {
 		return reporters
 	}
 	recipients := addMissing(reporters, d.members.ProbersOf(now, id, d.engine.DomainOf(id)))
--- a/inband/probe.go
+++ b/inband/probe.go
@@ -35,6 +35,7 @@
 const (
 	CauseTimeout      ProbeCause = "timeout"       // packets that this VM forwarded were not answered
 	CauseReport       ProbeCause = "report"        // another VM reported that
+	CauseSilence      ProbeCause = "silence"       // another VM's probe was silent
 	CauseFirstContact ProbeCause = "first_contact" // to know whether the target answers probes at all
 )
 
--- a/inband/probe_test.go
+++ b/inband/probe_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// Guards against idle flows that wait for their client, because one of the two VMs that probe their target
+// has just started and never saw it answer: the other VM's silent probe says that it did (kinarez-ist-grown
+// trouble-2, 202 of 944 resets came more than a second after the first sign).
+func TestSilenceToldByAnotherVMSaysThatTheTargetAnsweredBefore(t *testing.T) {
+	is := is.New(t)
+	e := newEngine()
+	e.ReplaceView(tables(1), published(target("i-1", "a")))
+	openFlow(e, 9, holdAddress)
+	e.ReceiveSuspicions(1000, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
+	is.Equal(probeSuspects(e, 1000, inband.Silent), 1) // shows nothing yet
+	e.ReceiveProbes(1150, "a", []inband.ProbeReport{{ID: "i-1", Outcome: inband.Silent, AgeMS: 150}})
+	is.Equal(len(e.EndFlowsOfLostTargets(1160)), 0)
+	is.Equal(len(e.SuspectsToProbe(1300, always)), 0) // too early
+	is.Equal(probeSuspects(e, 1400, inband.Silent), 1)
+	is.Equal(len(e.SuspectsToProbe(1900, always)), 0) // it is confirmed
+	is.Equal(len(e.EndFlowsOfLostTargets(1550)), 1)
+}
+
 // Guards against a target that is judged by what its predecessor under the same id answered.
 func TestRestartedTargetHasNotAnswered(t *testing.T) {
 	is := is.New(t)
@@ -201,6 +219,9 @@
 		{"own probe", []func(*inband.Engine, clock.Millis){probe}, false},
 		{"own probe, then told", []func(*inband.Engine, clock.Millis){probe, told(silent)}, true},
 		{"told that it is confirmed", []func(*inband.Engine, clock.Millis){told(confirmed)}, true},
+		{"told, then own probe for that reason", []func(*inband.Engine, clock.Millis){told(silent), func(e *inband.Engine, now clock.Millis) {
+			e.RecordProbe(now, inband.ProbeResult{Probe: e.StartProbe(now, "i-1"), SentAt: now, Outcome: inband.Silent})
+		}}, true},
 		{"own probe, then told much later", []func(*inband.Engine, clock.Millis){probe, nil, nil, nil, told(silent)}, false},
 		{"own probe, then told that it answers, then told", []func(*inband.Engine, clock.Millis){probe, told(inband.ProbeReport{ID: "i-1", Outcome: inband.Answered}), told(silent)}, false},
 	}
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -63,6 +63,12 @@
 	isConfirmed bool // the VM that sent it knows of another VM's silent probe
 }
 
+// IsSilent reports whether a recent probe of a target, of this VM or another one, was silent.
+func (e *Engine) IsSilent(now clock.Millis, id string) bool {
+	b := e.byID[id]
+	return b != nil && b.probe.isSilent(now)
+}
+
 // applyOutcome applies what a probe showed of a target.
 func (e *Engine) applyOutcome(now clock.Millis, b *Backend, s shown) {
 	p := &b.probe
@@ -72,6 +78,7 @@
 		b.evidence.refuteSigns(s.sentAt)
 	case Refused, Replaced, Silent:
 		isRefuted := b.evidence.answeredSentAt > s.sentAt || p.outcome == Answered && p.sentAt > s.sentAt
+		p.hasAnswered = true // known to this VM, or to the one that sent the probe
 		if isRefuted || p.isProof(now) {
 			return
 		}
--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -23,12 +23,16 @@
 )
 
 // isProbeDue reports whether the target should be probed: there are recent signs, of this VM or
-// another one, that are newer than the newest outcome, and that outcome is no verdict yet.
+// another one, that are newer than the newest outcome, or another VM's probe was silent, which one of this
+// VM would confirm.
 func (b *Backend) isProbeDue(now clock.Millis) bool {
 	p, newest := &b.probe, b.evidence.newestSignAt()
-	if p.isOut || now < p.nextAt || b.target.State == Gone || p.isProof(now) || p.isSilent(now) {
+	if p.isOut || now < p.nextAt || b.target.State == Gone || p.isProof(now) {
 		return false
 	}
+	if p.isSilent(now) {
+		return !p.hasOwnSilence && !p.isConfirmed
+	}
 	return newest > p.sentAt && now-newest <= timeoutLifetime
 }
 
@@ -72,7 +76,11 @@
 		return nil
 	}
 	cause, since := CauseTimeout, b.evidence.unresponsiveSince
-	if !b.evidence.isRecentlyUnresponsive(now) {
+	switch {
+	case b.evidence.isRecentlyUnresponsive(now):
+	case b.probe.isSilent(now):
+		cause, since = CauseSilence, b.probe.sentAt
+	default:
 		cause, since = CauseReport, b.evidence.reports.newestAt()
 	}
 	return e.startProbe(now, b, cause, now-since)
