--- a/front/messages.go
+++ b/front/messages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 
@@ -21,6 +22,9 @@
 	controlBytesPerSecond = 12000
 )
 
+// errOtherSender means that a message names another VM than the one that it came from.
+var errOtherSender = errors.New("the message names another sender")
+
 // send adds the sender and, to some kinds of messages without contacts, those for VMs of this VM's
 // own domain, and sends the message to as many recipients as the rate limit permits.
 func (d *Daemon) send(message siblings.Message, recipients []netip.AddrPort) {
@@ -73,7 +77,7 @@
 func (d *Daemon) readMessages(ctx context.Context) {
 	buffer := make([]byte, siblings.MaxMessageBytes)
 	for {
-		n, _, err := d.sockets.messages.ReadFromUDPAddrPort(buffer)
+		n, source, err := d.sockets.messages.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -81,9 +85,9 @@
 			d.log.Warn("receive_failed", "error", err)
 			continue
 		}
-		message, err := siblings.Decode(buffer[:n])
+		message, err := decodeFrom(buffer[:n], source)
 		if err != nil {
-			d.logRoutine("message_ignored", "error", err)
+			d.logRoutine("message_ignored", "source", source, "error", err)
 			continue
 		}
 		now := d.clock.Now()
@@ -96,6 +100,19 @@
 	}
 }
 
+// decodeFrom decodes a message that came from an address. It returns an error if the message is malformed or
+// names another sender, as a forged one would.
+func decodeFrom(data []byte, source netip.AddrPort) (*siblings.Message, error) {
+	message, err := siblings.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	if message.From.Address != netip.AddrPortFrom(source.Addr().Unmap(), source.Port()) {
+		return nil, fmt.Errorf("%w: %s", errOtherSender, message.From.Address)
+	}
+	return message, nil
+}
+
 // ignoresMessages reports whether to ignore messages because they may have waited while the machine
 // was paused.
 func (d *Daemon) ignoresMessages(now clock.Millis) bool {
