--- a/experiment/worlds_test.go
+++ b/experiment/worlds_test.go
@@ -77,6 +77,8 @@
 	{experiment.DeafClients, experiment.PauseVMs, experiment.UnresponsiveTargets}, // silence of several targets
 	{experiment.DeafClients, experiment.MuteClients, experiment.LateProbes},       // probes of targets whose clients are silent
 	{experiment.DeafClients, experiment.FullTargets, experiment.LateProbes},
+	{experiment.DeafClients, experiment.PauseVMs},                       // a domain seems cut off
+	{experiment.DeafClients, experiment.RestartVMs, experiment.KillVMs}, // a domain seems cut off
 	{experiment.CutVMs}, // a VM whose own link fails
 	{experiment.CutVMs, experiment.KillVMs, experiment.CrashTargets},
 	{experiment.DeafClients, experiment.LoseProbes, experiment.PauseVMs},
@@ -119,6 +121,26 @@
 	}
 }
 
+// TestDomainsWithoutVMsAreNotCutOff guards against a domain that seems cut off because its VMs froze and an
+// access network lost the answers of its targets to several clients, which enter through another domain
+// meanwhile.
+func TestDomainsWithoutVMsAreNotCutOff(t *testing.T) {
+	is := is.New(t)
+	size := experiment.Size{
+		Domains: 2, VMs: 1, Targets: 3, Feeds: 8, FeedInterval: 400, ProcessingTime: 10,
+		RotationLag: 300, Deadline: 2 * clock.Second, Duration: 6 * clock.Second,
+	}
+	for seed := range uint64(60) {
+		size.NoProbes = seed%2 == 0
+		pattern := experiment.Pattern{Faults: []experiment.Fault{
+			{Kind: experiment.PauseVMs, At: 2 * clock.Second, For: 4 * clock.Second, Share: 0.5},
+			{Kind: experiment.DeafClients, At: 3 * clock.Second, For: 700, Share: 0.6},
+		}}
+		report := experiment.Run(size, pattern, "local", inband.Local{}, seed)
+		is.Equal(report.FirstUnexplained, "")
+	}
+}
+
 // busyWorld is a deployment in which each target has flows of several clients at each VM.
 func busyWorld(t *rapid.T) experiment.Size {
 	return experiment.Size{
