Test reports after an own answer so that the test fails without them

Cause: a planted fault (reports ignored for a second after an own answer) did not fail the test that is named for it: its times were so early that a target without any sign counted as due for a probe.

Left: in the first 2.5 s of a process a watched target whose answered probe was sent before the start may be probed without a sign. Tests of outcomes have a file of their own.

--- /dev/null
+++ b/inband/probeoutcome_test.go
@@ -0,0 +1,86 @@
+package inband_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// Guards against silence that is this VM's own: its process stood still while the probe was out.
+func TestProbesAcrossAStallShowNothing(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	openFlow(e, 9, holdAddress)
+	silenceClients(e, 2)
+	probe := e.StartProbe(1610, "i-1")
+	e.Sweep(2500)
+	is.Equal(e.RecordProbe(2500, inband.ProbeResult{Probe: probe, SentAt: 1610, Outcome: inband.Silent}), inband.Inconclusive)
+	is.Equal(len(e.EndFlowsOfLostTargets(2510)), 0)
+}
+
+// Outcomes of other VMs count as own ones, from VMs that reach the target by the same path or are near
+// it, and only while they are recent.
+func TestProbesOfOtherVMs(t *testing.T) {
+	tests := []struct {
+		name    string
+		domain  string
+		report  inband.ProbeReport
+		isReset bool
+	}{
+		{"of the own domain, refused", "a", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused}, true},
+		{"of the target's domain, refused", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused}, true},
+		{"of a third domain, refused", "c", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused}, false},
+		{"silent, as here", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Silent}, true},
+		{"old", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused, AgeMS: 5000}, false},
+		{"of a time to come", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Refused, AgeMS: -1}, false},
+		{"of another incarnation", "b", inband.ProbeReport{ID: "i-1", StartedAtMS: 7, Outcome: inband.Refused}, false},
+		{"of an unknown kind", "b", inband.ProbeReport{ID: "i-1", Outcome: "gone"}, false},
+		{"answered", "b", inband.ProbeReport{ID: "i-1", Outcome: inband.Answered}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "b"))
+			openFlow(e, 9, holdAddress)
+			silenceClients(e, 1)
+			e.ReceiveProbes(1610, tt.domain, []inband.ProbeReport{tt.report})
+			is.Equal(len(e.EndFlowsOfLostTargets(1620)) > 0, tt.isReset)
+		})
+	}
+}
+
+// A VM that reports a target which another one found dead is told so at once, without another probe.
+func TestKnownOutcomesAreTold(t *testing.T) {
+	for _, outcome := range []inband.ProbeOutcome{inband.Answered, inband.Silent, inband.Refused, inband.Inconclusive} {
+		t.Run(string(outcome), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			silenceClients(e, 1)
+			probeSuspects(e, 1610, outcome)
+			suspicions := []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}, {ID: "i-9"}, {ID: "i-1", StartedAtMS: 3}}
+			e.ReceiveSuspicions(1700, sibling, "a", suspicions)
+			known := e.KnownOutcomes(1700, suspicions)
+			is.Equal(len(known) == 1, outcome == inband.Silent || outcome == inband.Refused)
+			for _, r := range known {
+				is.Equal(r, inband.ProbeReport{ID: "i-1", Outcome: outcome, AgeMS: 90})
+			}
+			is.Equal(len(e.SuspectsToProbe(1710, always)), 0)
+		})
+	}
+}
+
+// Guards against reports of a dead target that a VM ignores because the target answered it just before it
+// died: no other VM may be there to probe it (pattern dark_targets, four feeds waited for their deadline).
+func TestReportSoonAfterAnAnswerCausesAProbe(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	tag := openFlow(e, 1, feedAddress)
+	e.Handle(5000, data(1, feedAddress, tag, 101, 500))
+	e.Handle(5020, acknowledge(1, tag, 600))
+	e.ReceiveSuspicions(5230, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
+	is.Equal(e.SuspectsToProbe(5230, always), []string{"i-1"})
+	is.Equal(e.Handle(5240, opening(2, feedAddress, 0)).Backend.Target().ID, "i-1") // not kept away
+}
