--- a/inband/probeoutcome_test.go
+++ b/inband/probeoutcome_test.go
@@ -5,7 +5,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
 
