Have bookings under way in the scenario of silent clients

Change: a second route, requests that take 170 ms, and six clients that send them on moved flows all the while.

--- a/cmd/almondflow-entry/silence_test.go
+++ b/cmd/almondflow-entry/silence_test.go
@@ -58,7 +58,7 @@
 	binary := buildDaemon(t)
 	cases, runs := silenceCases(), *silenceRuns
 	if runs == 0 {
-		cases, runs = []silenceCase{{2, true, false, false, 230 * time.Millisecond}, {8, true, true, true, 700 * time.Millisecond}}, 1
+		cases, runs = []silenceCase{{2, true, false, false, 230 * time.Millisecond}, {8, true, false, true, 700 * time.Millisecond}}, 1
 	}
 	for i, c := range cases {
 		for run := range runs {
@@ -79,6 +79,12 @@
 	return binary
 }
 
+// bookingAddress is the route of requests that may not be repeated.
+var bookingAddress = netip.MustParseAddrPort("198.18.0.1:8080")
+
+// bookingWorkTime is how long the host takes for a request while clients are silent.
+const bookingWorkTime = 170 * time.Millisecond
+
 // silenceWorld is a host and a control before two daemons in processes of their own.
 type silenceWorld struct {
 	t       *testing.T
@@ -101,9 +107,10 @@
 // flowClient is a client with one flow.
 type flowClient struct {
 	*standin.Client
-	vm     *silenceVM
-	opened inband.Packet // the host's answer to the opening
-	sent   uint32        // requests sent and answered
+	vm      *silenceVM
+	service netip.AddrPort
+	opened  inband.Packet // the host's answer to the opening
+	sent    uint32        // requests sent and answered
 }
 
 func (w *silenceWorld) requireNoError(err error) {
@@ -116,9 +123,9 @@
 func playSilence(t *testing.T, binary string, c silenceCase, number int) {
 	w := &silenceWorld{t: t, binary: binary, network: byte(20 + number%200)}
 	w.start()
-	idle := w.openFlows(6, w.vms[0])
-	moved := w.openFlows(6, w.vms[1])
-	silent := w.openFlows(c.clients, w.vms[0])
+	idle := w.openFlows(6, w.vms[0], feedAddress)
+	bookings := w.openFlows(6, w.vms[1], bookingAddress)
+	silent := w.openFlows(c.clients, w.vms[0], feedAddress)
 	for i := range silent {
 		if c.isSpread && i%2 == 1 {
 			silent[i].vm = w.vms[1]
@@ -126,14 +133,26 @@
 		}
 	}
 	if c.isMoved {
-		w.moveThereAndBack(moved)
+		w.moveThereAndBack(bookings)
 	}
+	w.host.SetWorkTime(bookingWorkTime)
 	var wait sync.WaitGroup
+	end := time.Now().Add(c.duration)
 	for i, f := range silent {
 		wait.Go(func() { w.beSilent(f, c.hasOpening && i%2 == 0, c.duration) })
 	}
+	for _, f := range bookings { // requests that may not be repeated are under way all the while
+		wait.Go(func() {
+			for time.Now().Before(end) {
+				if err := w.request(f); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
 	wait.Wait()
-	for _, f := range append(idle, moved...) {
+	for _, f := range append(idle, bookings...) {
 		w.mustAnswer(f) // and no reset came before
 	}
 	if t.Failed() {
@@ -151,7 +170,7 @@
 	for i := range w.ports {
 		w.ports[i] = freePort(w.t)
 	}
-	w.requireNoError(store.PutTables(1, "core"))
+	w.requireNoError(store.PutTablesWithBookings(1, "core"))
 	for i, service := range []string{"core", "other"} { // the second host only shows that the VMs' links work
 		host := startHost(w.t, uint64(i+1), w.ports[0])
 		w.t.Cleanup(func() { _ = host.Close() })
@@ -231,16 +250,17 @@
 	w.t.Fatalf("%s does not know that the hosts answer probes", v.address)
 }
 
-// openFlows opens flows of new clients through a VM and sends one request on each.
-func (w *silenceWorld) openFlows(count int, v *silenceVM) []*flowClient {
+// openFlows opens flows of new clients to a service through a VM and sends one request on each.
+func (w *silenceWorld) openFlows(count int, v *silenceVM, service netip.AddrPort) []*flowClient {
 	var all []*flowClient
 	for range count {
 		w.nextID++
 		client, err := standin.NewClient(netip.AddrFrom4([4]byte{127, w.network, 1, w.nextID}), w.ports[0])
 		w.requireNoError(err)
 		w.t.Cleanup(func() { _ = client.Close() })
-		f := &flowClient{Client: client, vm: v}
-		f.opened = w.exchange(f, inband.Packet{Flags: inband.Opening, Seq: initialSequence})
+		f := &flowClient{Client: client, vm: v, service: service}
+		f.opened, err = w.exchange(f, inband.Packet{Flags: inband.Opening, Seq: initialSequence})
+		w.requireNoError(err)
 		w.mustAnswer(f)
 		all = append(all, f)
 	}
@@ -249,8 +269,21 @@
 
 // mustAnswer sends a request and waits for its answer.
 func (w *silenceWorld) mustAnswer(f *flowClient) {
-	w.exchange(f, f.nextRequest())
+	w.t.Helper()
+	if err := w.request(f); err != nil {
+		w.logDecisions()
+		w.t.Fatal(err)
+	}
+}
+
+// request sends a request and waits for its answer. It returns an error if the flow is reset or there is no
+// answer.
+func (w *silenceWorld) request(f *flowClient) error {
+	if _, err := w.exchange(f, f.nextRequest()); err != nil {
+		return err
+	}
 	f.sent++
+	return nil
 }
 
 func (f *flowClient) nextRequest() inband.Packet {
@@ -263,10 +296,11 @@
 	openingPort = 2001
 )
 
-// exchange sends a packet until its answer arrives. A reset is a failure.
-func (w *silenceWorld) exchange(f *flowClient, p inband.Packet) inband.Packet {
+// exchange sends a packet until its answer arrives. It returns an error if the flow is reset or there is no
+// answer.
+func (w *silenceWorld) exchange(f *flowClient, p inband.Packet) (inband.Packet, error) {
 	for range maxAttempts {
-		if err := f.Send(netip.AddrPortFrom(f.vm.address, w.ports[0]), flowPort, feedAddress, p); err != nil {
+		if err := f.Send(netip.AddrPortFrom(f.vm.address, w.ports[0]), flowPort, f.service, p); err != nil {
 			continue
 		}
 		deadline := time.Now().Add(retryInterval)
@@ -279,17 +313,14 @@
 				continue
 			}
 			if answer.Flags.Has(inband.Resetting) {
-				w.t.Errorf("an open flow of %s was reset, though its host lives", answer.Key.Destination)
-				w.logDecisions()
-				w.t.FailNow()
+				return answer, fmt.Errorf("an open flow of %s to %s was reset, though its host lives", answer.Key.Destination, f.service)
 			}
 			if answer.Ack == p.Seq+uint32(max(p.DataLength, 1)) {
-				return answer
+				return answer, nil
 			}
 		}
 	}
-	w.t.Fatalf("no answer to a packet of %d bytes", p.DataLength)
-	return inband.Packet{}
+	return inband.Packet{}, fmt.Errorf("no answer to a packet of %d bytes", p.DataLength)
 }
 
 // beSilent sends a request, or the opening of another flow, and its copies, while all that comes back is
@@ -308,7 +339,7 @@
 		if isOpening && after > 0 {
 			p.Ack++
 		}
-		if err := f.Send(netip.AddrPortFrom(f.vm.address, w.ports[0]), port, feedAddress, p); err != nil {
+		if err := f.Send(netip.AddrPortFrom(f.vm.address, w.ports[0]), port, f.service, p); err != nil {
 			w.t.Error(err)
 		}
 	}
