Have a test fail without each threshold of signs and probes

Changing them one at a time (19 changes) showed six that no test noticed: the longest retry interval, the precedence of own answers, the number of silent flows, the scan of first contacts, the number of controls and of attempts to find them; and answerTimeout when shorter.

Change: tests for each. The check of TestReportSoonAfterAnAnswerCausesAProbe that new flows are not kept away had a single target, so it could not fail; it is a test of its own with two.

--- a/inband/engine_test.go
+++ b/inband/engine_test.go
@@ -140,6 +140,7 @@
 		want  inband.Reason
 	}{
 		{"both read at once by a slow VM", 5, inband.Repeated},
+		{"read late by a slow VM", 140, inband.Repeated},
 		{"retransmitted after a timeout", 200, inband.MovedUnresponsive},
 	}
 	for _, tt := range tests {
--- a/inband/evidence_test.go
+++ b/inband/evidence_test.go
@@ -31,6 +31,30 @@
 	is.Equal(retries, 1)
 }
 
+// A target that stays unresponsive is tried again for ever, at least each 4.4 s, so that it is used soon after it
+// is back.
+func TestRetriesGoOn(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"), target("i-2", "a"))
+	unresponsive := e.Handle(0, opening(1, feedAddress, 0)).Backend.Target().ID
+	e.Handle(200, opening(1, feedAddress, 1))
+	lastAt, longest := clock.Millis(200), clock.Millis(0)
+	for now, client := clock.Millis(210), 2; now < clock.Minute; now, client = now+100, client+1 {
+		e.Sweep(now)
+		p := opening(client%250, feedAddress, 0)
+		p.Seq = uint32(client) * 1000 // a new flow, also where the port was used before
+		if e.Handle(now, p).Backend.Target().ID != unresponsive {
+			continue
+		}
+		again := opening(client%250, feedAddress, 1)
+		again.Seq = p.Seq
+		e.Handle(now+200, again)
+		longest, lastAt = max(longest, now-lastAt), now
+	}
+	is.True(lastAt > 55*clock.Second)
+	is.True(longest > 3*clock.Second && longest <= 4500)
+}
+
 func TestSuspicionsOfOtherVMs(t *testing.T) {
 	tests := []struct {
 		name         string
--- a/inband/probeoutcome_test.go
+++ b/inband/probeoutcome_test.go
@@ -1,10 +1,12 @@
 package inband_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -81,5 +83,26 @@
 	e.Handle(5020, acknowledge(1, tag, 600))
 	e.ReceiveSuspicions(5230, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
 	is.Equal(e.SuspectsToProbe(5230, always), []string{"i-1"})
-	is.Equal(e.Handle(5240, opening(2, feedAddress, 0)).Backend.Target().ID, "i-1") // not kept away
+}
+
+// Guards against new flows that are kept from a target because another VM could not reach it, though this VM
+// has just seen it answer.
+func TestReportSoonAfterAnAnswerKeepsNoFlowsAway(t *testing.T) {
+	for _, age := range []clock.Millis{500, 2000} {
+		t.Run(fmt.Sprintf("answered %v ms before the report", age), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"), target("i-2", "a"))
+			for client := range 4 {
+				tag := openFlow(e, client, feedAddress)
+				e.Handle(5000, data(client, feedAddress, tag, 101, 500))
+				e.Handle(5020, acknowledge(client, tag, 600))
+			}
+			e.ReceiveSuspicions(5020+age, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
+			used := map[string]int{}
+			for client := 10; client < 16; client++ {
+				used[e.Handle(5030+age, opening(client, feedAddress, 0)).Backend.Target().ID]++
+			}
+			is.Equal(used["i-1"] > 0, age == 500)
+		})
+	}
 }
--- a/inband/probestart_test.go
+++ b/inband/probestart_test.go
@@ -68,6 +68,25 @@
 	is.Equal(contacts, map[string]int{"i-1": 1, "i-2": 5}) // after about 1, 3, 7 and 15 s
 }
 
+// One call finds a target that was not contacted yet among 60 that were, so that a VM learns of a new target
+// soon; and a silent probe has two controls where enough targets answer.
+func TestFirstContactAndControlsAmongManyTargets(t *testing.T) {
+	is := is.New(t)
+	var targets []*inband.Target
+	for i := range 61 {
+		targets = append(targets, target(fmt.Sprintf("i-%02d", i), "a"))
+		targets[i].Address = netip4(byte(i))
+	}
+	e := newEngine()
+	e.ReplaceView(tables(1), published(targets...))
+	introduce(e, targets[:60]...)
+	probe := e.FirstContact(1000, always)
+	is.True(probe != nil)
+	is.Equal(probe.ID, "i-60")
+	is.Equal(len(probe.Controls), 2)
+	is.Equal(e.FirstContact(1250, always), nil)
+}
+
 // The targets that are asked along with a silent one have answered before and are not suspected.
 func TestControlsOfAProbe(t *testing.T) {
 	is := is.New(t)
--- a/inband/reports_test.go
+++ b/inband/reports_test.go
@@ -1,11 +1,13 @@
 package inband_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -100,3 +102,21 @@
 	is.Equal(e.Suspects(), 2)
 	is.Equal(len(e.TakeSuspicions(210)), 0)
 }
+
+// The same if no opening was sent: data of two flows that timed out makes a target seem unresponsive, data of
+// one flow may have a slow answer.
+func TestNoSuspicionsWhenDataOfAllLocalTargetsTimesOut(t *testing.T) {
+	for _, flows := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d flows of each target", flows), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"), target("i-2", "a"))
+			for _, at := range []clock.Millis{1000, 1200} {
+				for flow := range flows {
+					e.Handle(at, data(10+flow, feedAddress, inband.TagOf("i-1"), 101, 500))
+					e.Handle(at, data(20+flow, feedAddress, inband.TagOf("i-2"), 101, 500))
+				}
+			}
+			is.Equal(len(e.TakeSuspicions(1210)) > 0, flows == 1)
+		})
+	}
+}
