List a probe without a sign as known red, with its test

Seen: TestNoProbeWithoutASign fails: in the first 2.5 s of a process a watched target is probed once though no packet timed out, if another VM's probe of it was answered before this process started.

Cause: newestSignAt returns 0 for no sign, which is later than the negative time of such a probe (isProbeDue). Ruled out: reports and timeouts, of which the test has none.

It costs one connection and resets nothing.

--- a/inband/probestart_test.go
+++ b/inband/probestart_test.go
@@ -68,6 +68,16 @@
 	is.Equal(contacts, map[string]int{"i-1": 1, "i-2": 5}) // after about 1, 3, 7 and 15 s
 }
 
+// Guards against a probe that nothing causes: a target is watched because its requests fail, no packet to it
+// timed out and no VM reported it, and it answered a probe that was sent before this process started.
+func TestNoProbeWithoutASign(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	e.ReceiveOutcomes(100, "a", []inband.OutcomeReport{{ID: "i-1", Failed: 8}})
+	is.Equal(e.WatchedTargets(), 1)
+	is.Equal(len(e.SuspectsToProbe(200, always)), 0)
+}
+
 // One call finds a target that was not contacted yet among 60 that were, so that a VM learns of a new target
 // soon; and a silent probe has two controls where enough targets answer.
 func TestFirstContactAndControlsAmongManyTargets(t *testing.T) {
