--- a/cmd/almondflow-entry/main.go
+++ b/cmd/almondflow-entry/main.go
@@ -47,6 +47,7 @@
 		PacketCodec:   platform.PacketCodec{},
 		Store:         platform.NewStore(settings.StoreAddress.String()),
 		ReadinessPath: platform.ReadinessPath,
+		DecodeParts:   platform.DecodeParts,
 		SettingsPath:  path,
 		LogOutput:     os.Stdout,
 	})
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -49,7 +49,17 @@
 	Connector     Connector // connects to targets; the daemon's own if nil
 	ReadinessPath string    // URL path of readiness checks
 	SettingsPath  string    // reloaded when it changes; empty if there is no file
-	LogOutput     io.Writer // receives log lines
+	// DecodeParts returns the optional parts that the rules of the settings turn on. If it is nil, all are off.
+	DecodeParts func(rules []string) Parts
+	LogOutput   io.Writer // receives log lines
+}
+
+// parts returns the optional parts that the settings turn on.
+func (o *Options) parts(settings *Settings) Parts {
+	if o.DecodeParts == nil {
+		return Parts{}
+	}
+	return o.DecodeParts(settings.Rules)
 }
 
 // tickInterval is the time between two runs of the periodic tasks.
@@ -63,6 +73,7 @@
 type Daemon struct {
 	settings    atomic.Pointer[Settings]
 	options     Options
+	parts       Parts
 	clock       clock.Clock
 	log         *slog.Logger
 	logWriter   *asyncWriter
@@ -116,7 +127,7 @@
 func New(settings *Settings, options Options) (*Daemon, error) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d := &Daemon{
-		options: options, clock: clock.NewSystem(),
+		options: options, parts: options.parts(settings), clock: clock.NewSystem(),
 		logWriter: newAsyncWriter(), lineLimiter: newLineLimiter(settings.LogLinesPerSecond),
 		catalog: catalog.New(), readScheduler: catalog.NewReadScheduler(random),
 		readerWakeUp: make(chan struct{}, 1), probes: make(chan queuedProbe, maxProbesAtOnce), metrics: newMetrics(),
--- a/front/settings.go
+++ b/front/settings.go
@@ -31,6 +31,13 @@
 	CPUShare            float64          `json:"cpu_share"`             // fraction of a core
 	LinkMbps            float64          `json:"link_mbps"`
 	FirstStart          bool             `json:"first_start"` // the whole deployment starts for the first time
+	Rules               []string         `json:"rules"`       // of the platform that are in force; some turn optional parts on
+}
+
+// Parts are the optional parts of the daemon. Each is off unless the rules in the settings ask for it.
+type Parts struct {
+	SharesLoad       bool // entry VMs tell each other what they have under way, and place new flows by it
+	RefusesByUrgency bool // openings of less urgent routes are refused while the targets have too little room
 }
 
 // Values of the setting "policy".
--- a/inband/tables.go
+++ b/inband/tables.go
@@ -1,6 +1,10 @@
 package inband
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/almondflow/almondflow/clock"
+)
 
 // Share is the part of a route's new flows that goes to one pool.
 type Share struct {
@@ -15,11 +19,24 @@
 	Repeatable bool           `json:"repeatable"` // clients repeat a request after any failure
 	Priority   int            `json:"priority"`   // 0 is the most urgent
 	Shares     []Share        `json:"shares"`
+	// TargetLatencyMS is the time in which callers want the answer, and TimeoutMS the one after which they
+	// give up. Zero if the tables do not say.
+	TargetLatencyMS clock.Millis `json:"target_latency_ms,omitempty"`
+	TimeoutMS       clock.Millis `json:"timeout_ms,omitempty"`
+}
+
+// Service holds the limits of the targets of a service. A limit of zero is none.
+type Service struct {
+	Name           string       `json:"name"`
+	MaxConnections int          `json:"max_connections,omitempty"` // flows that one target holds
+	SlowStartMS    clock.Millis `json:"slow_start_ms,omitempty"`   // how long a target is cold after its start
+	SlowStartRate  float64      `json:"slow_start_rate,omitempty"` // new flows per second that a cold target bears, from all VMs
 }
 
 // Tables holds one version of the routes and the settings of their flows. It is immutable.
 type Tables struct {
-	Version int64   `json:"version"`
-	Routes  []Route `json:"routes"`
-	IdleMS  int64   `json:"idle_ms"` // flows idle for longer may be removed
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services,omitempty"`
+	IdleMS   int64     `json:"idle_ms"` // flows idle for longer may be removed
 }
--- /dev/null
+++ b/load/pool.go
@@ -0,0 +1,27 @@
+package load
+
+import "github.com/almondflow/almondflow/clock"
+
+// PoolID names the targets of one service in one failure domain.
+type PoolID struct {
+	Service string `json:"service"`
+	Domain  string `json:"domain"`
+}
+
+// Pool is what all entry VMs together have under way at the targets of one service in one failure domain.
+type Pool struct {
+	ID      PoolID
+	Targets int // that accept new flows
+	Slots   int // of these targets
+	Work    Work
+	Age     clock.Millis // of the news that it is made from
+}
+
+// ResponseTime returns the expected time in milliseconds until one more request is answered, if requests
+// are spread evenly over the pool's targets. It is zero while no request finishes.
+func (p Pool) ResponseTime() float64 {
+	if p.Targets == 0 {
+		return 0
+	}
+	return p.Work.Scale(1 / float64(p.Targets)).ResponseTime(max(1, p.Slots/p.Targets))
+}
