--- a/load/pool.go
+++ b/load/pool.go
@@ -10,11 +10,11 @@
 
 // Pool is what all entry VMs together have under way at the targets of one service in one failure domain.
 type Pool struct {
-	ID      PoolID
-	Targets int // that accept new flows
-	Slots   int // of these targets
-	Work    Work
-	Age     clock.Millis // of the news that it is made from
+	ID      PoolID       `json:"id"`
+	Targets int          `json:"targets"` // that accept new flows
+	Slots   int          `json:"slots"`   // of these targets
+	Work    Work         `json:"work"`
+	Age     clock.Millis `json:"age_ms"` // of the news that it is made from
 }
 
 // ResponseTime returns the expected time in milliseconds until one more request is answered, if requests
--- a/load/work.go
+++ b/load/work.go
@@ -8,9 +8,9 @@
 // Work is the work that entry VMs have at one target, or at all targets of a pool in a failure domain.
 // Amounts of several VMs add up.
 type Work struct {
-	Busy     float64 // requests under way, averaged over some hundred milliseconds
-	Finished float64 // requests finished per second
-	Flows    float64 // open flows, busy or idle
+	Busy     float64 `json:"busy"`     // requests under way, averaged over some hundred milliseconds
+	Finished float64 `json:"finished"` // requests finished per second
+	Flows    float64 `json:"flows"`    // open flows, busy or idle
 }
 
 // Add returns the sum of two amounts of work.
