Have the engine estimate the work of all VMs at each target

Cause: Backend.work and pool.domains knew this VM's own work only. Targets and pools are summed where there is work or news only. Requests whose client has been silent for 2.5 s count no more, as their flow may go through another VM. Decisions do not use it yet.

--- a/inband/backend.go
+++ b/inband/backend.go
@@ -1,6 +1,9 @@
 package inband
 
-import "github.com/almondflow/almondflow/clock"
+import (
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
 
 // Backend is a target together with what this entry VM observes of it.
 type Backend struct {
@@ -19,6 +22,10 @@
 	probe          probeState
 	latency        latency
 	pool           *pool
+	domainPool     *domainPool   // the part of the pool in the target's failure domain
+	meter          load.Meter    // of this VM's own work
+	heard          load.Work     // work that other VMs of this VM's failure domain reported
+	isActive       bool          // listed as one with work of this VM
 	stats          requestStats  // outcomes of its requests, seen here and reported by other VMs
 	isFailing      bool          // as of the last TakeStatusChanges
 	isWatched      bool          // listed in the engine's watchlist
@@ -30,6 +37,8 @@
 func (b *Backend) applyPublished(p Published) {
 	if b.target != nil && b.target.StartedAtMS != p.Target.StartedAtMS && p.Target.State != Gone {
 		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, requestStats{}, outcomeCounts{}
+		b.heard = load.Work{}
+		b.meter.Forget()
 	}
 	b.target, b.slowStartUntil = p.Target, p.SlowStartUntil
 	b.fallbackUntil, b.mayReturnUntil = p.FallbackUntil, p.MayReturnUntil
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
 )
 
 // Limits on the candidates considered for one new flow.
@@ -21,15 +22,18 @@
 type pool struct {
 	local           []*Backend // in the VM's own failure domain
 	remote          []*Backend
-	isOverloaded    bool         // set once overload has lasted for overloadTime
-	overloadedSince clock.Millis // start of the overload, or zero
-	topPriority     int          // priority of the most urgent route to this pool
-	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
-	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
+	domainPools     []*domainPool // the same targets, by failure domain
+	isOverloaded    bool          // set once overload has lasted for overloadTime
+	overloadedSince clock.Millis  // start of the overload, or zero
+	topPriority     int           // priority of the most urgent route to this pool
+	stats           requestStats  // outcomes of the requests that this VM forwarded to its targets
+	lastConfidence  float64       // confidence computed at confidenceAt, shared by all targets of the pool
 	confidenceAt    clock.Millis
 }
 
 func (p *pool) add(b *Backend, domain string) {
+	b.domainPool = p.in(load.PoolID{Service: b.target.Service, Domain: b.target.Domain})
+	b.domainPool.backends = append(b.domainPool.backends, b)
 	if b.target.Domain == domain {
 		p.local = append(p.local, b)
 		return
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -41,7 +41,8 @@
 	links            map[string]*link
 	watchlist        watchlist
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
-	localVMs         int                               // entry VMs in the own failure domain, including this one
+	load             *loadState
+	localVMs         int // entry VMs in the own failure domain, including this one
 }
 
 // New returns an engine without tables, which drops every packet.
@@ -56,6 +57,7 @@
 		flows:    newFlowTable(64),
 		links:    map[string]*link{},
 		sizes:    map[netip.AddrPort]*responseSizes{},
+		load:     newLoadState(&options),
 		localVMs: 1,
 	}
 }
@@ -145,9 +147,8 @@
 		f.backend, f.route = b, route
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.startAt(p.Seq)
-		f.isBusy = true
 		b.flows++
-		b.busy++
+		e.markBusy(f)
 	}
 	return forward(b, reason)
 }
@@ -208,8 +209,7 @@
 		f.recordForwarded(p)
 		b.flows++
 		if p.DataLength > 0 {
-			f.isBusy = true
-			b.busy++
+			e.markBusy(f)
 		}
 		f.hasOutcome = p.DataLength == 0 // there is no request yet
 	}
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
 )
 
 // Candidate is a target that accepts new flows, with the cost of placing a new flow on it.
@@ -17,6 +18,8 @@
 	Suspect     bool    `json:"suspect"`
 	Partitioned bool    `json:"cut"`       // its failure domain appears to be partitioned from this VM
 	FailureRate float64 `json:"bad_share"` // fraction of its recent requests that failed
+	// Work is what all VMs are believed to have there; nil if VMs do not share their load.
+	Work *load.Work `json:"work,omitempty"`
 }
 
 // Explanation describes where a flow goes and why.
@@ -62,9 +65,14 @@
 }
 
 func (e *Engine) candidate(now clock.Millis, b *Backend) Candidate {
-	return Candidate{
+	c := Candidate{
 		ID: b.target.ID, Domain: b.target.Domain, Cost: e.cost(now, b, false), Flows: b.flows, Busy: b.busy,
 		Suspect: b.evidence.isSuspect(now), Partitioned: e.IsPartitioned(now, b.target.Domain),
 		FailureRate: b.stats.failureRate(now),
 	}
+	if e.load.isShared {
+		work := b.work()
+		c.Work = &work
+	}
+	return c
 }
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -18,6 +18,7 @@
 	route         *Route
 	phase         phase
 	isBusy        bool // data was sent and no answer has been acknowledged since
+	isMetered     bool // this request counts in the measured work of the target
 	isTimedOut    bool // the newest packet was counted as timed out
 	hasOutcome    bool // the outcome of the newest request was recorded
 	retransmits   int  // retransmissions of the newest packet
--- a/inband/load_test.go
+++ b/inband/load_test.go
@@ -10,16 +10,21 @@
 
 func TestPoolWorkIsSummedByDomain(t *testing.T) {
 	is := is.New(t)
-	p := &pool{}
-	for _, b := range []*Backend{
-		{target: &Target{ID: "t1", Service: "orders", Domain: "east", Slots: 2}, busy: 1, flows: 3},
-		{target: &Target{ID: "t2", Service: "orders", Domain: "east", Slots: 4}, busy: 2, flows: 2},
-		{target: &Target{ID: "t3", Service: "orders", Domain: "west", Slots: 1}, flows: 1},
-	} {
-		p.add(b, "east")
+	e := New(Options{Domain: "east", Policy: Local{}, SharesLoad: true})
+	e.setTargets([]Published{
+		{Target: &Target{ID: "t1", Service: "orders", Domain: "east", Slots: 2}},
+		{Target: &Target{ID: "t2", Service: "orders", Domain: "east", Slots: 4}},
+		{Target: &Target{ID: "t3", Service: "orders", Domain: "west", Slots: 1}},
+	})
+	for id, flows := range map[string]int{"t1": 3, "t2": 2, "t3": 1} {
+		e.byID[id].flows = flows
+		e.load.track(e.byID[id])
 	}
-	is.Equal(p.domains(), []load.Pool{
-		{ID: load.PoolID{Service: "orders", Domain: "east"}, Targets: 2, Slots: 6, Work: load.Work{Busy: 3, Flows: 5}},
-		{ID: load.PoolID{Service: "orders", Domain: "west"}, Targets: 1, Slots: 1, Work: load.Work{Flows: 1}},
+	e.Sweep(250)
+	e.SetLocalVMs(3)
+	e.Sweep(500)
+	is.Equal(e.poolOf("orders").domains(), []load.Pool{
+		{ID: load.PoolID{Service: "orders", Domain: "east"}, Targets: 2, Slots: 6, Work: load.Work{Flows: 15}, Age: 4000},
+		{ID: load.PoolID{Service: "orders", Domain: "west"}, Targets: 1, Slots: 1, Work: load.Work{Flows: 3}, Age: load.NewsLifetime},
 	})
 }
--- /dev/null
+++ b/inband/loadbelief_test.go
@@ -0,0 +1,92 @@
+package inband
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+)
+
+// maxBeliefError is how far the belief about a target may be from the truth, in requests under way, in the mean
+// over VMs and targets. One request is one place in a target's queue: what a caller waits for it is at most one
+// request's time.
+const maxBeliefError = 1.0
+
+const fleetTargets = 30
+
+// beliefErrors returns the mean error of a VM's belief, and that of this VM's own work times the number of VMs.
+func (f *loadFleet) beliefErrors(vm *loadVM) (belief, ownTimesVMs float64) {
+	for _, p := range f.targets {
+		b, truth := vm.engine.byID[p.Target.ID], f.truth(p.Target.ID).Busy
+		belief += math.Abs(b.work().Busy - truth)
+		ownTimesVMs += math.Abs(b.ownWork().Busy*float64(f.alive()) - truth)
+	}
+	return belief / float64(len(f.targets)), ownTimesVMs / float64(len(f.targets))
+}
+
+// meanErrors returns the means of beliefErrors over the VMs that are up.
+func (f *loadFleet) meanErrors() (belief, ownTimesVMs float64) {
+	for _, vm := range f.vms {
+		if !vm.isDown {
+			own, naive := f.beliefErrors(vm)
+			belief, ownTimesVMs = belief+own/float64(f.alive()), ownTimesVMs+naive/float64(f.alive())
+		}
+	}
+	return belief, ownTimesVMs
+}
+
+func TestBeliefFollowsTheWorkOfAllVMs(t *testing.T) {
+	oneIsSlow := func(id string) clock.Millis {
+		if id == "t0" {
+			return 400
+		}
+		return 50
+	}
+	tests := []struct {
+		name    string
+		vms     int
+		prepare func(f *loadFleet)
+		disturb func(f *loadFleet)
+	}{
+		{"few VMs", 4, nil, nil},
+		{"many VMs", 50, nil, nil},
+		{"one slow target", 50, func(f *loadFleet) { f.serviceMS = oneIsSlow }, nil},
+		{"half of the messages lost", 50, func(f *loadFleet) {
+			f.isLost = func(_, _ *loadVM) bool { return f.random.IntN(2) == 0 }
+		}, nil},
+		{"half of the VMs killed", 50, nil, func(f *loadFleet) {
+			for _, vm := range f.vms[25:] {
+				vm.isDown = true
+			}
+		}},
+		{"a VM with much work killed", 50, func(f *loadFleet) { f.occupy(f.vms[0], "t1", 40) }, func(f *loadFleet) { f.vms[0].isDown = true }},
+		{"a VM paused, and its reports late", 50, nil, func(f *loadFleet) {
+			f.vms[0].isDown = true
+			f.run(3 * clock.Second)
+			f.vms[0].isDown = false
+			f.vms[0].engine.ForgetLoad()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newLoadFleet(tt.vms, fleetTargets, 3)
+			if tt.prepare != nil {
+				tt.prepare(f)
+			}
+			f.run(6 * clock.Second)
+			if tt.disturb != nil {
+				tt.disturb(f)
+			}
+			f.run(5 * clock.Second)
+			belief, ownTimesVMs := f.meanErrors()
+			t.Logf("mean error %.2f requests, of own work times VMs %.2f", belief, ownTimesVMs)
+			is.True(belief < maxBeliefError)
+			if tt.vms > 4 {
+				is.True(ownTimesVMs > maxBeliefError) // what VMs assumed before they told each other
+			}
+		})
+	}
+}
--- /dev/null
+++ b/inband/loadreport.go
@@ -0,0 +1,62 @@
+package inband
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+// TakeLoadReport returns the report for the VMs of the own failure domain: this VM's own work, and what it
+// knows of the work of other failure domains.
+func (e *Engine) TakeLoadReport(now clock.Millis) load.Report {
+	return load.Report{Targets: e.targetWork(), Remote: e.remoteWork(), Pools: e.load.news.All(now)}
+}
+
+// TakeDomainReport returns the report for VMs of other failure domains: the work of all VMs of the own one.
+// It is empty while this VM has no news of the others.
+func (e *Engine) TakeDomainReport(now clock.Millis) load.Report {
+	var r load.Report
+	if e.localVMs > 1 && e.load.heard.VMs(now) == 0 {
+		return r
+	}
+	for _, d := range e.load.order {
+		if d.targets > 0 || d.fromOwnDomain != (load.Work{}) {
+			r.Pools = append(r.Pools, load.PoolNews{Pool: d.id.Hash(), Source: e.load.ownDomain, Work: d.fromOwnDomain})
+		}
+	}
+	slices.SortStableFunc(r.Pools, func(a, b load.PoolNews) int { return compareWork(b.Work, a.Work) })
+	return r
+}
+
+// targetWork returns this VM's work at targets of its own failure domain, most work first.
+func (e *Engine) targetWork() []load.TargetWork {
+	var all []load.TargetWork
+	for _, b := range e.load.active {
+		if b.target.Domain == e.options.Domain && e.byTag[b.tag] == b {
+			all = append(all, load.TargetWork{Tag: uint32(b.tag), Start: startBits(b.target), Work: b.meter.Average(b.flows)})
+		}
+	}
+	slices.SortFunc(all, func(a, b load.TargetWork) int {
+		return cmp.Or(compareWork(b.Work, a.Work), cmp.Compare(a.Tag, b.Tag))
+	})
+	return all
+}
+
+// remoteWork returns this VM's work at pools in other failure domains, most work first.
+func (e *Engine) remoteWork() []load.PoolWork {
+	var all []load.PoolWork
+	for _, d := range e.load.order {
+		if d.id.Domain != e.options.Domain && d.own != (load.Work{}) {
+			all = append(all, load.PoolWork{Pool: d.id.Hash(), Work: d.own})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b load.PoolWork) int { return compareWork(b.Work, a.Work) })
+	return all
+}
+
+// compareWork orders by requests under way, then by finished ones, then by open flows.
+func compareWork(a, b load.Work) int {
+	return cmp.Or(cmp.Compare(a.Busy, b.Busy), cmp.Compare(a.Finished, b.Finished), cmp.Compare(a.Flows, b.Flows))
+}
--- /dev/null
+++ b/inband/loadupdate.go
@@ -0,0 +1,135 @@
+package inband
+
+import (
+	"slices"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+// poolsPerCount is how many pools are counted anew at each update besides those whose targets changed, as the
+// passing of time ends the use of targets, too.
+const poolsPerCount = 4
+
+// updateLoad closes the window of the meters and estimates anew what all VMs have under way.
+func (e *Engine) updateLoad(now clock.Millis) {
+	s := e.load
+	if !s.isShared {
+		return
+	}
+	s.index(e.pools)
+	s.closeWindow(now, e.resumedAt)
+	s.news.Prune(now)
+	s.countSome(now)
+	for _, d := range s.order {
+		d.reset()
+	}
+	for _, b := range s.active {
+		b.domainPool.own = b.domainPool.own.Add(b.meter.Average(b.flows))
+	}
+	e.addHeard(now)
+	for _, p := range s.news.All(now) {
+		s.addNews(&p)
+	}
+	sample := load.Sample{Others: e.localVMs - 1, Weight: s.heard.Weight(now)}
+	for _, d := range s.order {
+		d.update(sample, e.options.Domain, s.heard.Age(now))
+	}
+}
+
+// closeWindow closes the window of the meters, or discards it if the process stood still meanwhile. Targets
+// without work of this VM are listed no more.
+func (s *loadState) closeWindow(now, resumedAt clock.Millis) {
+	for _, b := range s.active {
+		if resumedAt == s.resumedAt {
+			b.meter.CloseWindow(now, now-s.windowAt)
+		} else {
+			b.meter.DiscardWindow(now)
+		}
+	}
+	s.windowAt, s.resumedAt = now, resumedAt
+	s.active = slices.DeleteFunc(s.active, func(b *Backend) bool {
+		b.isActive = b.flows > 0 || b.meter.Busy() > 0 || !b.meter.IsQuiet()
+		return !b.isActive
+	})
+}
+
+// countSome counts the targets of the pools that changed and of some others.
+func (s *loadState) countSome(now clock.Millis) {
+	for _, d := range s.order {
+		if !d.isCounted {
+			d.count(now)
+		}
+	}
+	for range min(poolsPerCount, len(s.order)) {
+		s.countIndex = (s.countIndex + 1) % len(s.order)
+		s.order[s.countIndex].count(now)
+	}
+}
+
+// addHeard adds up the reports of VMs of this VM's failure domain.
+func (e *Engine) addHeard(now clock.Millis) {
+	for _, b := range e.load.reported {
+		b.heard = load.Work{}
+	}
+	e.load.reported = e.load.reported[:0]
+	for report, weight := range e.load.heard.All(now) {
+		for i := range report.Targets {
+			e.addTarget(&report.Targets[i], weight)
+		}
+		for i := range report.Remote {
+			if d := e.load.pools[report.Remote[i].Pool]; d != nil {
+				d.heard = d.heard.Add(report.Remote[i].Work.Scale(weight))
+			}
+		}
+	}
+}
+
+// addTarget adds what a VM reported of one target, unless it is of another start of it.
+func (e *Engine) addTarget(t *load.TargetWork, weight float64) {
+	b := e.byTag[Tag(t.Tag)]
+	if b == nil || b.target.Domain != e.options.Domain || t.Start != startBits(b.target) {
+		return
+	}
+	if b.heard == (load.Work{}) {
+		e.load.reported = append(e.load.reported, b)
+	}
+	work := t.Work.Scale(weight)
+	b.heard = b.heard.Add(work)
+	b.domainPool.heard = b.domainPool.heard.Add(work)
+}
+
+// startBits returns the low bits of a target's start time, which tell its restarts apart.
+func startBits(t *Target) uint8 { return uint8(t.StartedAtMS) } //nolint:gosec // the rest is left out
+
+// addNews adds what the VMs of another failure domain have under way at a pool.
+func (s *loadState) addNews(p *load.PoolNews) {
+	d := s.pools[p.Pool]
+	if d == nil {
+		return
+	}
+	d.foreign = d.foreign.Add(p.Counted())
+	if p.Source == load.HashDomain(d.id.Domain) {
+		d.age = p.Age
+	}
+}
+
+// update estimates the work of all VMs at the pool's targets. Of the targets of this VM's own failure domain
+// the others report each one, of the rest only sums, which are taken to be spread evenly.
+func (d *domainPool) update(sample load.Sample, ownDomain string, age clock.Millis) {
+	if d.id.Domain == ownDomain {
+		d.estimate = sample.ByTarget(d.heard, d.targets)
+		d.age = age
+	} else {
+		d.estimate = sample.BySum(d.heard, d.targets)
+	}
+	d.fromOwnDomain = d.estimate.Sum(d.own, d.heard, d.targets)
+	if d.targets > 0 {
+		d.estimate.AddEven(d.foreign.Scale(1 / float64(d.targets)))
+	}
+}
+
+// summary returns the work of all VMs at the pool's targets.
+func (d *domainPool) summary() load.Pool {
+	return load.Pool{ID: d.id, Targets: d.targets, Slots: d.slots, Work: d.fromOwnDomain.Add(d.foreign), Age: d.age}
+}
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -9,7 +9,7 @@
 		f.responseBytes += p.Ack - f.ack
 		f.ack = p.Ack
 		e.recordAnswer(now, f)
-		e.markIdle(f)
+		e.markAnswered(f)
 	}
 	if p.DataLength == 0 {
 		return false
@@ -19,8 +19,7 @@
 		f.sentAt, f.retransmits, f.isTimedOut = now, 0, false
 		if !f.isBusy && f.phase == open {
 			e.beginRequest(now, f)
-			f.isBusy = true
-			f.backend.busy++
+			e.markBusy(f)
 		}
 		return false
 	}
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -8,14 +8,6 @@
 	endedLifetime   = 10 * clock.Second // targets retransmit their last packet for several seconds
 )
 
-// markIdle records that the flow is not waiting for an answer.
-func (e *Engine) markIdle(f *flow) {
-	if f.isBusy {
-		f.isBusy = false
-		f.backend.busy--
-	}
-}
-
 // release removes a flow from its target's counts.
 func (e *Engine) release(f *flow) {
 	e.markIdle(f)
@@ -48,12 +40,16 @@
 			continue
 		}
 		e.recordIdleOutcome(now, f)
+		if f.isMetered && now-f.seenAt > timeoutLifetime {
+			e.stopMeter(f) // the client uses another VM or has given up
+		}
 		if !e.isExpired(now, f) {
 			continue
 		}
 		e.endFlow(f)
 		e.flows.remove(f.key)
 	}
+	e.updateLoad(now)
 }
 
 func (e *Engine) isExpired(now clock.Millis, f *flow) bool {
