Tell other entry VMs of load, and show operators what is known

Cause: nothing carried the engine's reports. Change: with the part SharesLoad, a VM sends its report to three random VMs of its failure domain twice a second, and once a second the sums of its domain to one VM of another. Messages of load leave three quarters of the burst to all others. Status lists pools, explain the work at each candidate; counters, a histogram of ages and lines load_known and load_unknown. Test: TestLoadIsToldIfThePartIsOn (nothing is sent without the part), TestToldLoadIsBelieved, TestCorruptLoadIsIgnored, TestLoadIsForgottenAfterAPause, TestLoadLeavesRoomToUrgentMessages, TestEncodeLeavesLoadOutFirst. TestMetricsAreWrittenInStableOrder counts one histogram more.

--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -60,6 +60,11 @@
 	for _, h := range s.Targets {
 		_, _ = fmt.Fprintf(t, "target %s\t%s, %s, %s, %d flows, %d busy, %d silent\n", h.ID, h.Service, h.Domain, h.State, h.Flows, h.Busy, h.Timeouts)
 	}
+	for i := range s.Pools {
+		p := &s.Pools[i]
+		_, _ = fmt.Fprintf(t, "pool %s\t%s, %d targets, %d slots, %.1f busy, %.1f finished/s, %.0f flows, known %d ms ago\n",
+			p.ID.Service, p.ID.Domain, p.Targets, p.Slots, p.Work.Busy, p.Work.Finished, p.Work.Flows, p.Age)
+	}
 	return t.Flush()
 }
 
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -103,7 +103,8 @@
 	reasonCounts        [inband.ReasonCount]uint64
 	isStopping          bool
 	nextPruneAt         clock.Millis
-	overloadedPools     int // as last logged
+	overloadedPools     int  // as last logged
+	knowsLoad           bool // reports of other VMs count, as last logged
 	readyAt             clock.Millis
 	isStoreFailing      bool
 	isFetching          bool         // a view from a sibling
@@ -143,6 +144,7 @@
 	d.engine = inband.New(inband.Options{
 		Domain: settings.Domain, Policy: settings.policy(), MaxFlows: settings.MaxFlows,
 		FlowLifetime: clock.Millis(settings.FlowLifetimeSeconds) * clock.Second, Seed: rand.Uint64(),
+		SharesLoad: d.parts.SharesLoad,
 	})
 	var err error
 	if d.sockets, err = bind(settings); err != nil {
@@ -217,6 +219,12 @@
 		d.runMaintenance(now)
 		d.handleUnresponsive(now)
 		d.startFirstContact(now)
+		if i%loadTicks == 0 {
+			d.shareLoad(now)
+		}
+		if i%remoteLoadTicks == 0 {
+			d.shareRemoteLoad(now)
+		}
 		if i%settingsCheckTicks == 0 {
 			d.reloadChanged()
 		}
@@ -247,11 +255,15 @@
 		d.nextPruneAt = now + pruneInterval
 		d.pruneTargets(now)
 	}
+	loadChange := d.updateLoadNews(now)
 	suppressed := d.lineLimiter.refill(now)
 	overloaded := d.engine.OverloadedPools()
 	isChanged := overloaded != d.overloadedPools
 	d.overloadedPools = overloaded
 	d.mu.Unlock()
+	if loadChange.isChanged {
+		loadChange.write(d.log)
+	}
 	if isChanged {
 		d.log.Warn("pools_full", "at_ms", now, "count", overloaded)
 	}
--- a/front/messages.go
+++ b/front/messages.go
@@ -48,6 +48,9 @@
 		d.logRoutine("messages_left_out", "kind", message.Kind, "count", len(recipients)-sent, "bytes", len(data))
 	}
 	d.metrics.controlBytes.Inc(int64(len(data) * sent))
+	if message.Kind == siblings.Load {
+		d.metrics.recordLoadSent(sent, len(data))
+	}
 	for _, address := range recipients[:sent] {
 		if _, err := d.sockets.messages.WriteToUDPAddrPort(data, address); err != nil {
 			d.logRoutine("message_not_sent", "to", address, "error", err)
@@ -56,11 +59,16 @@
 }
 
 // allowMessages returns how many recipients may get a message of the given size within the rate
-// limit. Messages about targets leave half of the burst to messages about VMs and the store.
+// limit. Messages about targets leave half of the burst to messages about VMs and the store, those
+// about load another quarter to both.
 func (d *Daemon) allowMessages(size, recipients int, kind siblings.Kind) int {
 	reserve := 0
-	if kind == siblings.Suspect {
+	switch kind {
+	case siblings.Suspect:
 		reserve = burstSeconds * controlBytesPerSecond / 2
+	case siblings.Load:
+		reserve = burstSeconds * controlBytesPerSecond * 3 / 4
+	default:
 	}
 	now := d.clock.Now()
 	d.mu.Lock()
@@ -125,6 +133,10 @@
 // view if the message made it newer.
 func (d *Daemon) receive(ctx context.Context, m *siblings.Message) {
 	now := d.clock.Now()
+	if m.Kind == siblings.Load {
+		d.receiveLoad(now, m)
+		return
+	}
 	d.mu.Lock()
 	d.updateMembers(now, m)
 	d.engine.MarkReachable(m.From.Domain)
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -44,6 +44,11 @@
 	droppedLinesMetric    = Metric{"almondflow_front_log_lines_dropped", counterType, "lines", "Log lines dropped because nothing read them in time."}
 	controlBytesMetric    = Metric{"almondflow_front_control_sent", counterType, "bytes", "Bytes of messages sent to other entry VMs."}
 	unsentMessagesMetric  = Metric{"almondflow_front_control_left_out", counterType, "messages", "Messages to other entry VMs that were not sent because of the rate limit."}
+	loadSentMetric        = Metric{"almondflow_front_load_sent", counterType, "messages", "Messages about load sent to other entry VMs."}
+	loadBytesMetric       = Metric{"almondflow_front_load_bytes", counterType, "bytes", "Bytes of these messages, which almondflow_front_control_sent counts, too."}
+	loadReceivedMetric    = Metric{"almondflow_front_load_received", counterType, "messages", "Messages about load that other entry VMs sent."}
+	loadReportersMetric   = Metric{"almondflow_front_load_reporters", gaugeType, "vms", "Entry VMs of the own failure domain whose reports of load count."}
+	loadAgeMetric         = Metric{"almondflow_front_load_age", histogramType, "milliseconds", "Mean age of these reports, sampled four times a second while there are any."}
 	storeCallMetric       = Metric{"almondflow_front_store_call", histogramType, "milliseconds", "Duration of calls to the store, including failed ones."}
 	viewAgeMetric         = Metric{"almondflow_front_view_age", histogramType, "milliseconds", "Age of the view, sampled four times a second."}
 	probesMetric          = Metric{"almondflow_front_target_probes", counterType, "probes", "TCP connections to targets, by what they showed (tag outcome)."}
@@ -55,7 +60,8 @@
 func AllMetrics() []Metric {
 	return []Metric{
 		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, overloadedPoolsMetric, tablesVersionMetric, readyAfterMetric,
-		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
+		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric,
+		loadSentMetric, loadBytesMetric, loadReceivedMetric, loadReportersMetric, loadAgeMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
 	}
 }
 
@@ -63,6 +69,7 @@
 var (
 	storeCallBuckets  = tally.ValueBuckets{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 1500}
 	viewAgeBuckets    = tally.ValueBuckets{100, 200, 500, 1000, 1500, 2000, 3000, 5000, 10000, 30000}
+	loadAgeBuckets    = tally.ValueBuckets{100, 200, 500, 1000, 1500, 2000, 3000, 4000}
 	probeTimeBuckets  = tally.ValueBuckets{1, 2, 5, 10, 20, 50, 100, 200, 500}
 	packetTimeBuckets = tally.ValueBuckets{5, 10, 20, 50, 100, 200, 500, 1000, 10000}
 )
@@ -77,6 +84,10 @@
 	controlBytes    tally.Counter
 	droppedLines    tally.Counter
 	unsentMessages  tally.Counter
+	loadSent        tally.Counter
+	loadBytes       tally.Counter
+	loadReceived    tally.Counter
+	loadAges        tally.Histogram
 	packets         [inband.ReasonCount]tally.Counter
 	reportedCounts  [inband.ReasonCount]uint64 // packets counted at the last scrape
 	reportedDropped int64                      // lines dropped at the last scrape
@@ -90,6 +101,10 @@
 		viewAges:     scope.Histogram(viewAgeMetric.Name, viewAgeBuckets),
 		packetTimes:  scope.Histogram(packetTimeMetric.Name, packetTimeBuckets),
 		probeTimes:   scope.Histogram(probeTimeMetric.Name, probeTimeBuckets),
+		loadAges:     scope.Histogram(loadAgeMetric.Name, loadAgeBuckets),
+		loadSent:     scope.Counter(loadSentMetric.Name),
+		loadBytes:    scope.Counter(loadBytesMetric.Name),
+		loadReceived: scope.Counter(loadReceivedMetric.Name),
 		controlBytes: scope.Counter(controlBytesMetric.Name),
 		droppedLines: scope.Counter(droppedLinesMetric.Name), unsentMessages: scope.Counter(unsentMessagesMetric.Name),
 	}
@@ -107,6 +122,12 @@
 	}
 }
 
+// recordLoadSent records how many messages about load of a size were sent.
+func (m *metrics) recordLoadSent(messages, size int) {
+	m.loadSent.Inc(int64(messages))
+	m.loadBytes.Inc(int64(messages * size))
+}
+
 // recordProbe records what a probe of a target showed, and how long that took.
 func (m *metrics) recordProbe(outcome inband.ProbeOutcome, took clock.Millis) {
 	m.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter(probesMetric.Name).Inc(1)
@@ -145,6 +166,7 @@
 		{suspectsMetric, int64(d.engine.Suspects())},
 		{failingTargetsMetric, int64(d.engine.FailingTargets())},
 		{overloadedPoolsMetric, int64(d.engine.OverloadedPools())},
+		{loadReportersMetric, int64(d.engine.LoadReporters(now))},
 		{tablesVersionMetric, version},
 		{readyAfterMetric, int64(d.readyAt)},
 	} {
--- a/front/metrics_test.go
+++ b/front/metrics_test.go
@@ -27,6 +27,6 @@
 	for _, match := range regexp.MustCompile(`(?m)^(\w+)_count `).FindAllStringSubmatch(first, -1) {
 		names = append(names, match[1])
 	}
-	is.Equal(len(names), 4)
+	is.Equal(len(names), 5)
 	is.True(slices.IsSorted(names))
 }
--- a/front/pausedetector.go
+++ b/front/pausedetector.go
@@ -64,6 +64,7 @@
 	d.ignoreMessagesUntil = now + backlogReadTime
 	d.readScheduler.RecordPause()
 	d.engine.HoldOff(now)
+	d.engine.ForgetLoad()
 	d.mu.Unlock()
 	d.log.Warn("paused", "at_ms", now, "for_ms", paused)
 	d.wakeReader()
--- a/front/status.go
+++ b/front/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/load"
 	"github.com/almondflow/almondflow/siblings"
 )
 
@@ -19,6 +20,7 @@
 	ReaderRank int                   `json:"reader_rank"` // VMs that read the store before this one
 	Siblings   []siblings.Contact    `json:"siblings"`
 	Targets    []inband.Health       `json:"targets"`
+	Pools      []load.Pool           `json:"pools,omitempty"` // if VMs share their load
 }
 
 // serveStatus answers with the Status of the daemon.
@@ -29,6 +31,7 @@
 		Name: d.settings.Load().Name, Domain: d.settings.Load().Domain, UptimeMS: now,
 		Ready: d.catalog.IsComplete() && !d.isStopping, View: d.viewSummary(now),
 		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now), Targets: d.engine.Targets(),
+		Pools: d.engine.LoadPools(),
 	}
 	d.mu.Unlock()
 	d.writeJSON(w, status)
--- a/siblings/message.go
+++ b/siblings/message.go
@@ -25,6 +25,7 @@
 	Heartbeat Kind = "heartbeat" // reports that the sender is alive
 	Announce  Kind = "announce"  // reports a view that was read from the store or received from another VM
 	Suspect   Kind = "suspect"   // reports unresponsive targets and request outcomes
+	Load      Kind = "load"      // reports the work that VMs have at targets
 	Leave     Kind = "goodbye"   // reports that the sender shuts down
 )
 
@@ -55,6 +56,7 @@
 	Suspicions []inband.Suspicion     `json:"suspects,omitempty"`
 	Probes     []inband.ProbeReport   `json:"probes,omitempty"` // of suspected targets
 	Outcomes   []inband.OutcomeReport `json:"grades,omitempty"` // of targets with failed requests
+	Load       []byte                 `json:"load,omitempty"`   // a load.Report, as load.Encode writes it
 }
 
 // Encode encodes a message as a datagram. Content that exceeds MaxMessageBytes is left out, the
@@ -70,6 +72,8 @@
 			return data, nil
 		}
 		switch {
+		case len(m.Load) > 0:
+			m.Load = nil
 		case len(m.Contacts) > 0:
 			m.Contacts = m.Contacts[:len(m.Contacts)/2]
 		case len(m.Outcomes) > 0:
--- a/siblings/siblings_test.go
+++ b/siblings/siblings_test.go
@@ -54,6 +54,23 @@
 	is.Equal(decoded.View, m.View)
 }
 
+func TestEncodeLeavesLoadOutFirst(t *testing.T) {
+	is := is.New(t)
+	m := siblings.Message{Kind: siblings.Load, From: contact(1, "a", 3), Contacts: []siblings.Contact{contact(2, "b", 1)}, Load: make([]byte, 640)}
+	data, err := siblings.Encode(m)
+	is.NoErr(err)
+	decoded, err := siblings.Decode(data)
+	is.NoErr(err)
+	is.Equal(*decoded, m)
+	m.Load = make([]byte, siblings.MaxMessageBytes)
+	data, err = siblings.Encode(m)
+	is.NoErr(err)
+	decoded, err = siblings.Decode(data)
+	is.NoErr(err)
+	is.Equal(decoded.Load, nil)
+	is.Equal(decoded.Contacts, m.Contacts)
+}
+
 func TestDecodeRejectsMalformedMessages(t *testing.T) {
 	for _, text := range []string{"", "x", "{}", `{"kind":"hello","from":{"address":"x"}}`, `[1]`} {
 		t.Run(text, func(t *testing.T) {
