Estimate load only where there is work

Change: pools with work are listed; the others share one estimate. What is believed is kept when pools are built anew, as an opening in between would see empty targets.

--- a/inband/choose.go
+++ b/inband/choose.go
@@ -23,11 +23,12 @@
 	local           []*Backend // in the VM's own failure domain
 	remote          []*Backend
 	domainPools     []*domainPool // the same targets, by failure domain
-	isOverloaded    bool          // set once overload has lasted for overloadTime
-	overloadedSince clock.Millis  // start of the overload, or zero
-	topPriority     int           // priority of the most urgent route to this pool
-	stats           requestStats  // outcomes of the requests that this VM forwarded to its targets
-	lastConfidence  float64       // confidence computed at confidenceAt, shared by all targets of the pool
+	load            *loadState
+	isOverloaded    bool         // set once overload has lasted for overloadTime
+	overloadedSince clock.Millis // start of the overload, or zero
+	topPriority     int          // priority of the most urgent route to this pool
+	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
+	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
 	confidenceAt    clock.Millis
 }
 
--- a/inband/domainpool.go
+++ b/inband/domainpool.go
@@ -5,19 +5,27 @@
 	"github.com/almondflow/almondflow/load"
 )
 
-// domainPool holds the targets of a pool in one failure domain, and what is believed of their work.
+// domainPool holds the targets of a pool in one failure domain.
 type domainPool struct {
-	id            load.PoolID
-	backends      []*Backend
+	id        load.PoolID
+	backends  []*Backend
+	isLocal   bool // in this VM's own failure domain
+	isListed  bool // in loadState.pools
+	isCounted bool // no target has changed since the last count
+	poolWork
+}
+
+// poolWork is what this VM believes of the work at the targets of a domainPool.
+type poolWork struct {
 	targets       int       // that accept new flows, as last counted
 	slots         int       // of these targets
-	isCounted     bool      // no target has changed since
+	hasWork       bool      // as of the last update; if not, the fields below are not set
 	own           load.Work // of this VM, averaged
 	heard         load.Work // of other VMs of this VM's failure domain, by the weights of their reports
 	foreign       load.Work // of the VMs of other failure domains
+	fromOwnDomain load.Work // of all VMs of this VM's failure domain
 	estimate      load.Estimate
-	fromOwnDomain load.Work    // of this VM's failure domain
-	age           clock.Millis // of the news
+	newsAge       clock.Millis // of what the VMs of the pool's failure domain told
 }
 
 // in returns the part of the pool in a failure domain.
@@ -32,10 +40,10 @@
 	return d
 }
 
-// keepEstimates takes over the estimates of a previous pool, which hold until the next update.
-func (p *pool) keepEstimates(previous *pool) {
+// keepWork takes over what is believed of the work of a previous pool, which holds until the next update.
+func (p *pool) keepWork(previous *pool) {
 	for _, d := range p.domainPools {
-		d.estimate = previous.in(d.id).estimate
+		d.poolWork = previous.in(d.id).poolWork
 	}
 }
 
@@ -52,5 +60,19 @@
 
 // reset forgets what was added up.
 func (d *domainPool) reset() {
-	d.own, d.heard, d.foreign, d.age = load.Work{}, load.Work{}, load.Work{}, load.NewsLifetime
+	d.poolWork = poolWork{targets: d.targets, slots: d.slots, newsAge: load.NewsLifetime}
+}
+
+// update estimates the work of all VMs at the pool's targets. Of the targets of this VM's own failure domain
+// the others report each one, of the rest only sums, which are taken to be spread evenly.
+func (d *domainPool) update(sample load.Sample) {
+	if d.isLocal {
+		d.estimate = sample.ByTarget(d.heard, d.targets)
+	} else {
+		d.estimate = sample.BySum(d.heard, d.targets)
+	}
+	d.fromOwnDomain = d.estimate.Sum(d.own, d.heard, d.targets)
+	if d.targets > 0 {
+		d.estimate.AddEven(d.foreign.Scale(1 / float64(d.targets)))
+	}
 }
--- a/inband/load.go
+++ b/inband/load.go
@@ -9,24 +9,33 @@
 	"github.com/almondflow/almondflow/load"
 )
 
-// loadState holds what this VM knows of the work of others, and which targets have work of its own.
+// loadState holds what this VM knows of the work of others, and which targets and pools have work.
 type loadState struct {
 	isShared   bool
 	active     []*Backend // targets with work of this VM
 	reported   []*Backend // targets of which other VMs reported work
 	heard      load.Heard
 	news       *load.News
-	pools      map[uint32]*domainPool // by the hash of the ID
+	pools      []*domainPool
+	byHash     map[uint32]*domainPool // the same, by the hash of the ID
+	working    []*domainPool          // those that have work
+	uncounted  []*domainPool          // those whose targets changed
+	countIndex int                    // in pools, of the one that was counted last
+	quiet      load.Estimate          // of pools without work
+	age        clock.Millis           // of the reports heard, as of the last update
 	ownDomain  uint32                 // hash of the name
-	windowAt   clock.Millis           // when the window of the meters began
-	resumedAt  clock.Millis           // as of the last update
-	order      []*domainPool          // the same, ordered by name
-	isIndexed  bool                   // the two are as the targets are now
-	countIndex int                    // in order, of the pool that was counted last
+	domain     string
+	windowAt   clock.Millis // when the window of the meters began
+	resumedAt  clock.Millis // as of the last update
 }
 
 func newLoadState(options *Options) *loadState {
-	return &loadState{isShared: options.SharesLoad, news: load.NewNews(), ownDomain: load.HashDomain(options.Domain)}
+	s := &loadState{
+		isShared: options.SharesLoad, news: load.NewNews(), age: load.ReportLifetime,
+		domain: options.Domain, ownDomain: load.HashDomain(options.Domain),
+	}
+	s.removePools()
+	return s
 }
 
 // track lists a target as one with work of this VM.
@@ -43,22 +52,58 @@
 	s.news.Forget()
 }
 
-// index makes the pools known by their hashes, if any were added since the last time.
-func (s *loadState) index(pools map[string]*pool) {
-	if s.isIndexed {
-		return
+// removePools forgets the pools before they are added anew.
+func (s *loadState) removePools() {
+	s.pools, s.byHash, s.uncounted = nil, map[uint32]*domainPool{}, nil
+}
+
+// add makes a pool known that got a target.
+func (s *loadState) add(d *domainPool) {
+	if !d.isListed {
+		d.isListed, d.isLocal, d.isCounted = true, d.id.Domain == s.domain, true
+		s.pools = append(s.pools, d)
+		s.byHash[d.id.Hash()] = d
+	}
+	s.recount(d)
+}
+
+// recount has the targets of a pool counted at the next update.
+func (s *loadState) recount(d *domainPool) {
+	if d.isCounted {
+		d.isCounted = false
+		s.uncounted = append(s.uncounted, d)
+	}
+}
+
+// markWorking lists a pool as one that has work.
+func (s *loadState) markWorking(d *domainPool) {
+	if !d.hasWork {
+		d.reset()
+		d.hasWork = true
+		s.working = append(s.working, d)
 	}
-	s.isIndexed = true
-	s.pools, s.order = map[uint32]*domainPool{}, nil
-	for _, p := range pools {
-		for _, d := range p.domainPools {
-			s.pools[d.id.Hash()] = d
-			s.order = append(s.order, d)
+}
+
+// listWorking lists the pools that have work after they were added anew.
+func (s *loadState) listWorking() {
+	s.working = nil
+	for _, d := range s.pools {
+		if d.hasWork {
+			s.working = append(s.working, d)
 		}
 	}
-	slices.SortFunc(s.order, func(a, b *domainPool) int {
-		return cmp.Or(cmp.Compare(a.id.Service, b.id.Service), cmp.Compare(a.id.Domain, b.id.Domain))
-	})
+}
+
+// summary returns the work of all VMs at a pool's targets in one failure domain.
+func (s *loadState) summary(d *domainPool) load.Pool {
+	p := load.Pool{ID: d.id, Targets: d.targets, Slots: d.slots, Age: load.NewsLifetime}
+	if d.hasWork {
+		p.Work, p.Age = d.fromOwnDomain.Add(d.foreign), d.newsAge
+	}
+	if d.isLocal {
+		p.Age = s.age
+	}
+	return p
 }
 
 // ReceiveLoad takes in the report of a VM of the given failure domain. Of the work of whole domains, each
@@ -96,9 +141,12 @@
 	if !e.load.isShared {
 		return nil
 	}
-	all := make([]load.Pool, 0, len(e.load.order))
-	for _, d := range e.load.order {
-		all = append(all, d.summary())
+	all := make([]load.Pool, 0, len(e.load.pools))
+	for _, d := range e.load.pools {
+		all = append(all, e.load.summary(d))
 	}
+	slices.SortFunc(all, func(a, b load.Pool) int {
+		return cmp.Or(cmp.Compare(a.ID.Service, b.ID.Service), cmp.Compare(a.ID.Domain, b.ID.Domain))
+	})
 	return all
 }
--- a/inband/loadbench_test.go
+++ b/inband/loadbench_test.go
@@ -8,20 +8,27 @@
 	"github.com/almondflow/almondflow/load"
 )
 
-// BenchmarkSweep sweeps a VM that has work at some of its targets and hears as many reports as a VM of a large
-// failure domain does.
+// requestsPerVM is the load of each VM in benchmarks, in requests per second.
+const requestsPerVM = 50
+
+// BenchmarkSweep sweeps a VM that has work at targets of its failure domain and hears other VMs, and shows how
+// large its reports are.
 func BenchmarkSweep(b *testing.B) {
-	for _, sharesLoad := range []bool{false, true} {
-		for _, targets := range []int{30, 100, 300, 600} {
-			b.Run(fmt.Sprintf("shares_load=%v/targets=%d", sharesLoad, targets), func(b *testing.B) {
-				f := newLoadFleet(fleetVMs, targets, 1)
+	for _, size := range []struct{ vms, targets int }{{30, 100}, {100, 300}, {300, 1000}, {300, 600}} {
+		for _, sharesLoad := range []bool{false, true} {
+			b.Run(fmt.Sprintf("vms=%d/targets=%d/shares_load=%v", size.vms, size.targets, sharesLoad), func(b *testing.B) {
+				f := newLoadFleet(size.vms, size.targets, 1)
+				f.rate = float64(requestsPerVM * size.vms)
 				f.vms[0].engine.load.isShared = sharesLoad
 				f.run(5 * clock.Second)
 				e := f.vms[0].engine
+				report := e.TakeLoadReport(f.now)
 				b.ReportAllocs()
 				for b.Loop() {
 					e.Sweep(f.now)
 				}
+				b.ReportMetric(float64(len(load.Encode(&report, reportBytes))), "B/report")
+				b.ReportMetric(float64(e.LoadReporters(f.now)), "reporters")
 			})
 		}
 	}
@@ -41,3 +48,21 @@
 		f.vms[1].engine.ReceiveLoad(f.now, f.address(f.vms[0]), "east", decoded)
 	}
 }
+
+// BenchmarkSweepOfManyPools sweeps a VM that knows many pools and has work at few.
+func BenchmarkSweepOfManyPools(b *testing.B) {
+	for _, pools := range []int{1000, 10000, 99000} {
+		b.Run(fmt.Sprintf("pools=%d", pools), func(b *testing.B) {
+			f := newLoadFleet(2, 100, 1)
+			all := f.targets
+			for i := range pools {
+				all = append(all, Published{Target: &Target{ID: fmt.Sprintf("other-%d", i), Service: fmt.Sprintf("s%d", i), Domain: "west", Slots: 2}})
+			}
+			f.vms[0].engine.ReplaceView(nil, all)
+			f.run(3 * clock.Second)
+			for b.Loop() {
+				f.vms[0].engine.Sweep(f.now)
+			}
+		})
+	}
+}
--- a/inband/loadfailures_test.go
+++ b/inband/loadfailures_test.go
@@ -116,6 +116,18 @@
 	is.Equal(b.work().Busy, 0.0)
 }
 
+func TestBeliefOutlivesAChangeOfTheTargets(t *testing.T) {
+	is := is.New(t)
+	f := newLoadFleet(4, 6, 14)
+	f.run(6 * clock.Second)
+	e := f.vms[0].engine
+	before, pools := f.beliefAt(f.vms[0], "t1"), e.poolOf("orders").domains()
+	is.True(pools[0].Work.Busy > 1)
+	e.ReplaceView(nil, f.targets)
+	is.Equal(f.beliefAt(f.vms[0], "t1"), before)
+	is.Equal(e.poolOf("orders").domains(), pools)
+}
+
 func TestVMsThatLeaveTakeTheirLoadWithThem(t *testing.T) {
 	is := is.New(t)
 	f := newLoadFleet(fleetVMs, fleetTargets, 11)
--- a/inband/loadreport.go
+++ b/inband/loadreport.go
@@ -21,10 +21,8 @@
 	if e.localVMs > 1 && e.load.heard.VMs(now) == 0 {
 		return r
 	}
-	for _, d := range e.load.order {
-		if d.targets > 0 || d.fromOwnDomain != (load.Work{}) {
-			r.Pools = append(r.Pools, load.PoolNews{Pool: d.id.Hash(), Source: e.load.ownDomain, Work: d.fromOwnDomain})
-		}
+	for _, d := range e.load.working {
+		r.Pools = append(r.Pools, load.PoolNews{Pool: d.id.Hash(), Source: e.load.ownDomain, Work: d.fromOwnDomain})
 	}
 	slices.SortStableFunc(r.Pools, func(a, b load.PoolNews) int { return compareWork(b.Work, a.Work) })
 	return r
@@ -47,8 +45,8 @@
 // remoteWork returns this VM's work at pools in other failure domains, most work first.
 func (e *Engine) remoteWork() []load.PoolWork {
 	var all []load.PoolWork
-	for _, d := range e.load.order {
-		if d.id.Domain != e.options.Domain && d.own != (load.Work{}) {
+	for _, d := range e.load.working {
+		if !d.isLocal && d.own != (load.Work{}) {
 			all = append(all, load.PoolWork{Pool: d.id.Hash(), Work: d.own})
 		}
 	}
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -11,29 +11,37 @@
 // passing of time ends the use of targets, too.
 const poolsPerCount = 4
 
-// updateLoad closes the window of the meters and estimates anew what all VMs have under way.
+// updateLoad closes the window of the meters and estimates anew what all VMs have under way. Its cost grows
+// with the targets and pools that have work, not with all of them.
 func (e *Engine) updateLoad(now clock.Millis) {
 	s := e.load
 	if !s.isShared {
 		return
 	}
-	s.index(e.pools)
 	s.closeWindow(now, e.resumedAt)
 	s.news.Prune(now)
 	s.countSome(now)
-	for _, d := range s.order {
-		d.reset()
-	}
-	for _, b := range s.active {
-		b.domainPool.own = b.domainPool.own.Add(b.meter.Average(b.flows))
-	}
+	s.addOwn()
 	e.addHeard(now)
 	for _, p := range s.news.All(now) {
 		s.addNews(&p)
 	}
 	sample := load.Sample{Others: e.localVMs - 1, Weight: s.heard.Weight(now)}
-	for _, d := range s.order {
-		d.update(sample, e.options.Domain, s.heard.Age(now))
+	s.quiet, s.age = sample.ByTarget(load.Work{}, 1), s.heard.Age(now)
+	for _, d := range s.working {
+		d.update(sample)
+	}
+}
+
+// addOwn adds up the work of this VM.
+func (s *loadState) addOwn() {
+	for _, d := range s.working {
+		d.hasWork = false
+	}
+	s.working = s.working[:0]
+	for _, b := range s.active {
+		s.markWorking(b.domainPool)
+		b.domainPool.own = b.domainPool.own.Add(b.meter.Average(b.flows))
 	}
 }
 
@@ -56,14 +64,13 @@
 
 // countSome counts the targets of the pools that changed and of some others.
 func (s *loadState) countSome(now clock.Millis) {
-	for _, d := range s.order {
-		if !d.isCounted {
-			d.count(now)
-		}
+	for _, d := range s.uncounted {
+		d.count(now)
 	}
-	for range min(poolsPerCount, len(s.order)) {
-		s.countIndex = (s.countIndex + 1) % len(s.order)
-		s.order[s.countIndex].count(now)
+	s.uncounted = s.uncounted[:0]
+	for range min(poolsPerCount, len(s.pools)) {
+		s.countIndex = (s.countIndex + 1) % len(s.pools)
+		s.pools[s.countIndex].count(now)
 	}
 }
 
@@ -78,7 +85,8 @@
 			e.addTarget(&report.Targets[i], weight)
 		}
 		for i := range report.Remote {
-			if d := e.load.pools[report.Remote[i].Pool]; d != nil {
+			if d := e.load.byHash[report.Remote[i].Pool]; d != nil {
+				e.load.markWorking(d)
 				d.heard = d.heard.Add(report.Remote[i].Work.Scale(weight))
 			}
 		}
@@ -96,6 +104,7 @@
 	}
 	work := t.Work.Scale(weight)
 	b.heard = b.heard.Add(work)
+	e.load.markWorking(b.domainPool)
 	b.domainPool.heard = b.domainPool.heard.Add(work)
 }
 
@@ -104,32 +113,13 @@
 
 // addNews adds what the VMs of another failure domain have under way at a pool.
 func (s *loadState) addNews(p *load.PoolNews) {
-	d := s.pools[p.Pool]
+	d := s.byHash[p.Pool]
 	if d == nil {
 		return
 	}
+	s.markWorking(d)
 	d.foreign = d.foreign.Add(p.Counted())
 	if p.Source == load.HashDomain(d.id.Domain) {
-		d.age = p.Age
-	}
-}
-
-// update estimates the work of all VMs at the pool's targets. Of the targets of this VM's own failure domain
-// the others report each one, of the rest only sums, which are taken to be spread evenly.
-func (d *domainPool) update(sample load.Sample, ownDomain string, age clock.Millis) {
-	if d.id.Domain == ownDomain {
-		d.estimate = sample.ByTarget(d.heard, d.targets)
-		d.age = age
-	} else {
-		d.estimate = sample.BySum(d.heard, d.targets)
-	}
-	d.fromOwnDomain = d.estimate.Sum(d.own, d.heard, d.targets)
-	if d.targets > 0 {
-		d.estimate.AddEven(d.foreign.Scale(1 / float64(d.targets)))
+		d.newsAge = p.Age
 	}
 }
-
-// summary returns the work of all VMs at the pool's targets.
-func (d *domainPool) summary() load.Pool {
-	return load.Pool{ID: d.id, Targets: d.targets, Slots: d.slots, Work: d.fromOwnDomain.Add(d.foreign), Age: d.age}
-}
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -71,7 +71,7 @@
 		return false
 	}
 	b.applyPublished(p)
-	b.domainPool.isCounted = false
+	e.load.recount(b.domainPool)
 	return true
 }
 
@@ -89,7 +89,7 @@
 
 func (e *Engine) poolOf(service string) *pool {
 	if e.pools[service] == nil {
-		e.pools[service] = &pool{}
+		e.pools[service] = &pool{load: e.load}
 	}
 	return e.pools[service]
 }
@@ -97,7 +97,7 @@
 // addToPool adds a new target to its pool and, if it is of this VM's failure domain, to the local targets.
 func (e *Engine) addToPool(b *Backend) {
 	b.pool.add(b, e.options.Domain)
-	b.domainPool.isCounted, e.load.isIndexed = false, false
+	e.load.add(b.domainPool)
 	if b.target.Domain == e.options.Domain {
 		e.local = append(e.local, b)
 	}
@@ -120,7 +120,8 @@
 	byID := make(map[string]*Backend, len(published))
 	byTag := make(map[Tag]*Backend, len(published))
 	previousPools := e.pools
-	e.pools, e.local, e.load.isIndexed = map[string]*pool{}, nil, false
+	e.pools, e.local = map[string]*pool{}, nil
+	e.load.removePools()
 	for _, p := range published {
 		b := e.byID[p.Target.ID]
 		if b == nil {
@@ -143,8 +144,9 @@
 	for service, p := range e.pools {
 		if previous := previousPools[service]; previous != nil {
 			p.isOverloaded, p.overloadedSince, p.stats = previous.isOverloaded, previous.overloadedSince, previous.stats
-			p.keepEstimates(previous)
+			p.keepWork(previous)
 		}
 	}
+	e.load.listWorking()
 	e.setTopPriorities()
 }
--- a/inband/work.go
+++ b/inband/work.go
@@ -44,14 +44,18 @@
 
 // work returns the work at the target: this VM's own, and what the other VMs are believed to have.
 func (b *Backend) work() load.Work {
-	return b.domainPool.estimate.At(b.ownWork(), b.heard)
+	d := b.domainPool
+	if !d.hasWork {
+		return b.pool.load.quiet.At(b.ownWork(), b.heard)
+	}
+	return d.estimate.At(b.ownWork(), b.heard)
 }
 
 // domains returns the work at the pool's targets, by failure domain.
 func (p *pool) domains() []load.Pool {
 	all := make([]load.Pool, 0, len(p.domainPools))
 	for _, d := range p.domainPools {
-		all = append(all, d.summary())
+		all = append(all, p.load.summary(d))
 	}
 	return all
 }
--- a/load/heard.go
+++ b/load/heard.go
@@ -11,9 +11,9 @@
 	// freshTime is how long a report counts in full. In small failure domains each VM hears each other one
 	// that often.
 	freshTime = 1500 * clock.Millisecond
-	// reportLifetime is the age at which a report counts for nothing. Its weight falls until then, so that
+	// ReportLifetime is the age at which a report counts for nothing. Its weight falls until then, so that
 	// the belief changes bit by bit when a VM is heard no more.
-	reportLifetime = 4 * clock.Second
+	ReportLifetime = 4 * clock.Second
 	// maxReports limits the reports that are kept. More of them would hardly tell more of all VMs.
 	maxReports = 32
 )
@@ -83,21 +83,21 @@
 	return count
 }
 
-// Age returns the mean age of the reports that count, or reportLifetime if there are none.
+// Age returns the mean age of the reports that count, or ReportLifetime if there are none.
 func (h *Heard) Age(now clock.Millis) clock.Millis {
 	sum, count := clock.Millis(0), clock.Millis(0)
 	for i := range h.reports {
-		if age := now - h.reports[i].at; age < reportLifetime {
+		if age := now - h.reports[i].at; age < ReportLifetime {
 			sum, count = sum+age, count+1
 		}
 	}
 	if count == 0 {
-		return reportLifetime
+		return ReportLifetime
 	}
 	return sum / count
 }
 
 // weightAt returns the weight of a report by its age.
 func weightAt(age clock.Millis) float64 {
-	return min(1, max(0, float64(reportLifetime-age)/float64(reportLifetime-freshTime)))
+	return min(1, max(0, float64(ReportLifetime-age)/float64(ReportLifetime-freshTime)))
 }
