--- a/cmd/almondflow-entry/soak_test.go
+++ b/cmd/almondflow-entry/soak_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/almondflow/almondflow/load"
 	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/platform/standin"
 )
@@ -73,11 +74,12 @@
 
 // entryVM is an entry VM, whose process is restarted by faults.
 type entryVM struct {
-	address netip.Addr
-	link    *standin.TCPLink // to the store
-	command *exec.Cmd
-	version int64 // of the tables, last seen since the process started
-	log     *os.File
+	address   netip.Addr
+	link      *standin.TCPLink // to the store
+	command   *exec.Cmd
+	version   int64 // of the tables, last seen since the process started
+	hearsLoad bool  // other VMs told it of their load lately
+	log       *os.File
 }
 
 func TestSoak(t *testing.T) {
@@ -190,7 +192,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"name": v.address.String(), "domain": "a", "packet_address": at(0), "readiness_address": at(1),
 		"operator_address": at(2), "sibling_address": at(3), "seeds": []string{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, 1}), s.ports[2]).String()},
-		"store_address": v.link.Address(), "policy": "local", "log_lines_per_second": 20, "flow_lifetime_seconds": 60,
+		"store_address": v.link.Address(), "policy": "local", "rules": []string{"health"}, "log_lines_per_second": 20, "flow_lifetime_seconds": 60,
 		"stop_ms": 100, "max_flows": 1000, "cpu_share": 1, "link_mbps": 100,
 	})
 	s.requireNoError(err)
@@ -242,11 +244,12 @@
 	}
 }
 
-// checkConverged checks that all VMs use the newest tables after the faults have ended.
+// checkConverged checks that all VMs use the newest tables and hear of the others' load after the faults have
+// ended.
 func (s *soak) checkConverged() {
 	for range maxIdleChecks * maxIdleChecks {
 		s.checkVersions()
-		if !slices.ContainsFunc(s.vms, func(v *entryVM) bool { return v.version != s.version }) {
+		if !slices.ContainsFunc(s.vms, func(v *entryVM) bool { return v.version != s.version || !v.hearsLoad }) {
 			return
 		}
 	}
@@ -254,6 +257,9 @@
 		if v.version != s.version {
 			s.t.Errorf("seed %d: %s uses version %d of the tables, want %d", *soakSeed, v.address, v.version, s.version)
 		}
+		if !v.hearsLoad {
+			s.t.Errorf("seed %d: %s hears of no load", *soakSeed, v.address)
+		}
 	}
 }
 
@@ -270,5 +276,7 @@
 			s.t.Errorf("seed %d: version of the tables is %d after %d", *soakSeed, status.View.Version, v.version)
 		}
 		v.version = status.View.Version
+		isFresh := func(p load.Pool) bool { return p.Age < load.ReportLifetime }
+		v.hearsLoad = slices.ContainsFunc(status.Pools, isFresh)
 	}
 }
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -18,7 +18,7 @@
 	MaxFlows     int          // limit on tracked flows; further flows are forwarded untracked
 	FlowLifetime clock.Millis // expected maximum age of a flow; flows older than twice that are removed
 	Seed         uint64       // seed of random choices
-	SharesLoad   bool         // counts what this VM has under way at targets, for its reports to other VMs
+	SharesLoad   bool         // entry VMs tell each other what they have under way at targets
 }
 
 // Engine decides what happens to each packet. It is not safe for concurrent use.
