--- a/clock/clock.go
+++ b/clock/clock.go
@@ -24,6 +24,9 @@
 	return time.Duration(m) * time.Millisecond
 }
 
+// Time converts m for libraries that use only the differences of times.
+func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)) }
+
 // FromDuration converts a time.Duration, rounding towards zero.
 func FromDuration(d time.Duration) Millis {
 	return Millis(d / time.Millisecond)
--- a/member/ratelimiter.go
+++ b/member/ratelimiter.go
@@ -57,7 +57,9 @@
 const perMille = 1000
 
 // RateLimiter limits the control traffic that a daemon sends. It is a token bucket, part of
-// which is reserved for classes of higher priority. It is safe for concurrent use.
+// which is reserved for classes of higher priority. Unlike the limiter of golang.org/x/time/rate,
+// its balance may become negative, as bytes are also charged after they were sent. It is safe for
+// concurrent use.
 type RateLimiter struct {
 	mu       sync.Mutex
 	rate     int64 // bytes per second
--- a/published/limiter.go
+++ b/published/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"golang.org/x/time/rate"
 
@@ -48,8 +47,8 @@
 		perSecond = max(perSecond, float64(CallsPerSecond*readerShare)/100/float64(max(readers, 1)))
 		burst = readerBurst
 	}
-	l.limiter.SetLimitAt(toTime(now), rate.Limit(min(perSecond, maxDaemonRate)))
-	l.limiter.SetBurstAt(toTime(now), burst)
+	l.limiter.SetLimitAt(now.Time(), rate.Limit(min(perSecond, maxDaemonRate)))
+	l.limiter.SetBurstAt(now.Time(), burst)
 }
 
 // directRate returns the calls per second of a daemon that is not a reader.
@@ -66,18 +65,15 @@
 // Take reports whether a call may be made at now and counts it if so. Otherwise it
 // returns how long to wait before the next attempt.
 func (l *Limiter) Take(now clock.Millis) (wait clock.Millis, ok bool) {
-	reservation := l.limiter.ReserveN(toTime(now), 1)
-	delay := reservation.DelayFrom(toTime(now))
+	reservation := l.limiter.ReserveN(now.Time(), 1)
+	delay := reservation.DelayFrom(now.Time())
 	if delay == 0 {
 		return 0, true
 	}
-	reservation.CancelAt(toTime(now))
+	reservation.CancelAt(now.Time())
 	return clock.FromDuration(delay) + 1, false
 }
 
-// toTime converts a timestamp for the rate limiter, which uses only differences of times.
-func toTime(now clock.Millis) time.Time { return time.UnixMilli(int64(now)) }
-
 // SelectReaders returns the daemons that watch the platform's service: the perDomain
 // highest ranked serving entry VMs of each failure domain. All daemons with the same
 // member list select the same readers.
