Take in a slow start that begins again while a target runs

Cause: a target becomes cold again without a restart, for example after its domain was drained. Its entry differs only in the rest of its slow start, which counted as a heartbeat, so the engine never learned it. Ruled out: heartbeats during a slow start as changes; they would be handed on to all VMs for nothing. Change: an entry whose slow start begins is a change. Test: TestSlowStartThatBeginsAgainIsAChange, seen to fail before.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -63,6 +63,19 @@
 	is.Equal(c.Revision(), inband.Revision(12))
 }
 
+// A target may become cold again without a restart, for example after its failure domain was drained.
+func TestSlowStartThatBeginsAgainIsAChange(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	c.Replace(0, 0, newChanges(1, 10, newTarget("i-1", 9, inband.Serving)))
+	c.TakeChanged()
+	cold := newTarget("i-1", 11, inband.Serving)
+	cold.SlowStartLeftMS = 2000
+	c.Apply(100, 100, newChanges(0, 11, cold))
+	is.Equal(len(c.TakeChanged()), 1)
+	is.Equal(entryI1(c).SlowStartUntil(), clock.Millis(2100))
+}
+
 func TestReplaceEndsMissingTargets(t *testing.T) {
 	is := is.New(t)
 	c := catalog.New()
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -78,10 +78,12 @@
 }
 
 // isSameForPlacement reports whether two versions of a target are equivalent for placement.
-// A heartbeat changes only the revision.
+// A heartbeat changes only the revision and the rest of a slow start, which may begin again while the
+// target runs.
 func isSameForPlacement(a, b *inband.Target) bool {
+	beginsSlowStart := a.SlowStartLeftMS == 0 && b.SlowStartLeftMS > 0
 	return a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain &&
-		a.Slots == b.Slots && a.State == b.State && a.StartedAtMS == b.StartedAtMS
+		a.Slots == b.Slots && a.State == b.State && a.StartedAtMS == b.StartedAtMS && !beginsSlowStart
 }
 
 // hash returns the entry's share of the catalog's digest, which is zero for unknown and ended
