Share the limit on flows of a target in slow start among the VMs

Cause: a service may publish how many new flows a cold target bears, from all VMs together. Nobody read it. Off without a limit. Load: a crowd at all VMs while the targets are cold.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -143,6 +143,7 @@
 	d.engine = inband.New(inband.Options{
 		Domain: settings.Domain, Policy: settings.policy(), MaxFlows: settings.MaxFlows,
 		FlowLifetime: clock.Millis(settings.FlowLifetimeSeconds) * clock.Second, Seed: rand.Uint64(),
+		SlowStartRank: d.slowStartRank,
 	})
 	var err error
 	if d.sockets, err = bind(settings); err != nil {
--- a/front/probes.go
+++ b/front/probes.go
@@ -16,8 +16,8 @@
 	probesPerSecond = 16
 	// maxProbeDelay is the longest random delay before a probe, so that VMs do not probe a target together.
 	maxProbeDelay = 5 * time.Millisecond
-	// firstContactDelay is how long a VM serves before it probes targets that nobody suspects.
-	firstContactDelay = 4 * clock.Second
+	// siblingsKnownDelay is how long after its view is complete a VM knows most other VMs of its failure domain.
+	siblingsKnownDelay = 4 * clock.Second
 )
 
 // startProbes starts the probes of suspected targets that this VM is to probe, as far as the limits
@@ -42,7 +42,7 @@
 func (d *Daemon) startFirstContact(now clock.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.isStopping || !d.catalog.IsComplete() || now-d.readyAt < firstContactDelay || d.probesOut >= maxProbesAtOnce {
+	if d.isStopping || !d.knowsSiblings(now) || d.probesOut >= maxProbesAtOnce {
 		return
 	}
 	probe := d.engine.FirstContact(now, d.isProber(now))
@@ -51,6 +51,11 @@
 	}
 }
 
+// knowsSiblings reports whether this VM knows most other VMs of its failure domain. The caller holds the lock.
+func (d *Daemon) knowsSiblings(now clock.Millis) bool {
+	return d.catalog.IsComplete() && now-d.readyAt >= siblingsKnownDelay
+}
+
 // isProber returns a function that reports whether this VM probes a target of its domain. The caller holds
 // the lock.
 func (d *Daemon) isProber(now clock.Millis) func(id string) bool {
--- a/inband/backend.go
+++ b/inband/backend.go
@@ -8,6 +8,7 @@
 	tag            Tag
 	sharesTag      bool // its tag collides with another target's, so it gets no new flows
 	slowStartUntil clock.Millis
+	slowStart      slowStartShare
 	// Set while the target's store entry has expired but the target may still be running: until
 	// fallbackUntil it gets new flows if the other targets are busy, and until mayReturnUntil
 	// its flows are kept. Zero if the entry is current or the target was removed.
@@ -30,6 +31,7 @@
 func (b *Backend) applyPublished(p Published) {
 	if b.target != nil && b.target.StartedAtMS != p.Target.StartedAtMS && p.Target.State != Gone {
 		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, requestStats{}, outcomeCounts{}
+		b.slowStart = slowStartShare{}
 	}
 	b.target, b.slowStartUntil = p.Target, p.SlowStartUntil
 	b.fallbackUntil, b.mayReturnUntil = p.FallbackUntil, p.MayReturnUntil
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -89,7 +89,7 @@
 }
 
 func (e *Engine) consider(now clock.Millis, s *selection, b, avoid *Backend) {
-	if b.acceptsNewFlows(now) {
+	if b.acceptsNewFlows(now) && e.hasSlowStartRoom(now, b) {
 		s.consider(b, e.cost(now, b, b == avoid), e.random)
 	}
 }
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -18,6 +18,10 @@
 	MaxFlows     int          // limit on tracked flows; further flows are forwarded untracked
 	FlowLifetime clock.Millis // expected maximum age of a flow; flows older than twice that are removed
 	Seed         uint64       // seed of random choices
+	// SlowStartRank returns the place of this VM among those of its failure domain that open flows at a target
+	// in slow start, and their number, which is zero while they are not known. Without it, slow starts have no
+	// limit.
+	SlowStartRank func(now clock.Millis, targetID string) (rank, vms int)
 }
 
 // Engine decides what happens to each packet. It is not safe for concurrent use.
@@ -40,6 +44,7 @@
 	links            map[string]*link
 	watchlist        watchlist
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
+	slowStartRates   map[string]float64                // new flows per second of a target in slow start, by service
 	localVMs         int                               // entry VMs in the own failure domain, including this one
 }
 
@@ -56,6 +61,8 @@
 		links:    map[string]*link{},
 		sizes:    map[netip.AddrPort]*responseSizes{},
 		localVMs: 1,
+
+		slowStartRates: map[string]float64{},
 	}
 }
 
@@ -139,6 +146,7 @@
 	if b.evidence.isSuspect(now) {
 		b.evidence.scheduleRetry(now, e.jitter())
 	}
+	e.recordSlowStart(now, b)
 	if e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
 		f.backend, f.route = b, route
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -54,7 +54,7 @@
 
 func (e *Engine) addCandidates(now clock.Millis, all []Candidate, targets []*Backend) []Candidate {
 	for _, b := range targets {
-		if b.acceptsNewFlows(now) {
+		if b.acceptsNewFlows(now) && e.hasSlowStartRoom(now, b) {
 			all = append(all, e.candidate(now, b))
 		}
 	}
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -40,6 +40,7 @@
 	e.routes = routes
 	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *responseSizes) bool { return routes[service] == nil })
 	e.setTopPriorities()
+	e.setSlowStartRates(tables.Services)
 }
 
 // UpdateTargets updates the given targets and leaves the others unchanged.
--- a/siblings/probers.go
+++ b/siblings/probers.go
@@ -36,18 +36,34 @@
 
 // IsProber reports whether this VM probes a target of its failure domain.
 func (m *Members) IsProber(now clock.Millis, targetID string) bool {
+	rank, _ := m.rankUpTo(now, targetID, ProbersPerTarget)
+	return rank < ProbersPerTarget
+}
+
+// TargetRank returns the place of this VM among the VMs of its failure domain in the order that is drawn for a
+// target, and the number of these VMs, including this one.
+func (m *Members) TargetRank(now clock.Millis, targetID string) (rank, vms int) {
+	return m.rankUpTo(now, targetID, len(m.members)+1)
+}
+
+// rankUpTo returns what TargetRank does, but stops counting at the given rank.
+func (m *Members) rankUpTo(now clock.Millis, targetID string, limit int) (rank, vms int) {
 	hash := hashText(targetID)
 	own := proberWeight(hash, m.self.readOrder)
-	before := 0
+	vms = 1
 	for _, known := range m.members {
-		if m.isMemberOf(known, now, m.self.contact.Domain) && proberWeight(hash, known.readOrder) > own {
-			before++
+		if !m.isMemberOf(known, now, m.self.contact.Domain) {
+			continue
+		}
+		vms++
+		if proberWeight(hash, known.readOrder) > own {
+			rank++
 		}
-		if before == ProbersPerTarget {
-			return false
+		if rank == limit {
+			break
 		}
 	}
-	return true
+	return rank, vms
 }
 
 // ProbersOf returns the other VMs that probe a target of a failure domain.
--- a/siblings/probers_test.go
+++ b/siblings/probers_test.go
@@ -83,3 +83,24 @@
 	is.Equal(len(m.ProbersOf(0, "i-1", "a")), 0)
 	is.Equal(len(m.ProbersOf(0, "i-1", "b")), 0)
 }
+
+// The VMs of a domain that know each other take different ranks, so that their shares of a limit add up.
+func TestTargetRanksDiffer(t *testing.T) {
+	is := is.New(t)
+	contacts := make([]siblings.Contact, 5)
+	for i := range contacts {
+		contacts[i] = siblings.Contact{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7720), Domain: "a"}
+	}
+	taken := map[int]bool{}
+	for _, self := range contacts {
+		m := siblings.NewMembers(self, rand.New(rand.NewPCG(1, 1)))
+		for _, c := range contacts {
+			m.MarkAlive(0, c)
+		}
+		m.MarkAlive(0, siblings.Contact{Address: netip.MustParseAddrPort("10.2.0.1:7720"), Domain: "b"})
+		rank, vms := m.TargetRank(0, "i-1")
+		is.Equal(vms, len(contacts)) // those of other domains do not count
+		taken[rank] = true
+	}
+	is.Equal(len(taken), len(contacts))
+}
