--- a/inband/backend.go
+++ b/inband/backend.go
@@ -11,6 +11,7 @@
 	tag            Tag
 	sharesTag      bool // its tag collides with another target's, so it gets no new flows
 	slowStartUntil clock.Millis
+	slowStart      slowStartShare
 	// Set while the target's store entry has expired but the target may still be running: until
 	// fallbackUntil it gets new flows if the other targets are busy, and until mayReturnUntil
 	// its flows are kept. Zero if the entry is current or the target was removed.
@@ -39,6 +40,7 @@
 		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, requestStats{}, outcomeCounts{}
 		b.heard = load.Work{}
 		b.meter.Forget()
+		b.slowStart = slowStartShare{}
 	}
 	b.target, b.slowStartUntil = p.Target, p.SlowStartUntil
 	b.fallbackUntil, b.mayReturnUntil = p.FallbackUntil, p.MayReturnUntil
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -19,6 +19,10 @@
 	FlowLifetime clock.Millis // expected maximum age of a flow; flows older than twice that are removed
 	Seed         uint64       // seed of random choices
 	SharesLoad   bool         // entry VMs tell each other what they have under way at targets
+	// SlowStartRank returns the place of this VM among those of its failure domain that open flows at a target
+	// in slow start, and their number, which is zero while they are not known. Without it, slow starts have no
+	// limit.
+	SlowStartRank func(now clock.Millis, targetID string) (rank, vms int)
 }
 
 // Engine decides what happens to each packet. It is not safe for concurrent use.
@@ -42,7 +46,8 @@
 	watchlist        watchlist
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
 	load             *loadState
-	localVMs         int // entry VMs in the own failure domain, including this one
+	slowStartRates   map[string]float64 // new flows per second of a target in slow start, by service
+	localVMs         int                // entry VMs in the own failure domain, including this one
 }
 
 // New returns an engine without tables, which drops every packet.
@@ -59,6 +64,8 @@
 		sizes:    map[netip.AddrPort]*responseSizes{},
 		load:     newLoadState(&options),
 		localVMs: 1,
+
+		slowStartRates: map[string]float64{},
 	}
 }
 
@@ -142,6 +149,7 @@
 	if b.evidence.isSuspect(now) {
 		b.evidence.scheduleRetry(now, e.jitter())
 	}
+	e.recordSlowStart(now, b)
 	if e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
 		f.backend, f.route = b, route
