Tell a target without signs from one with a sign at time 0

A target without any sign counted as one whose packets timed out at time 0 of the process, and one without an answer as one that answered at time 0. So in the first 2.5 s of a process a watched target was probed though nothing had timed out, and the refusal of a probe that another VM had sent before this process started was taken for refuted. A sign at time 0 itself was no sign, and so with the start of an overload and the first latency.

The newest sign and the newest report now come with whether there is one; answers, latencies and overloads have a flag of their own. confidenceAt stays: a pool whose confidence is not known computes it, which is right at time 0 as well.

--- a/inband/choose.go
+++ b/inband/choose.go
@@ -24,7 +24,8 @@
 	remote          []*Backend
 	domainPools     []*domainPool // the same targets, by failure domain
 	isOverloaded    bool          // set once overload has lasted for overloadTime
-	overloadedSince clock.Millis  // start of the overload, or zero
+	looksOverloaded bool          // it does now
+	overloadedSince clock.Millis  // since when it does
 	topPriority     int           // priority of the most urgent route to this pool
 	stats           requestStats  // outcomes of the requests that this VM forwarded to its targets
 	lastConfidence  float64       // confidence computed at confidenceAt, shared by all targets of the pool
--- a/inband/evidence.go
+++ b/inband/evidence.go
@@ -39,6 +39,7 @@
 	retryInterval     clock.Millis
 	reported          int // timed-out openings and flows already reported to the other VMs
 	reports           reports
+	hasAnswer         bool // a packet was answered
 	lastAnswerAt      clock.Millis
 	answeredSentAt    clock.Millis // when the newest packet was sent that was answered
 }
@@ -49,7 +50,7 @@
 	if e.isUnresponsive() && sentAt < e.unresponsiveSince {
 		return
 	}
-	*e = evidence{lastAnswerAt: now, answeredSentAt: max(e.answeredSentAt, sentAt)}
+	*e = evidence{hasAnswer: true, lastAnswerAt: now, answeredSentAt: max(e.answeredSentAt, sentAt)}
 }
 
 // refuteSigns records that the target answered a probe sent at sentAt: its process runs. Unless packets
@@ -91,7 +92,7 @@
 // answer, keeps new flows away. If an opening timed out there, this VM postpones its own retry, because
 // the target has just been tried.
 func (e *evidence) mergeReport(r report, jitter clock.Millis) {
-	if r.at-e.lastAnswerAt < ownAnswerPrecedence && e.lastAnswerAt > 0 {
+	if e.hasAnswer && r.at-e.lastAnswerAt < ownAnswerPrecedence {
 		r.hasOpening = false
 	}
 	if e.openings > 0 && r.hasOpening {
@@ -109,15 +110,29 @@
 	return e.hasSign && now-e.lastTimeoutAt <= timeoutLifetime
 }
 
-// newestSignAt returns when a packet timed out last, here or at a VM that reported it.
-func (e *evidence) newestSignAt() clock.Millis {
-	newest := e.reports.newestAt()
-	if e.hasSign {
-		newest = max(newest, e.lastTimeoutAt)
+// newestSign returns when a packet timed out last, here or at a VM that reported it. It reports false if
+// none did.
+func (e *evidence) newestSign() (at clock.Millis, ok bool) {
+	newest, isReported := e.reports.newest()
+	switch {
+	case !e.hasSign:
+		return newest, isReported
+	case !isReported:
+		return e.lastTimeoutAt, true
+	default:
+		return max(newest, e.lastTimeoutAt), true
 	}
-	return newest
 }
 
+// hasRecentSign reports whether a packet timed out lately, here or at a VM that reported it.
+func (e *evidence) hasRecentSign(now clock.Millis) bool {
+	newest, ok := e.newestSign()
+	return ok && now-newest <= timeoutLifetime
+}
+
+// hasAnswerAfter reports whether a packet was answered that was sent later than a point in time.
+func (e *evidence) hasAnswerAfter(at clock.Millis) bool { return e.hasAnswer && e.answeredSentAt > at }
+
 // isSuspect reports whether new flows avoid the target.
 func (e *evidence) isSuspect(now clock.Millis) bool {
 	return e.openings > 0 || now < e.reports.avoidUntil
--- a/inband/latency.go
+++ b/inband/latency.go
@@ -13,17 +13,18 @@
 // from the client's packets and is up to 40 ms too high, because clients
 // acknowledge only every second packet at once.
 type latency struct {
-	average   float64
-	updatedAt clock.Millis
+	average    float64
+	hasAverage bool
+	updatedAt  clock.Millis
 }
 
 func (l *latency) add(now, elapsed clock.Millis) {
-	if l.updatedAt == 0 || now-l.updatedAt > latencyLifetime {
+	if !l.hasAverage || now-l.updatedAt > latencyLifetime {
 		l.average = float64(elapsed)
 	} else {
 		l.average += latencySmoothing * (float64(elapsed) - l.average)
 	}
-	l.updatedAt = now
+	l.hasAverage, l.updatedAt = true, now
 }
 
 // value returns the average, or zero if it is stale.
--- a/inband/overload.go
+++ b/inband/overload.go
@@ -24,12 +24,12 @@
 	latency := best.latency.value(now)
 	switch {
 	case load >= overloadFactor && latency >= overloadLatency:
-		if p.overloadedSince == 0 {
-			p.overloadedSince = now
+		if !p.looksOverloaded {
+			p.looksOverloaded, p.overloadedSince = true, now
 		}
 		p.isOverloaded = now-p.overloadedSince >= overloadTime
 	case load <= recoveryFraction*overloadFactor || latency <= recoveryFraction*overloadLatency:
-		p.isOverloaded, p.overloadedSince = false, 0
+		p.isOverloaded, p.looksOverloaded = false, false
 	}
 }
 
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -77,7 +77,7 @@
 		p.hasAnswered = true
 		b.evidence.refuteSigns(s.sentAt)
 	case Refused, Replaced, Silent:
-		isRefuted := b.evidence.answeredSentAt > s.sentAt || p.outcome == Answered && p.sentAt > s.sentAt
+		isRefuted := b.evidence.hasAnswerAfter(s.sentAt) || p.outcome == Answered && p.sentAt > s.sentAt
 		p.hasAnswered = true // known to this VM, or to the one that sent the probe
 		if isRefuted || p.isProof(now) {
 			return
--- a/inband/probeoutcome_test.go
+++ b/inband/probeoutcome_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// A probe that another VM sent before this process started shows as much as a later one: this VM has seen
+// no answer that would refute it.
+func TestProbeBeforeTheStartOfTheProcess(t *testing.T) {
+	is := is.New(t)
+	e := inband.New(inband.Options{Domain: "a", Policy: inband.Local{}, MaxFlows: 1000, Seed: 1})
+	e.ReplaceView(tables(1), published(target("i-1", "a")))
+	e.ReceiveProbes(100, "a", []inband.ProbeReport{{ID: "i-1", Outcome: inband.Refused, AgeMS: 500}})
+	e.Handle(200, data(1, feedAddress, inband.TagOf("i-1"), 101, 500))
+	is.Equal(e.Handle(400, data(1, feedAddress, inband.TagOf("i-1"), 101, 500)).Reason, inband.TargetDead)
+}
+
 // A VM that reports a target which another one found dead is told so at once, without another probe.
 func TestKnownOutcomesAreTold(t *testing.T) {
 	for _, outcome := range []inband.ProbeOutcome{inband.Answered, inband.Silent, inband.Refused, inband.Inconclusive} {
--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -26,14 +26,16 @@
 // another one, that are newer than the newest outcome, or another VM's probe was silent, which one of this
 // VM would confirm.
 func (b *Backend) isProbeDue(now clock.Millis) bool {
-	p, newest := &b.probe, b.evidence.newestSignAt()
+	p := &b.probe
 	if p.isOut || now < p.nextAt || b.target.State == Gone || p.isProof(now) {
 		return false
 	}
 	if p.isSilent(now) {
 		return !p.hasOwnSilence && !p.isConfirmed
 	}
-	return newest > p.sentAt && now-newest <= timeoutLifetime
+	newest, hasSign := b.evidence.newestSign()
+	isAnswered := p.outcome != "" && newest <= p.sentAt
+	return hasSign && !isAnswered && now-newest <= timeoutLifetime
 }
 
 // isPathProbeDue reports whether to probe an unresponsive target of another domain, to know whether this VM
@@ -81,7 +83,8 @@
 	case b.probe.isSilent(now):
 		cause, since = CauseSilence, b.probe.sentAt
 	default:
-		cause, since = CauseReport, b.evidence.reports.newestAt()
+		cause = CauseReport
+		since, _ = b.evidence.reports.newest()
 	}
 	return e.startProbe(now, b, cause, now-since)
 }
@@ -122,7 +125,7 @@
 
 // isControl reports whether the target is expected to accept connections.
 func (b *Backend) isControl() bool {
-	return (b.probe.hasAnswered || b.evidence.lastAnswerAt > 0) && !b.evidence.isUnresponsive() && b.target.State == Serving
+	return (b.probe.hasAnswered || b.evidence.hasAnswer) && !b.evidence.isUnresponsive() && b.target.State == Serving
 }
 
 // FirstContact returns a probe of a target of this VM's domain that is not known to answer
--- a/inband/probestart_test.go
+++ b/inband/probestart_test.go
@@ -78,6 +78,15 @@
 	is.Equal(len(e.SuspectsToProbe(200, always)), 0)
 }
 
+// A sign of the first moment of a process counts like any other.
+func TestProbeForASignAtTimeZero(t *testing.T) {
+	is := is.New(t)
+	e := inband.New(inband.Options{Domain: "a", Policy: inband.Local{}, MaxFlows: 1000, Seed: 1})
+	e.ReplaceView(tables(1), published(target("i-1", "a")))
+	e.ReceiveSuspicions(0, sibling, "a", []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}})
+	is.Equal(e.SuspectsToProbe(200, always), []string{"i-1"})
+}
+
 // One call finds a target that was not contacted yet among 60 that were, so that a VM learns of a new target
 // soon; and a silent probe has two controls where enough targets answer.
 func TestFirstContactAndControlsAmongManyTargets(t *testing.T) {
--- a/inband/reports.go
+++ b/inband/reports.go
@@ -54,13 +54,14 @@
 	r.entries[oldest] = latest
 }
 
-// newestAt returns when the newest report arrived, or zero if there is none.
-func (r *reports) newestAt() clock.Millis {
-	newest := clock.Millis(0)
+// newest returns when the newest report arrived. It reports false if there is none.
+func (r *reports) newest() (at clock.Millis, ok bool) {
 	for i := range r.entries[:r.count] {
-		newest = max(newest, r.entries[i].at)
+		if i == 0 || r.entries[i].at > at {
+			at = r.entries[i].at
+		}
 	}
-	return newest
+	return at, r.count > 0
 }
 
 // senders returns the VMs whose reports are kept.
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -142,7 +142,8 @@
 	e.watchlist.backends = slices.DeleteFunc(e.watchlist.backends, func(b *Backend) bool { return byID[b.target.ID] != b })
 	for service, p := range e.pools {
 		if previous := previousPools[service]; previous != nil {
-			p.isOverloaded, p.overloadedSince, p.stats = previous.isOverloaded, previous.overloadedSince, previous.stats
+			p.isOverloaded, p.looksOverloaded, p.overloadedSince = previous.isOverloaded, previous.looksOverloaded, previous.overloadedSince
+			p.stats = previous.stats
 			p.keepEstimates(previous)
 		}
 	}
--- a/inband/watchlist.go
+++ b/inband/watchlist.go
@@ -53,8 +53,7 @@
 // isSuspectedNow reports whether there are recent signs about the target, of this VM or another one, or
 // it counts as dead.
 func (b *Backend) isSuspectedNow(now clock.Millis) bool {
-	newest := b.evidence.newestSignAt()
-	return newest > 0 && now-newest <= timeoutLifetime || b.probe.isProof(now) || b.probe.isSilent(now)
+	return b.evidence.hasRecentSign(now) || b.probe.isProof(now) || b.probe.isSilent(now)
 }
 
 // watchTarget adds a target to the watchlist, unless the target is no longer known and only has
