Have copies of an opening follow the tables and the targets

A copy of an opening went to the target of the first copy, or to another one of the pool that the route led to then. With tables that moved the route in between, copies that came 200 and 600 ms later went to the old pool, after flows of the same VM had gone to the new one.

Ruled out: no VM concerned took older tables, started again or let an opening wait in the queue; SetTables ignores older ones.

A copy now goes by the current route: to the same target only if the route still leads to that pool and the target accepts new flows, else it is placed anew (placed_anew). What else outlived a change of tables: an open flow kept a pointer to its route for the question whether its client repeats requests, so one that a VM carried before its first tables was never reset; the current route is asked now. An opening reset because its route was dropped stayed tracked, and its silence counted as a failed request of the target; it is removed now. A pending packet is placed by the tables of the moment when it is handled, and a retry of a suspected target is an ordinary opening, so both follow the tables already.

Tests: TestCopyOfAnOpeningFollowsTheTables, TestCopyOfAnOpeningFollowsTheTargets, TestOpeningOfADroppedRouteIsNoFailure and TestFlowOlderThanTheFirstTablesIsReset failed on the code before; TestTwoAnswersAcrossAChangeOfTables holds that a flow stays with the answer that its client chose, and passed before.

--- a/inband/choose.go
+++ b/inband/choose.go
@@ -118,10 +118,7 @@
 	if len(route.Shares) == 1 {
 		return route.Shares[0].Service
 	}
-	total := 0
-	for _, s := range route.Shares {
-		total += s.Weight
-	}
+	total := route.weight()
 	if total <= 0 {
 		return route.Shares[0].Service
 	}
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -88,20 +88,21 @@
 	return e.handleOngoing(now, p, f)
 }
 
-// handleOpening places a new flow. A retransmitted opening keeps its target unless the target
-// did not answer in time. An opening with another number is a new flow of a client that reuses its
-// port.
+// handleOpening places a new flow. An opening with another number than the tracked one is a new flow of a
+// client that reuses its port.
 func (e *Engine) handleOpening(now clock.Millis, p *Packet, f *flow) Verdict {
 	route := e.routes[p.Key.Destination]
 	if route == nil {
+		if f != nil && f.phase == opening {
+			e.removeFlow(f) // before its silence after the reset counts against the target
+		}
 		return Verdict{Action: Reset, Reason: NoRoute, Seq: p.Seq}
 	}
 	if f != nil && f.phase == opening && p.Seq == f.nextSeq {
-		return e.handleRetransmit(now, p, f)
+		return e.handleRetransmit(now, p, f, route)
 	}
 	if f != nil {
-		e.endFlow(f)
-		e.flows.remove(p.Key)
+		e.removeFlow(f)
 	}
 	if p.Ack > 0 {
 		return e.placeFlow(now, p, route, nil, PlacedLate)
@@ -109,23 +110,37 @@
 	return e.placeFlow(now, p, route, nil, Placed)
 }
 
-func (e *Engine) handleRetransmit(now clock.Millis, p *Packet, f *flow) Verdict {
+// handleRetransmit handles a copy of an opening. It goes to the same target, unless that did not answer in
+// time or may not get the flow any more: the tables and the targets may have changed since the first copy.
+func (e *Engine) handleRetransmit(now clock.Millis, p *Packet, f *flow, route *Route) Verdict {
 	f.seenAt = now
 	f.retransmits++
+	previous := f.backend
+	if e.isTimedOutOpening(now, f) {
+		e.recordTimeout(now, f, false)
+		e.removeFlow(f)
+		verdict := e.placeFlow(now, p, route, previous, MovedUnresponsive)
+		verdict.Unresponsive = previous
+		return verdict
+	}
+	if route.leadsTo(previous.target.Service) && previous.acceptsNewFlows(now) {
+		return forward(previous, Repeated)
+	}
+	e.removeFlow(f)
+	return e.placeFlow(now, p, route, nil, PlacedAnew)
+}
+
+// isTimedOutOpening reports whether a copy of the flow's opening shows that its target did not answer in
+// time. If the process stood still meanwhile, the time is measured from this copy on.
+func (e *Engine) isTimedOutOpening(now clock.Millis, f *flow) bool {
 	if now-f.sentAt < answerTimeout {
-		return forward(f.backend, Repeated)
+		return false
 	}
 	if !e.isMeasurable(f) {
 		f.sentAt = now
-		return forward(f.backend, Repeated)
-	}
-	previous, route := f.backend, f.route
-	e.recordTimeout(now, f, false)
-	e.endFlow(f)
-	e.flows.remove(p.Key)
-	verdict := e.placeFlow(now, p, route, previous, MovedUnresponsive)
-	verdict.Unresponsive = previous
-	return verdict
+		return false
+	}
+	return true
 }
 
 // placeFlow chooses a target for a new flow and starts tracking the flow.
@@ -144,7 +159,7 @@
 	}
 	if e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
-		f.backend, f.route = b, route
+		f.backend = b
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.startAt(p.Seq)
 		b.flows++
@@ -166,8 +181,7 @@
 			e.confirmTarget(now, p, f)
 		}
 	} else if e.isPortReuse(now, p, f) {
-		e.endFlow(f)
-		e.flows.remove(p.Key)
+		e.removeFlow(f)
 		return e.handleUntracked(now, p)
 	}
 	f.seenAt = now
@@ -175,8 +189,7 @@
 	b := f.backend
 	if p.Flags.Has(Resetting) {
 		e.recordResponse(now, f)
-		e.endFlow(f)
-		e.flows.remove(p.Key)
+		e.removeFlow(f)
 		return forward(b, Forwarded)
 	}
 	if p.Flags.Has(Ending) {
@@ -184,8 +197,7 @@
 		e.endFlow(f)
 	}
 	if e.mayReset(now, p, f) {
-		e.endFlow(f)
-		e.flows.remove(p.Key)
+		e.removeFlow(f)
 		return Verdict{Action: Reset, Reason: TargetDead, Seq: p.Ack, Backend: b}
 	}
 	if timedOut {
@@ -202,7 +214,7 @@
 	}
 	if !p.Flags.Has(Ending) && !p.Flags.Has(Resetting) && e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
-		f.backend, f.route, f.phase = b, e.routes[p.Key.Destination], open
+		f.backend, f.phase = b, open
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.ack = p.Ack
 		f.startAt(p.Seq)
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -15,7 +15,6 @@
 type flow struct {
 	key           Key
 	backend       *Backend
-	route         *Route
 	phase         phase
 	isBusy        bool // data was sent and no answer has been acknowledged since
 	isMetered     bool // this request counts in the measured work of the target
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -17,16 +17,20 @@
 // mayReset reports whether to reset a flow because it sends data to a lost target. Its client
 // is then better off with a new flow.
 func (e *Engine) mayReset(now clock.Millis, p *Packet, f *flow) bool {
-	return p.DataLength > 0 && e.isResettable(now, f) && e.isLostToTarget(now, f)
+	return p.DataLength > 0 && e.isLostToTarget(now, f) && e.isResettable(now, f)
 }
 
 // isResettable reports whether the flow's client will repeat its request on a new flow after a
-// reset. During hold-off no flow is reset.
+// reset, as the current tables say. During hold-off no flow is reset.
 func (e *Engine) isResettable(now clock.Millis, f *flow) bool {
 	if !e.options.Policy.ResetsFlowsOfDeadTargets() || now < e.holdOffUntil {
 		return false
 	}
-	return f.phase == open && f.isBusy && f.route != nil && f.route.Repeatable
+	if f.phase != open || !f.isBusy {
+		return false
+	}
+	route := e.routes[f.key.Destination]
+	return route != nil && route.Repeatable
 }
 
 // isTargetLost reports whether a target will not answer the data that a flow waits for: it was
@@ -53,8 +57,7 @@
 			continue
 		}
 		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend})
-		e.endFlow(f)
-		e.flows.remove(f.key)
+		e.removeFlow(f)
 		if len(all) == maxResets {
 			break
 		}
@@ -70,7 +73,7 @@
 // isWaitingForLostTarget reports whether a flow waits for a lost target and its client will repeat
 // the request.
 func (e *Engine) isWaitingForLostTarget(now clock.Millis, f *flow) bool {
-	return f.isWaiting(now) && e.isResettable(now, f) && e.isLostToTarget(now, f)
+	return f.isWaiting(now) && e.isLostToTarget(now, f) && e.isResettable(now, f)
 }
 
 // isLostToTarget reports whether a flow's target is lost to it. A flow that came here after a probe showed
--- /dev/null
+++ b/inband/retransmit_test.go
@@ -0,0 +1,141 @@
+package inband_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// coreAndNew returns a target of each of two services.
+func coreAndNew() (core, other *inband.Target) {
+	core, other = target("i-1", "a"), target("i-2", "a")
+	other.Service = "new"
+	return core, other
+}
+
+// tablesTo returns newer tables in which the feed route has the given shares.
+func tablesTo(shares ...inband.Share) *inband.Tables {
+	t := tables(2)
+	t.Routes[0].Shares = shares
+	return t
+}
+
+// Guards against a VM that goes back to older tables: it had sent flows to the pool of the new tables, and
+// a copy of an opening that came before them went to a target of the old pool, up to 600 ms later.
+func TestCopyOfAnOpeningFollowsTheTables(t *testing.T) {
+	tests := []struct {
+		name   string
+		tables *inband.Tables
+		copies []clock.Millis
+		want   inband.Reason
+		target string
+	}{
+		{"another pool, read late", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{5}, inband.PlacedAnew, "i-2"},
+		{"another pool, first copy", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{200}, inband.MovedUnresponsive, "i-2"},
+		{"another pool, second copy", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{200, 600}, inband.MovedUnresponsive, "i-2"},
+		{"another pool, after a stall", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{700}, inband.PlacedAnew, "i-2"},
+		{"weight taken away", tablesTo(inband.Share{Service: "core"}, inband.Share{Service: "new", Weight: 1}), []clock.Millis{5}, inband.PlacedAnew, "i-2"},
+		{"a second pool", tablesTo(inband.Share{Service: "core", Weight: 1}, inband.Share{Service: "new", Weight: 9}), []clock.Millis{5}, inband.Repeated, "i-1"},
+		{"the same pool", tablesTo(inband.Share{Service: "core", Weight: 1}), []clock.Millis{5}, inband.Repeated, "i-1"},
+		{"a pool without weight alone", tablesTo(inband.Share{Service: "core"}), []clock.Millis{5}, inband.Repeated, "i-1"},
+		{"a pool without targets", tablesTo(inband.Share{Service: "none", Weight: 1}), []clock.Millis{5}, inband.NoTarget, ""},
+		{"no route", &inband.Tables{Version: 2}, []clock.Millis{5}, inband.NoRoute, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			core, other := coreAndNew()
+			e := newEngine(core, other)
+			is.Equal(e.Handle(1000, opening(1, feedAddress, 0)).Backend.Target().ID, "i-1")
+			e.SetTables(tt.tables)
+			var v inband.Verdict
+			for i, after := range tt.copies {
+				v = e.Handle(1000+after, opening(1, feedAddress, uint32(i+1)))
+				is.True(v.Backend == nil || v.Backend.Target().ID == tt.target)
+			}
+			is.Equal(v.Reason, tt.want)
+			is.Equal(v.Backend == nil, tt.target == "")
+		})
+	}
+}
+
+// A copy of an opening goes to a target that accepts new flows, also if the first copy went to one that did
+// then.
+func TestCopyOfAnOpeningFollowsTheTargets(t *testing.T) {
+	tests := []struct {
+		state  inband.State
+		want   inband.Reason
+		target string
+	}{
+		{inband.Serving, inband.Repeated, "i-1"},
+		{inband.Leaving, inband.PlacedAnew, "i-2"},
+		{inband.Gone, inband.PlacedAnew, "i-2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.state.String(), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			e.Handle(1000, opening(1, feedAddress, 0))
+			changed := target("i-1", "a")
+			changed.State = tt.state
+			e.UpdateTargets(published(changed, target("i-2", "a")))
+			v := e.Handle(1005, opening(1, feedAddress, 1))
+			is.Equal(v.Reason, tt.want)
+			is.Equal(v.Backend.Target().ID, tt.target)
+		})
+	}
+}
+
+// Both targets may answer if the copy of an opening goes to another one than the opening. The flow stays
+// with the one that the client chose, whatever its later packets carry, and also where the route has left
+// that target's pool.
+func TestTwoAnswersAcrossAChangeOfTables(t *testing.T) {
+	for _, chosen := range []string{"i-1", "i-2"} {
+		t.Run(chosen, func(t *testing.T) {
+			is := is.New(t)
+			core, other := coreAndNew()
+			e := newEngine(core, other)
+			e.Handle(1000, opening(1, feedAddress, 0))
+			e.SetTables(tablesTo(inband.Share{Service: "new", Weight: 1}))
+			e.Handle(1005, opening(1, feedAddress, 1))
+			for i, id := range []string{chosen, "i-1", "i-2"} {
+				v := e.Handle(1010+clock.Millis(i), data(1, feedAddress, inband.TagOf(id), uint32(101+50*i), 500))
+				is.Equal(v.Backend.Target().ID, chosen)
+			}
+		})
+	}
+}
+
+// A target is not blamed for an opening that this VM has reset because its route was dropped.
+func TestOpeningOfADroppedRouteIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	for client := range 8 {
+		e.Handle(1000, opening(client, feedAddress, 0))
+	}
+	e.SetTables(&inband.Tables{Version: 2})
+	for client := range 8 {
+		is.Equal(e.Handle(1100, opening(client, feedAddress, 1)).Reason, inband.NoRoute)
+	}
+	for now := clock.Millis(1100); now < 2000; now += 100 {
+		e.Sweep(now)
+	}
+	is.Equal(len(e.TakeStatusChanges(2000)), 0)
+	is.Equal(e.Targets()[0].Flows, 0)
+}
+
+// A flow that this VM carried before it had tables is reset like any other once it has them.
+func TestFlowOlderThanTheFirstTablesIsReset(t *testing.T) {
+	is := is.New(t)
+	e := inband.New(inband.Options{Domain: "a", Policy: inband.Local{}, MaxFlows: 1000, FlowLifetime: clock.Minute, Seed: 1})
+	e.UpdateTargets(published(target("i-1", "a")))
+	introduce(e, target("i-1", "a"))
+	e.Handle(100, data(1, feedAddress, inband.TagOf("i-1"), 101, 500))
+	e.SetTables(tables(1))
+	e.Handle(300, data(1, feedAddress, inband.TagOf("i-1"), 101, 500))
+	is.Equal(probeSuspects(e, 310, inband.Refused), 1)
+	is.Equal(len(e.EndFlowsOfLostTargets(320)), 1)
+}
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -23,6 +23,12 @@
 	f.phase = ended
 }
 
+// removeFlow ends a flow and stops tracking it.
+func (e *Engine) removeFlow(f *flow) {
+	e.endFlow(f)
+	e.flows.remove(f.key)
+}
+
 func (e *Engine) jitter() clock.Millis {
 	return clock.Millis(e.random.IntN(int(minRetryInterval)))
 }
@@ -46,8 +52,7 @@
 		if !e.isExpired(now, f) {
 			continue
 		}
-		e.endFlow(f)
-		e.flows.remove(f.key)
+		e.removeFlow(f)
 	}
 	e.updateLoad(now)
 }
--- a/inband/tables.go
+++ b/inband/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
 )
@@ -25,6 +26,24 @@
 	TimeoutMS       clock.Millis `json:"timeout_ms,omitempty"`
 }
 
+// weight returns the sum of the weights.
+func (r *Route) weight() int {
+	sum := 0
+	for _, s := range r.Shares {
+		sum += s.Weight
+	}
+	return sum
+}
+
+// leadsTo reports whether new flows of the route may go to the targets of a service. Without weights, they
+// go to the first one.
+func (r *Route) leadsTo(service string) bool {
+	if len(r.Shares) == 1 || r.weight() <= 0 {
+		return r.Shares[0].Service == service
+	}
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service holds the limits of the targets of a service. A limit of zero is none.
 type Service struct {
 	Name           string       `json:"name"`
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -25,6 +25,7 @@
 	Overloaded                      // refused in favor of more urgent flows
 	UnknownTag                      // the packet names a target that is not known here
 	TargetDead                      // the flow's target is lost
+	PlacedAnew                      // retransmitted opening whose first target may not get it any more
 	Unanswered                      // packet of an existing flow that was retransmitted because the target did not answer
 	reasonCount
 )
@@ -34,7 +35,7 @@
 
 var reasonNames = [...]string{
 	"carried", "placed", "placed_late", "repeated", "moved_silent",
-	"no_route", "no_target", "overloaded", "unknown_tag", "target_dead", "unanswered",
+	"no_route", "no_target", "overloaded", "unknown_tag", "target_dead", "placed_anew", "unanswered",
 }
 
 // String returns the name of the reason in logs and metrics.
