Do not take requests that full targets shed for failures

An entry VM sees the same of a shed request as of a failed one: a short response, or no more packets.

Ruled out: silence. Each of the 1,325 openings that moved as silent, and each silent probe, named one of the 12 targets that had crashed; so suspicion and probes stay as they are.

A failed request now counts as shed, neither as a success nor as a failure, if the shared load says that the target, or for unanswered requests its pool, has more under way than one and a half requests for each slot. Package shedding decides that; it is on where load is shared, and without that decisions are as before. The counter almondflow_front_shed_requests shows it.

Tests: TestShedRequestsByLoad, and TestShedRequestsAreNoFailures, of which the cases of full targets fail without the new rule, and those of targets with little work, and of load that is not shared, hold before and after.

--- a/front/metrics.go
+++ b/front/metrics.go
@@ -38,6 +38,7 @@
 	siblingsMetric        = Metric{"almondflow_front_siblings", gaugeType, "vms", "Other entry VMs that were alive in the last 4 s."}
 	suspectsMetric        = Metric{"almondflow_front_suspects", gaugeType, "targets", "Targets that did not answer openings forwarded by this VM."}
 	failingTargetsMetric  = Metric{"almondflow_front_bad_targets", gaugeType, "targets", "Failing targets, which new flows avoid because more of their requests fail than usual."}
+	shedRequestsMetric    = Metric{"almondflow_front_shed_requests", counterType, "requests", "Requests that full targets shed, which does not count against them."}
 	overloadedPoolsMetric = Metric{"almondflow_front_full_pools", gaugeType, "pools", "Pools whose targets have more work than they can finish in time."}
 	tablesVersionMetric   = Metric{"almondflow_front_tables_version", gaugeType, "version", "Version of the tables in use."}
 	readyAfterMetric      = Metric{"almondflow_front_ready_after", gaugeType, "milliseconds", "Time from the start of the process to its first view."}
@@ -59,7 +60,7 @@
 // AllMetrics returns the descriptions of all metrics of the daemon.
 func AllMetrics() []Metric {
 	return []Metric{
-		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, overloadedPoolsMetric, tablesVersionMetric, readyAfterMetric,
+		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, shedRequestsMetric, overloadedPoolsMetric, tablesVersionMetric, readyAfterMetric,
 		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric,
 		loadSentMetric, loadBytesMetric, loadReceivedMetric, loadReportersMetric, loadAgeMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
 	}
@@ -83,6 +84,7 @@
 	probeTimes      tally.Histogram
 	controlBytes    tally.Counter
 	droppedLines    tally.Counter
+	shedRequests    tally.Counter
 	unsentMessages  tally.Counter
 	loadSent        tally.Counter
 	loadBytes       tally.Counter
@@ -105,6 +107,7 @@
 		loadSent:     scope.Counter(loadSentMetric.Name),
 		loadBytes:    scope.Counter(loadBytesMetric.Name),
 		loadReceived: scope.Counter(loadReceivedMetric.Name),
+		shedRequests: scope.Counter(shedRequestsMetric.Name),
 		controlBytes: scope.Counter(controlBytesMetric.Name),
 		droppedLines: scope.Counter(droppedLinesMetric.Name), unsentMessages: scope.Counter(unsentMessagesMetric.Name),
 	}
@@ -156,6 +159,7 @@
 	dropped := d.logWriter.dropped.Load()
 	m.droppedLines.Inc(dropped - m.reportedDropped)
 	m.reportedDropped = dropped
+	m.shedRequests.Inc(d.engine.TakeShedRequests())
 	version, _ := d.currentVersions()
 	for _, g := range []struct {
 		metric Metric
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -42,7 +42,8 @@
 	watchlist        watchlist
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
 	load             *loadState
-	localVMs         int // entry VMs in the own failure domain, including this one
+	shedRequests     int64 // requests that full targets shed since the last TakeShedRequests
+	localVMs         int   // entry VMs in the own failure domain, including this one
 }
 
 // New returns an engine without tables, which drops every packet.
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -25,7 +25,7 @@
 	}
 	f.retransmits++
 	if f.retransmits >= minFailedRetransmits && f.backend.evidence.lastAnswerAt > f.sentAt {
-		e.recordOutcome(now, f, false)
+		e.recordNoResponse(now, f)
 	}
 	if f.isTimedOut || now-f.sentAt < answerTimeout {
 		return false
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/shedding"
 )
 
 const (
@@ -67,7 +68,54 @@
 		sizes = &responseSizes{}
 		e.sizes[f.key.Destination] = sizes
 	}
-	e.recordOutcome(now, f, !sizes.observe(f.responseBytes))
+	if sizes.observe(f.responseBytes) {
+		e.recordShortResponse(now, f)
+		return
+	}
+	e.recordOutcome(now, f, true)
+}
+
+// recordShortResponse records that the flow's current request was answered with an error.
+func (e *Engine) recordShortResponse(now clock.Millis, f *flow) {
+	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayShed() {
+		e.recordShed(f)
+		return
+	}
+	e.recordOutcome(now, f, false)
+}
+
+// recordNoResponse records that the flow's current request is not answered, though others are.
+func (e *Engine) recordNoResponse(now clock.Millis, f *flow) {
+	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayAbort() {
+		e.recordShed(f)
+		return
+	}
+	e.recordOutcome(now, f, false)
+}
+
+// recordShed records that the target shed the flow's current request, which counts neither as a success nor as
+// a failure.
+func (e *Engine) recordShed(f *flow) {
+	f.hasOutcome = true
+	e.shedRequests++
+}
+
+// TakeShedRequests returns the number of requests that full targets shed since the last call.
+func (e *Engine) TakeShedRequests() int64 {
+	count := e.shedRequests
+	e.shedRequests = 0
+	return count
+}
+
+// believed returns what is believed of the work at the target, and at its pool in its failure domain.
+func (b *Backend) believed() *shedding.Target {
+	t := &shedding.Target{Work: b.work(), Slots: b.target.Slots}
+	for _, p := range b.pool.domains() {
+		if p.ID.Domain == b.target.Domain {
+			t.Pool = p
+		}
+	}
+	return t
 }
 
 // recordIdleOutcome records the outcome of a request whose client sends nothing more.
@@ -75,8 +123,10 @@
 	idle := now - f.seenAt
 	switch {
 	case f.hasOutcome || f.phase == ended:
-	case f.phase == opening && idle >= refusalTimeout, f.phase == open && f.isBusy && idle >= abortTimeout:
+	case f.phase == opening && idle >= refusalTimeout:
 		e.recordOutcome(now, f, false)
+	case f.phase == open && f.isBusy && idle >= abortTimeout:
+		e.recordNoResponse(now, f)
 	case f.phase == open && !f.isBusy && idle >= responseTimeout:
 		e.recordResponse(now, f)
 	}
