End the work of aborted flows with the abort

A request that waits long at a slow target must not be taken for aborted then. Where load is shared, the time until that is twice the latency of the target's answers, and 600 ms at least. Where it is not, all is as before.

Test: TestSlowAnswersAreNoAborts failed without the longer time.

--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -17,9 +17,9 @@
 	// having refused the flow. Only the client sees the refusal, but without one it would have
 	// retransmitted the opening.
 	refusalTimeout = 400 * clock.Millisecond
-	// abortTimeout is the time without an answer or a retransmission of data at which the target
-	// counts as having aborted the flow, which only the client sees.
-	abortTimeout = 600 * clock.Millisecond
+	// minAbortTimeout is the time without an answer or a retransmission of data at which the target
+	// counts as having aborted the flow, which only the client sees, unless its answers take long.
+	minAbortTimeout = 600 * clock.Millisecond
 	// responseTimeout is the time without a packet after which a response counts as complete.
 	responseTimeout = 300 * clock.Millisecond
 	// maxOutcomeReports is the number of outcome reports that fit into one message.
@@ -125,13 +125,24 @@
 	case f.hasOutcome || f.phase == ended:
 	case f.phase == opening && idle >= refusalTimeout:
 		e.recordOutcome(now, f, false)
-	case f.phase == open && f.isBusy && idle >= abortTimeout:
+		e.stopMeter(f) // the target does not work on it
+	case f.phase == open && f.isBusy && idle >= e.abortTimeout(now, f.backend):
 		e.recordNoResponse(now, f)
+		e.stopMeter(f)
 	case f.phase == open && !f.isBusy && idle >= responseTimeout:
 		e.recordResponse(now, f)
 	}
 }
 
+// abortTimeout returns the time without a packet at which a target counts as having aborted a flow. Where load
+// is shared, requests of a target whose answers take long count as its work for longer.
+func (e *Engine) abortTimeout(now clock.Millis, b *Backend) clock.Millis {
+	if !e.options.SharesLoad {
+		return minAbortTimeout
+	}
+	return max(minAbortTimeout, 2*clock.Millis(b.latency.value(now)))
+}
+
 // beginRequest records that the flow starts a new request.
 func (e *Engine) beginRequest(now clock.Millis, f *flow) {
 	e.recordResponse(now, f)
--- a/inband/shed_test.go
+++ b/inband/shed_test.go
@@ -80,3 +80,19 @@
 		})
 	}
 }
+
+// A target whose answers take long has not aborted the requests that wait for them.
+func TestSlowAnswersAreNoAborts(t *testing.T) {
+	is := is.New(t)
+	e := sharingEngine(true, target("i-1", "a"))
+	for client := range 4 {
+		e.Handle(5000, data(client, holdAddress, inband.TagOf("i-1"), 101, 500))
+	}
+	answered := data(0, holdAddress, inband.TagOf("i-1"), 151, 1330)
+	answered.DataLength = 0
+	e.Handle(5500, answered)
+	e.Sweep(5700)
+	is.Equal(len(e.TakeOutcomes(5700)), 0)
+	e.Sweep(6100)
+	is.True(len(e.TakeOutcomes(6100)) > 0)
+}
