--- a/inband/choose.go
+++ b/inband/choose.go
@@ -25,7 +25,8 @@
 	domainPools     []*domainPool // the same targets, by failure domain
 	load            *loadState
 	isOverloaded    bool         // set once overload has lasted for overloadTime
-	overloadedSince clock.Millis // start of the overload, or zero
+	looksOverloaded bool         // it does now
+	overloadedSince clock.Millis // since when it does
 	topPriority     int          // priority of the most urgent route to this pool
 	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
 	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
@@ -118,10 +119,7 @@
 	if len(route.Shares) == 1 {
 		return route.Shares[0].Service
 	}
-	total := 0
-	for _, s := range route.Shares {
-		total += s.Weight
-	}
+	total := route.weight()
 	if total <= 0 {
 		return route.Shares[0].Service
 	}
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/shedding"
 )
 
 const (
@@ -16,9 +17,9 @@
 	// having refused the flow. Only the client sees the refusal, but without one it would have
 	// retransmitted the opening.
 	refusalTimeout = 400 * clock.Millisecond
-	// abortTimeout is the time without an answer or a retransmission of data at which the target
-	// counts as having aborted the flow, which only the client sees.
-	abortTimeout = 600 * clock.Millisecond
+	// minAbortTimeout is the time without an answer or a retransmission of data at which the target
+	// counts as having aborted the flow, which only the client sees, unless its answers take long.
+	minAbortTimeout = 600 * clock.Millisecond
 	// responseTimeout is the time without a packet after which a response counts as complete.
 	responseTimeout = 300 * clock.Millisecond
 	// maxOutcomeReports is the number of outcome reports that fit into one message.
@@ -67,7 +68,54 @@
 		sizes = &responseSizes{}
 		e.sizes[f.key.Destination] = sizes
 	}
-	e.recordOutcome(now, f, !sizes.observe(f.responseBytes))
+	if sizes.observe(f.responseBytes) {
+		e.recordShortResponse(now, f)
+		return
+	}
+	e.recordOutcome(now, f, true)
+}
+
+// recordShortResponse records that the flow's current request was answered with an error.
+func (e *Engine) recordShortResponse(now clock.Millis, f *flow) {
+	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayShed() {
+		e.recordShed(f)
+		return
+	}
+	e.recordOutcome(now, f, false)
+}
+
+// recordNoResponse records that the flow's current request is not answered, though others are.
+func (e *Engine) recordNoResponse(now clock.Millis, f *flow) {
+	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayAbort() {
+		e.recordShed(f)
+		return
+	}
+	e.recordOutcome(now, f, false)
+}
+
+// recordShed records that the target shed the flow's current request, which counts neither as a success nor as
+// a failure.
+func (e *Engine) recordShed(f *flow) {
+	f.hasOutcome = true
+	e.shedRequests++
+}
+
+// TakeShedRequests returns the number of requests that full targets shed since the last call.
+func (e *Engine) TakeShedRequests() int64 {
+	count := e.shedRequests
+	e.shedRequests = 0
+	return count
+}
+
+// believed returns what is believed of the work at the target, and at its pool in its failure domain.
+func (b *Backend) believed() *shedding.Target {
+	t := &shedding.Target{Work: b.work(), Slots: b.target.Slots}
+	for _, p := range b.pool.domains() {
+		if p.ID.Domain == b.target.Domain {
+			t.Pool = p
+		}
+	}
+	return t
 }
 
 // recordIdleOutcome records the outcome of a request whose client sends nothing more.
@@ -75,13 +123,26 @@
 	idle := now - f.seenAt
 	switch {
 	case f.hasOutcome || f.phase == ended:
-	case f.phase == opening && idle >= refusalTimeout, f.phase == open && f.isBusy && idle >= abortTimeout:
+	case f.phase == opening && idle >= refusalTimeout:
 		e.recordOutcome(now, f, false)
+		e.stopMeter(f) // the target does not work on it
+	case f.phase == open && f.isBusy && idle >= e.abortTimeout(now, f.backend):
+		e.recordNoResponse(now, f)
+		e.stopMeter(f)
 	case f.phase == open && !f.isBusy && idle >= responseTimeout:
 		e.recordResponse(now, f)
 	}
 }
 
+// abortTimeout returns the time without a packet at which a target counts as having aborted a flow. Where load
+// is shared, requests of a target whose answers take long count as its work for longer.
+func (e *Engine) abortTimeout(now clock.Millis, b *Backend) clock.Millis {
+	if !e.options.SharesLoad {
+		return minAbortTimeout
+	}
+	return max(minAbortTimeout, 2*clock.Millis(b.latency.value(now)))
+}
+
 // beginRequest records that the flow starts a new request.
 func (e *Engine) beginRequest(now clock.Millis, f *flow) {
 	e.recordResponse(now, f)
