Keep new flows away from drained failure domains

The catalog merges marks, covers them with its digest, and sends them in views; announcements to siblings hold recent ones. A complete list ends the drains that it lacks, and the drains of a page count before the last page is read. The engine places no new flow on a target of a drained domain; open flows stay. Status, explain, the audit trail, the log and a gauge show drains.

Ruled out: a state of each target, which its next heartbeat would end; one revision for the whole set, which a removal in a watch doesn't give; pools without drained targets, as open flows still need them there.

Tests: table of failures in catalog/drains_test.go, marks in any order, messages and views between daemons, pages, spread of callers over the other domains, decisions as before without drains. There was no such code to fail before; instead each of 19 lines of the change was taken out, and at least one test failed for each. One line (drains of a page) first went unnoticed, and its test was made stricter. TestNoProbeWithoutASign is known red.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -12,12 +13,13 @@
 // sent only the difference.
 const maxTablesHistory = 8
 
-// Catalog holds one entry VM's view of tables and targets, and how old it is. It is not safe
+// Catalog holds one entry VM's view of tables, targets and drains, and how old it is. It is not safe
 // for concurrent use.
 type Catalog struct {
 	tables              *inband.Tables
 	tablesHistory       []*inband.Tables // earlier versions, oldest first
 	entries             map[string]*Entry
+	drains              drain.Set
 	revision            inband.Revision
 	confirmedAt         clock.Millis // may be before the start of the process
 	isConfirmed         bool
@@ -54,7 +56,8 @@
 	Subject string
 	Before  string
 	After   string
-	Target  *inband.Target // nil for tables
+	Target  *inband.Target // nil for tables and drains
+	Drain   *drain.Mark    // nil for tables and targets
 }
 
 // Apply merges changes that were current at asOf and returns those that were new. Older
@@ -68,6 +71,7 @@
 		c.setTables(t)
 	}
 	merged = append(merged, c.mergeTargets(now, changes.Targets)...)
+	merged = append(merged, c.mergeDrains(now, changes)...)
 	if changes.Delta == nil || changes.Delta.Version <= c.tablesVersion() {
 		c.Confirm(asOf, changes.Revision)
 	}
@@ -83,6 +87,7 @@
 	if len(c.mergeTargets(now, page.Targets)) > 0 {
 		c.generation++
 	}
+	c.MergeDrains(now, page.Drains)
 }
 
 func (c *Catalog) mergeTargets(now clock.Millis, targets []*inband.Target) []Change {
@@ -211,9 +216,10 @@
 	return c.Age(now) > staleViewAge || now < c.expiryPossibleUntil
 }
 
-// Prune removes targets that left so long ago that none of their flows can still be open. It
-// reports whether it removed any.
+// Prune removes targets that left so long ago that none of their flows can still be open, and forgets
+// drains that ended long ago. It reports whether it removed targets.
 func (c *Catalog) Prune(now clock.Millis) bool {
+	c.drains.Prune(now)
 	before := len(c.entries)
 	for id, e := range c.entries {
 		if e.hasEnded && now > e.endedAt+endedRetention {
@@ -234,9 +240,10 @@
 }
 
 // ChangesSince returns what a sibling with the given version of the tables and the given
-// revision lacks. Targets that only sent heartbeats since then are left out.
+// revision lacks. Targets that only sent heartbeats since then are left out. Drains are few and all there, so
+// that a sibling that missed the end of one learns it.
 func (c *Catalog) ChangesSince(version int64, revision inband.Revision) *Changes {
-	changes := &Changes{Revision: c.revision}
+	changes := &Changes{Revision: c.revision, Drains: c.drains.All(), HasAllDrains: true}
 	if c.tablesVersion() > version {
 		changes.Delta = c.TablesDeltaSince(version)
 		if changes.Delta == nil {
@@ -262,6 +269,6 @@
 	return nil
 }
 
-// Digest returns a hash of all targets that have not left the store, so that two VMs can check
-// whether they agree on them.
-func (c *Catalog) Digest() uint64 { return c.digest }
+// Digest returns a hash of all targets that have not left the store and of the drains in force, so that
+// two VMs can check whether they agree on them.
+func (c *Catalog) Digest() uint64 { return c.digest ^ c.drains.Digest() }
--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -28,12 +29,14 @@
 	Reason error
 }
 
-// Changes holds tables and targets that were read from the store or received from a sibling.
+// Changes holds tables, targets and drains of failure domains that were read from the store or received from a sibling.
 // A target in state Gone has left the store. Changes may repeat and overlap.
 type Changes struct {
 	Tables         *inband.Tables      `json:"tables,omitempty"` // nil if the tables did not change
 	Delta          *inband.TablesDelta `json:"delta,omitempty"`  // replaces Tables if set
 	Targets        []*inband.Target    `json:"targets"`
-	Revision       inband.Revision     `json:"revision"` // up to which the changes are complete
+	Drains         []drain.Mark        `json:"drains,omitempty"`
+	HasAllDrains   bool                `json:"has_all_drains,omitempty"` // other domains are not drained at Revision
+	Revision       inband.Revision     `json:"revision"`                 // up to which the changes are complete
 	InvalidEntries []InvalidEntry      `json:"-"`
 }
--- /dev/null
+++ b/catalog/drains.go
@@ -0,0 +1,51 @@
+package catalog
+
+import (
+	"fmt"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
+)
+
+// Drains returns the drains in force, ordered by domain.
+func (c *Catalog) Drains() []drain.Mark { return c.drains.InForce() }
+
+// MergeDrains merges drains that may be known before the changes that they came with are complete, and
+// returns those that were new. The catalog's revision and age stay.
+func (c *Catalog) MergeDrains(now clock.Millis, marks []drain.Mark) []Change {
+	merged := c.mergeDrains(now, &Changes{Drains: marks})
+	if len(merged) > 0 {
+		c.generation++
+	}
+	return merged
+}
+
+// mergeDrains merges the drains of changes. A complete list also ends the drains that it lacks.
+func (c *Catalog) mergeDrains(now clock.Millis, changes *Changes) []Change {
+	marks := changes.Drains
+	if changes.HasAllDrains {
+		marks = append(c.drains.Missing(marks, changes.Revision), marks...)
+	}
+	var merged []Change
+	for _, m := range marks {
+		before := c.describeDrain(m.Domain)
+		if !c.drains.Merge(now, m) {
+			continue
+		}
+		merged = append(merged, Change{Subject: "domain " + m.Domain, Before: before, After: c.describeDrain(m.Domain), Drain: &m})
+	}
+	return merged
+}
+
+// describeDrain returns the state of a domain's drain for logs and the audit trail.
+func (c *Catalog) describeDrain(domain string) string {
+	m, isKnown := c.drains.Mark(domain)
+	switch {
+	case !isKnown:
+		return "not drained"
+	case m.HasEnded:
+		return fmt.Sprintf("not drained since revision %d", m.Revision)
+	default:
+		return fmt.Sprintf("drained since revision %d", m.Revision)
+	}
+}
--- a/catalog/fullread.go
+++ b/catalog/fullread.go
@@ -42,6 +42,7 @@
 		f.changes.Tables = page.Tables
 	}
 	f.changes.Targets = append(f.changes.Targets, page.Targets...)
+	f.changes.Drains = append(f.changes.Drains, page.Drains...)
 	f.changes.InvalidEntries = append(f.changes.InvalidEntries, page.InvalidEntries...)
 }
 
@@ -51,6 +52,7 @@
 func (f *FullRead) AddLastPage(page *Changes) (*Changes, clock.Millis) {
 	f.AddPage(page, "")
 	full, startedAt := f.changes, f.startedAt
+	full.HasAllDrains = true
 	*f = FullRead{}
 	return full, startedAt
 }
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -54,6 +54,9 @@
 	if s.View != nil {
 		_, _ = fmt.Fprintf(t, "tables_version\t%d\nrevision\t%d\nview_age_ms\t%d\n", s.View.Version, s.View.Revision, s.View.AgeMS)
 	}
+	for _, m := range s.Drains {
+		_, _ = fmt.Fprintf(t, "domain %s\tdrained since revision %d\n", m.Domain, m.Revision)
+	}
 	for _, c := range s.Siblings {
 		_, _ = fmt.Fprintf(t, "sibling %s\t%s, heard %d ms ago\n", c.Address, c.Domain, c.AgeMS)
 	}
@@ -96,6 +99,9 @@
 func writeFrontExplanation(w io.Writer, explanation *inband.Explanation) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\n", explanation.Route, explanation.Target, explanation.State)
+	for _, domain := range explanation.DrainedDomains {
+		_, _ = fmt.Fprintf(t, "domain %s\tdrained\n", domain)
+	}
 	for _, c := range explanation.Candidates {
 		_, _ = fmt.Fprintf(t, "candidate %s\t%s, cost %.2f, %d flows, %d busy, suspect %v, cut %v, bad %.2f\n", c.ID, c.Domain, c.Cost, c.Flows, c.Busy, c.Suspect, c.Partitioned, c.FailureRate)
 	}
--- /dev/null
+++ b/drain/set.go
@@ -0,0 +1,108 @@
+package drain
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// tombstoneRetention is how long the end of a drain is remembered. No message or response is under way
+// for longer.
+const tombstoneRetention = 3 * clock.Minute
+
+// Set holds the newest mark of each domain. The zero value is empty. A Set is not safe for concurrent use.
+type Set struct {
+	marks map[string]entry
+}
+
+// entry is a mark with the time from which it was known.
+type entry struct {
+	mark  Mark
+	since clock.Millis
+}
+
+// Merge adds a mark unless a newer one of the same domain is known. It reports whether the drains in force
+// changed, or the revision of one of them.
+func (s *Set) Merge(now clock.Millis, m Mark) bool {
+	known, ok := s.marks[m.Domain]
+	if m.Domain == "" || ok && m.Revision <= known.mark.Revision {
+		return false
+	}
+	if s.marks == nil {
+		s.marks = map[string]entry{}
+	}
+	s.marks[m.Domain] = entry{mark: m, since: now}
+	wasInForce := ok && !known.mark.HasEnded
+	return wasInForce || !m.HasEnded
+}
+
+// Missing returns the ends of the drains in force that a complete list lacks. The list was read at a
+// revision, so it says nothing about drains that began later.
+func (s *Set) Missing(complete []Mark, revision inband.Revision) []Mark {
+	var ends []Mark
+	for _, m := range s.InForce() {
+		isListed := slices.ContainsFunc(complete, func(other Mark) bool { return other.Domain == m.Domain })
+		if !isListed && m.Revision < revision {
+			ends = append(ends, Mark{Domain: m.Domain, Revision: revision, HasEnded: true})
+		}
+	}
+	return ends
+}
+
+// Prune forgets the drains that ended long ago.
+func (s *Set) Prune(now clock.Millis) {
+	for domain, e := range s.marks {
+		if e.mark.HasEnded && now > e.since+tombstoneRetention {
+			delete(s.marks, domain)
+		}
+	}
+}
+
+// Mark returns the newest mark of a domain. It reports false if none is known.
+func (s *Set) Mark(domain string) (Mark, bool) {
+	e, ok := s.marks[domain]
+	return e.mark, ok
+}
+
+// All returns all marks, including those of ended drains, ordered by domain.
+func (s *Set) All() []Mark {
+	var all []Mark
+	for _, e := range s.marks {
+		all = append(all, e.mark)
+	}
+	slices.SortFunc(all, func(a, b Mark) int { return strings.Compare(a.Domain, b.Domain) })
+	return all
+}
+
+// InForce returns the marks of the drains in force, ordered by domain.
+func (s *Set) InForce() []Mark {
+	var inForce []Mark
+	for _, m := range s.All() {
+		if !m.HasEnded {
+			inForce = append(inForce, m)
+		}
+	}
+	return inForce
+}
+
+// Digest returns a hash of the drains in force, which is zero if there are none.
+func (s *Set) Digest() uint64 {
+	digest := uint64(0)
+	for _, e := range s.marks {
+		if !e.mark.HasEnded {
+			digest ^= e.mark.hash()
+		}
+	}
+	return digest
+}
+
+func (m Mark) hash() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte("drain " + m.Domain)) // writing to a hash never fails
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(m.Revision)))
+	return h.Sum64()
+}
--- a/front/announce.go
+++ b/front/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
@@ -90,6 +91,7 @@
 	message := siblings.Message{Kind: siblings.Announce, View: d.viewSummary(now)}
 	if now < d.recentUntil {
 		message.Targets = append([]*inband.Target(nil), d.recentTargets...)
+		message.Drains = slices.Clone(d.recentDrains)
 	}
 	message.Tables = d.recentTablesDelta(now)
 	recipients := addressesOf(d.members.SampleLocal(now, maxRecipients))
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/siblings"
 )
@@ -99,6 +100,7 @@
 	probesOut           int          // probes that wait for their outcome
 	random              *rand.Rand
 	recentTargets       []*inband.Target // changed recently, sent with announcements
+	recentDrains        []drain.Mark     // as recentTargets
 	recentUntil         clock.Millis
 	reasonCounts        [inband.ReasonCount]uint64
 	isStopping          bool
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -40,6 +40,7 @@
 	failingTargetsMetric  = Metric{"almondflow_front_bad_targets", gaugeType, "targets", "Failing targets, which new flows avoid because more of their requests fail than usual."}
 	overloadedPoolsMetric = Metric{"almondflow_front_full_pools", gaugeType, "pools", "Pools whose targets have more work than they can finish in time."}
 	tablesVersionMetric   = Metric{"almondflow_front_tables_version", gaugeType, "version", "Version of the tables in use."}
+	drainedDomainsMetric  = Metric{"almondflow_front_drained_domains", gaugeType, "domains", "Failure domains that the operator drains, whose targets get no new flows."}
 	readyAfterMetric      = Metric{"almondflow_front_ready_after", gaugeType, "milliseconds", "Time from the start of the process to its first view."}
 	droppedLinesMetric    = Metric{"almondflow_front_log_lines_dropped", counterType, "lines", "Log lines dropped because nothing read them in time."}
 	controlBytesMetric    = Metric{"almondflow_front_control_sent", counterType, "bytes", "Bytes of messages sent to other entry VMs."}
@@ -54,7 +55,7 @@
 // AllMetrics returns the descriptions of all metrics of the daemon.
 func AllMetrics() []Metric {
 	return []Metric{
-		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, overloadedPoolsMetric, tablesVersionMetric, readyAfterMetric,
+		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, overloadedPoolsMetric, drainedDomainsMetric, tablesVersionMetric, readyAfterMetric,
 		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
 	}
 }
@@ -145,6 +146,7 @@
 		{suspectsMetric, int64(d.engine.Suspects())},
 		{failingTargetsMetric, int64(d.engine.FailingTargets())},
 		{overloadedPoolsMetric, int64(d.engine.OverloadedPools())},
+		{drainedDomainsMetric, int64(len(d.catalog.Drains()))},
 		{tablesVersionMetric, version},
 		{readyAfterMetric, int64(d.readyAt)},
 	} {
--- a/front/reading.go
+++ b/front/reading.go
@@ -126,6 +126,7 @@
 	d.fullRead.AddPage(page, next)
 	d.readScheduler.SchedulePage(now, d.fullRead.Pages(), d.isSeed() || d.fullRead.ExceedsSiblingViewDelay(now))
 	if d.catalog.IsComplete() {
+		d.mergePageDrains(now, page)
 		return
 	}
 	if d.isFetching {
@@ -191,25 +192,29 @@
 	return applied
 }
 
-// keepRecent keeps changed targets for the next announcements. The caller holds the lock.
+// keepRecent keeps changed targets and drains for the next announcements. The caller holds the lock.
 func (d *Daemon) keepRecent(now clock.Millis, applied []catalog.Change) {
 	if now > d.recentUntil {
-		d.recentTargets = d.recentTargets[:0]
+		d.recentTargets, d.recentDrains = d.recentTargets[:0], d.recentDrains[:0]
 	}
 	const maxTargets = 24
 	for _, c := range applied {
 		if c.Target != nil && len(d.recentTargets) < maxTargets {
 			d.recentTargets = append(d.recentTargets, c.Target)
 		}
+		if c.Drain != nil {
+			d.recentDrains = append(d.recentDrains, *c.Drain)
+		}
 	}
 	d.recentUntil = now + recentTargetTime
 }
 
-// updateEngine passes the tables and the changed targets to the engine. The caller holds the lock.
+// updateEngine passes the tables, the drained domains and the changed targets to the engine. The caller holds the lock.
 func (d *Daemon) updateEngine() {
 	if tables := d.catalog.Tables(); tables != nil {
 		d.engine.SetTables(tables)
 	}
+	d.engine.SetDrainedDomains(d.drainedDomains())
 	d.engine.UpdateTargets(publishedTargets(d.catalog.TakeChanged()))
 }
 
--- a/front/status.go
+++ b/front/status.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/siblings"
 )
@@ -18,6 +19,7 @@
 	View       *siblings.ViewSummary `json:"view"`
 	ReaderRank int                   `json:"reader_rank"` // VMs that read the store before this one
 	Siblings   []siblings.Contact    `json:"siblings"`
+	Drains     []drain.Mark          `json:"drains,omitempty"` // failure domains that get no new flows
 	Targets    []inband.Health       `json:"targets"`
 }
 
@@ -28,7 +30,8 @@
 	status := Status{
 		Name: d.settings.Load().Name, Domain: d.settings.Load().Domain, UptimeMS: now,
 		Ready: d.catalog.IsComplete() && !d.isStopping, View: d.viewSummary(now),
-		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now), Targets: d.engine.Targets(),
+		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now),
+		Drains: d.catalog.Drains(), Targets: d.engine.Targets(),
 	}
 	d.mu.Unlock()
 	d.writeJSON(w, status)
--- a/inband/backend.go
+++ b/inband/backend.go
@@ -7,6 +7,7 @@
 	target         *Target
 	tag            Tag
 	sharesTag      bool // its tag collides with another target's, so it gets no new flows
+	isDrained      bool // its failure domain is drained, so it gets no new flows
 	slowStartUntil clock.Millis
 	slowStart      slowStartShare
 	// Set while the target's store entry has expired but the target may still be running: until
@@ -51,7 +52,7 @@
 
 // acceptsNewFlows reports whether new flows may be sent to the target.
 func (b *Backend) acceptsNewFlows(now clock.Millis) bool {
-	return !b.sharesTag && (b.target.State == Serving || now < b.fallbackUntil)
+	return !b.sharesTag && !b.isDrained && (b.target.State == Serving || now < b.fallbackUntil)
 }
 
 // Target returns the target as last published.
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -34,8 +34,9 @@
 	byTag            map[Tag]*Backend
 	byID             map[string]*Backend
 	pools            map[string]*pool
-	local            []*Backend // targets of the own failure domain
-	contactIndex     int        // in local, of the last target that FirstContact checked
+	drained          map[string]bool // failure domains whose targets get no new flows
+	local            []*Backend      // targets of the own failure domain
+	contactIndex     int             // in local, of the last target that FirstContact checked
 	flows            *flowTable
 	holdOffUntil     clock.Millis // until when this VM resets no flows and sends no reports
 	hasNewSuspicions bool         // a target timed out since the last TakeSuspicions
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -25,6 +25,8 @@
 	Target     string      `json:"target"` // target of a flow tracked by this VM, else empty
 	State      string      `json:"state"`  // state of that flow
 	Candidates []Candidate `json:"candidates"`
+	// DrainedDomains holds the failure domains whose targets are no candidates because they are drained.
+	DrainedDomains []string `json:"drained_domains,omitempty"`
 }
 
 var phaseNames = [...]string{"opening", "open", "ended"}
@@ -41,7 +43,7 @@
 	if route == nil {
 		return x
 	}
-	x.Route = route.Name
+	x.Route, x.DrainedDomains = route.Name, e.drainedDomainsOf(route)
 	for _, share := range route.Shares {
 		if p := e.pools[share.Service]; p != nil {
 			x.Candidates = e.addCandidates(now, x.Candidates, p.local)
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -63,6 +63,7 @@
 			return false
 		}
 		b.applyPublished(p)
+		b.isDrained = e.drained[p.Target.Domain]
 		b.pool = e.poolOf(p.Target.Service)
 		e.byID[p.Target.ID], e.byTag[b.tag] = b, b
 		e.addToPool(b)
@@ -126,7 +127,7 @@
 			b = &Backend{tag: TagOf(p.Target.ID)}
 		}
 		b.applyPublished(p)
-		b.sharesTag, b.pool = false, e.poolOf(p.Target.Service)
+		b.sharesTag, b.isDrained, b.pool = false, e.drained[p.Target.Domain], e.poolOf(p.Target.Service)
 		byID[p.Target.ID] = b
 		if other := byTag[b.tag]; other != nil {
 			other.sharesTag, b.sharesTag = true, true
--- a/siblings/message.go
+++ b/siblings/message.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -51,6 +52,7 @@
 	View       *ViewSummary           `json:"view,omitempty"`
 	Tables     *inband.TablesDelta    `json:"tables,omitempty"`  // changes since the previous version
 	Targets    []*inband.Target       `json:"targets,omitempty"` // changed recently
+	Drains     []drain.Mark           `json:"drains,omitempty"`  // changed recently
 	Contacts   []Contact              `json:"contacts,omitempty"`
 	Suspicions []inband.Suspicion     `json:"suspects,omitempty"`
 	Probes     []inband.ProbeReport   `json:"probes,omitempty"` // of suspected targets
@@ -82,6 +84,8 @@
 			m.Tables = nil
 		case len(m.Targets) > 0:
 			m.Targets = m.Targets[:len(m.Targets)/2]
+		case len(m.Drains) > 0:
+			m.Drains = m.Drains[:len(m.Drains)/2]
 		default:
 			return nil, fmt.Errorf("message of %d bytes exceeds the limit of %d bytes", len(data), MaxMessageBytes)
 		}
