Tell a new slow start by its end

Cause: a slow start began anew only if the entry before told of none. VMs that don't read the store get no heartbeats from siblings, so their last entry of a target may be that of its previous slow start for hours, and the next one is taken for the rest of it.

Change: an entry whose slow start ends more than a second later than the known one begins a new slow start: it goes to the engine, the siblings, the log and the audit trail, which name it. Later heartbeats only move its end.

Ruled out: the slow start in the digest, as each heartbeat changes what is left of it.

Test: TestTargetThatBecomesCold; "unknown to be warm" fails with the condition before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -204,10 +204,12 @@
 		return change, before.State != inband.Gone
 	}
 	e.target, e.hasEnded = t, false
-	if t.SlowStartLeftMS > 0 {
-		e.slowStartUntil = now + t.SlowStartLeftMS
+	isCold := e.updateSlowStart(now)
+	change := Change{Subject: "target " + t.ID, Before: before.State.String(), After: t.State.String()}
+	if isCold {
+		change.After += ", in slow start"
 	}
-	return Change{Subject: "target " + t.ID, Before: before.State.String(), After: t.State.String()}, !isSameForPlacement(before, t)
+	return change, isCold || !isSameForPlacement(before, t)
 }
 
 // mayHaveExpired reports whether an entry whose end is seen now may have expired for lack of
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -22,6 +22,9 @@
 	// staleViewAge is the view age from which entries may have expired unseen. The store
 	// removes entries that got no heartbeat for some seconds, and it gets none while it is down.
 	staleViewAge = 2 * clock.Second
+	// slowStartTolerance is how much later a slow start may seem to end, by the lag of heartbeats, without
+	// being a new one.
+	slowStartTolerance = clock.Second
 	// endedRetention is how long a target is kept for its open flows after its entry ended.
 	endedRetention = 3 * clock.Minute
 )
@@ -63,6 +66,19 @@
 // SlowStartUntil returns the time at which the target's slow start ends.
 func (e *Entry) SlowStartUntil() clock.Millis { return e.slowStartUntil }
 
+// updateSlowStart takes the slow start from the newest entry of the target. It reports whether a new slow start
+// began; a late heartbeat during one only makes it seem a bit longer.
+func (e *Entry) updateSlowStart(now clock.Millis) bool {
+	left := e.target.SlowStartLeftMS
+	if left == 0 {
+		return false
+	}
+	until := now + left
+	isNew := until > e.slowStartUntil+slowStartTolerance
+	e.slowStartUntil = until
+	return isNew
+}
+
 // end marks the target as gone and keeps its other fields for its open flows. The caller sets
 // mayHaveExpired if the entry may have ended for lack of heartbeats.
 func (e *Entry) end(now clock.Millis, revision inband.Revision, mayHaveExpired bool) Change {
@@ -78,12 +94,10 @@
 }
 
 // isSameForPlacement reports whether two versions of a target are equivalent for placement.
-// A heartbeat changes only the revision and the rest of a slow start, which may begin again while the
-// target runs.
+// A heartbeat changes only the revision and the rest of a slow start.
 func isSameForPlacement(a, b *inband.Target) bool {
-	beginsSlowStart := a.SlowStartLeftMS == 0 && b.SlowStartLeftMS > 0
 	return a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain &&
-		a.Slots == b.Slots && a.State == b.State && a.StartedAtMS == b.StartedAtMS && !beginsSlowStart
+		a.Slots == b.Slots && a.State == b.State && a.StartedAtMS == b.StartedAtMS
 }
 
 // hash returns the entry's share of the catalog's digest, which is zero for unknown and ended
