Play drained failure domains in the model

Change: a fault kind drains a domain in experiment, and a report counts the flows that targets of a drained domain accept once all VMs know.

--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -9,6 +9,7 @@
 const (
 	PartitionDomain     FaultKind = "cut_domain"    // one domain and the others cannot reach each other
 	PartitionOneWay     FaultKind = "cut_one_way"   // packets from VMs of other domains into one domain are lost
+	DrainDomain         FaultKind = "drain_domain"  // the operator drains one domain
 	CrashTargets        FaultKind = "dark_targets"  // targets stop permanently and leave the store when the fault ends
 	ReuseAddresses      FaultKind = "reuse_targets" // as CrashTargets, and new targets start at once to take their addresses
 	SlowTargets         FaultKind = "grey_targets"  // targets take ten times as long to process a request
@@ -36,7 +37,7 @@
 	Kind   FaultKind
 	At     clock.Millis // start
 	For    clock.Millis // duration
-	Domain int          // affected domain, for partitions and ShiftClients; that of a single client
+	Domain int          // affected domain, for partitions, DrainDomain and ShiftClients; that of a single client
 	Share  float64      // share of targets, VMs, clients or packets affected, or of load added; of clients, zero is one
 }
 
@@ -60,6 +61,7 @@
 		{"overload", "seven times as many requests, which exceeds the capacity of the targets", []Fault{{Kind: LoadBurst, At: at, For: 5 * clock.Second, Share: 6}}},
 		{"shift", "clients of one domain enter through the next", []Fault{{Kind: ShiftClients, At: at, For: 5 * clock.Second}}},
 		{"release", "a third of the targets is replaced gracefully", []Fault{{Kind: DrainTargets, At: at, For: 5 * clock.Second, Share: 0.34}}},
+		{"domain_drain", "one domain is drained and taken back", []Fault{{Kind: DrainDomain, At: at, For: 5 * clock.Second, Domain: 1}}},
 		{"zone_cut", "one domain is partitioned from the others", []Fault{{Kind: PartitionDomain, At: at, For: 5 * clock.Second, Domain: 1}}},
 		{"one_way_cut", "VMs of other domains cannot reach the targets of one domain", []Fault{{Kind: PartitionOneWay, At: at, For: 5 * clock.Second, Domain: 1}}},
 		{"dark_targets", "an eighth of the targets crashes", []Fault{{Kind: CrashTargets, At: at, For: 3600, Share: 0.125}}},
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -33,6 +33,7 @@
 	LateFailures      int          `json:"late_failures"`          // repeatable requests that failed at a target lost long before
 	Shed              int          `json:"shed"`                   // requests rejected by a target with a full queue
 	Dropped           int          `json:"dropped"`                // packets that an entry VM dropped
+	DrainedOpenings   int          `json:"drained_openings"`       // flows that targets of a drained domain accepted, once all VMs knew
 	Imbalance         float64      `json:"imbalance"`              // requests of the busiest target over the mean
 	latencies         []clock.Millis
 }
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -103,6 +103,8 @@
 	case ShiftClients:
 		s.shiftedDomain = f.Domain
 		s.schedule(f.For, func() { s.shiftedDomain = none })
+	case DrainDomain:
+		s.drainDomain(f.Domain, f.For)
 	case KillVMs, PauseVMs, RestartVMs, CutVMs:
 		s.injectVMFault(f)
 	case DeafClients:
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -65,6 +65,8 @@
 	oneWayPartitioned int                 // domain that packets from other domains do not reach, or none
 	lossRate          float64
 	loadFactor        float64
+	drainedUntil      map[int]clock.Millis // domains that the operator drains
+	drainedSince      map[int]clock.Millis
 	shiftedDomain     int          // domain whose clients enter through the next domain, or none
 	partitionedAt     clock.Millis // when the domain was partitioned
 	healedAt          clock.Millis // when the last network fault ended
@@ -78,6 +80,7 @@
 func newSimulation(size Size, policy inband.Policy, seed uint64) *simulation {
 	s := &simulation{
 		size: size, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*target{}, byTag: map[inband.Tag]*target{},
+		drainedUntil: map[int]clock.Millis{}, drainedSince: map[int]clock.Millis{},
 		clientOf: map[inband.Key]*client{}, deaf: map[netip.Addr]bool{}, mute: map[netip.Addr]bool{},
 		partitioned: none, oneWayPartitioned: none, shiftedDomain: none, loadFactor: 1, healedAt: -resetGracePeriod,
 	}
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -71,6 +71,7 @@
 	switch {
 	case p.IsOpening():
 		if f == nil {
+			t.sim.countOpening(t)
 			f = &targetFlow{client: c, key: p.Key, nextSeq: p.Seq + 1, ack: 1000 * uint32(t.spec.Identity)}
 			t.flows[p.Key] = f
 		}
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -126,6 +126,7 @@
 		published = append(published, inband.Published{Target: &listed})
 	}
 	v.engine.ReplaceView(tables, published)
+	v.engine.SetDrainedDomains(v.sim.drainedDomains())
 }
 
 // handle processes a client's packet and carries out the engine's verdict.
