Serve no cached view that lacks a drain

Cause: a complete view is compressed once a second for VMs that start. One that was compressed just before a drain gave a starting VM up to a second of placing new flows on drained targets, and until the next heartbeat after that.

Change: a cached view is reused only if it holds exactly the drains in force. Targets may still be a second old.

Test: TestCachedViewIsNotServedWithoutADrain, seen to fail without the comparison.

--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -164,6 +164,18 @@
 	is.Equal(d.newFlowDomains(), []string{"b"})
 }
 
+// A view that was compressed for another VM just before the drain is not served any more.
+func TestCachedViewIsNotServedWithoutADrain(t *testing.T) {
+	is := is.New(t)
+	d := newReadDaemon(t)
+	before, _, err := d.compressedView(0, 0)
+	is.NoErr(err)
+	d.mergeWatched(1000, drain.Mark{Domain: "a", Revision: drainBegin})
+	after, _, err := d.compressedView(0, 0)
+	is.NoErr(err)
+	is.True(!bytes.Equal(before, after))
+}
+
 // A full read of a large store takes longer than an operator waits, so its first page counts at once.
 func TestDrainOfAPageCountsBeforeTheLastPage(t *testing.T) {
 	is := is.New(t)
--- a/front/views.go
+++ b/front/views.go
@@ -16,6 +16,7 @@
 
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -175,10 +176,17 @@
 // compressedView is a complete view, compressed for one sibling and reused for others.
 type compressedView struct {
 	body         []byte
+	drains       []drain.Mark // that it holds
 	confirmedAt  clock.Millis
 	compressedAt clock.Millis
 }
 
+// isUsable reports whether the view is young enough to be reused, and holds the drains in force: a VM that
+// starts with it must place no flow on their targets.
+func (v *compressedView) isUsable(now clock.Millis, drains []drain.Mark) bool {
+	return v.body != nil && now-v.compressedAt < cachedViewTTL && slices.Equal(v.drains, drains)
+}
+
 // compressedView returns the compressed changes after the given versions and their age, or no
 // body if this VM has no complete view yet. A complete view is cached, because many VMs that
 // start at the same time all ask for it.
@@ -190,7 +198,8 @@
 		d.mu.Unlock()
 		return nil, 0, nil
 	}
-	if isFull && d.cachedView.body != nil && now-d.cachedView.compressedAt < cachedViewTTL {
+	drains := d.catalog.Drains()
+	if isFull && d.cachedView.isUsable(now, drains) {
 		cached := d.cachedView
 		d.mu.Unlock()
 		return cached.body, now - cached.confirmedAt, nil
@@ -204,7 +213,7 @@
 	}
 	if isFull {
 		d.mu.Lock()
-		d.cachedView = compressedView{body: body, confirmedAt: now - age, compressedAt: now}
+		d.cachedView = compressedView{body: body, drains: drains, confirmedAt: now - age, compressedAt: now}
 		d.mu.Unlock()
 	}
 	return body, d.clock.Now() - now + age, nil
