Drain failure domains in the soak

Change: VMs and hosts of the soak belong to two failure domains in turn. Two more faults drain a domain and take the drain back. Once all VMs show the drain with its revision, no flow whose first packet is sent from then on may be opened at a host there, also through VMs that are killed, frozen or restarted meanwhile. At the end all VMs have to show the drains that the store holds.

--- a/cmd/almondflow-entry/soak_client_test.go
+++ b/cmd/almondflow-entry/soak_client_test.go
@@ -39,11 +39,13 @@
 
 // runFlow opens a flow and sends its requests.
 func (s *soak) runFlow(client *standin.Client, random *rand.Rand, port uint16, done <-chan struct{}) {
+	forbidden := s.knownDrain()
 	opened, host, ok := s.exchange(client, random, port, inband.Packet{Flags: inband.Opening, Seq: initialSequence}, done)
 	if !ok || !opened.Flags.Has(inband.Opening) {
 		s.abandoned.Add(1)
 		return
 	}
+	s.checkOpening(host, forbidden)
 	for i := range uint32(requestsPerFlow) {
 		request := inband.Packet{Flags: inband.Acknowledging, Seq: initialSequence + 1 + 10*i, Ack: opened.Seq + i, Tag: opened.Tag, DataLength: 10}
 		response, responder, ok := s.exchange(client, random, port, request, done)
--- a/cmd/almondflow-entry/soak_faults_test.go
+++ b/cmd/almondflow-entry/soak_faults_test.go
@@ -34,6 +34,8 @@
 	{"host_slow", func(s *soak, _ *entryVM) { s.failHostLink(standin.LinkSlow) }},
 	{"stale_tables", (*soak).publishStaleTables},
 	{"release", func(s *soak, _ *entryVM) { s.store.SetFault(standin.Healthy); s.replaceHost(s.randomHost()) }},
+	{"drain", func(s *soak, _ *entryVM) { s.drainDomain() }},
+	{"take_back", func(s *soak, _ *entryVM) { s.takeDrainBack() }},
 	{"change", func(s *soak, _ *entryVM) { s.store.SetFault(standin.Healthy); s.publishTables() }},
 	{"clear", func(s *soak, _ *entryVM) { s.restoreLinks() }},
 }
@@ -155,10 +157,10 @@
 // replaceHost starts a new host in place of another. The store no longer lists the old host, which
 // continues to serve its flows.
 func (s *soak) replaceHost(h *soakHost) {
-	s.addHost()
+	s.addHost(h.domain)
 	s.mu.Lock()
 	delete(s.published, h.ID())
 	s.mu.Unlock()
-	s.requireNoError(s.store.PutHost(h.Host, "core", "a", true))
+	s.requireNoError(s.store.PutHost(h.Host, "core", h.domain, true))
 	s.store.RemoveHost(h.Host)
 }
--- a/cmd/almondflow-entry/soak_test.go
+++ b/cmd/almondflow-entry/soak_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/platform/standin"
 )
@@ -33,6 +34,7 @@
 
 const (
 	soakClients      = 12
+	soakHosts        = 6
 	maxIdleChecks    = 500 // checks of all VMs, or packets sent, after which no more progress is expected
 	requestsPerFault = 20  // served requests between two faults
 	retryInterval    = 200 * time.Millisecond
@@ -41,6 +43,9 @@
 	staleTablesCalls = 4 // store calls after which VMs have read older tables; one call may have been in progress
 )
 
+// soakDomains are the failure domains, to which VMs and hosts belong in turn.
+var soakDomains = []string{"a", "b"}
+
 // soak is the state of one run.
 type soak struct {
 	t       *testing.T
@@ -54,6 +59,7 @@
 	hosts   map[string]*soakHost
 	// published holds the ids of hosts that take new flows.
 	published map[string]bool
+	drain     soakDrain
 	hostCount uint64 // hosts started so far
 	version   int64
 	served    atomic.Int64
@@ -67,6 +73,7 @@
 // soakHost is a host with its own link.
 type soakHost struct {
 	*standin.Host
+	domain        string
 	link          *standin.UDPLink
 	hasFailedLink bool // from then on, its flows may be reset
 }
@@ -74,9 +81,11 @@
 // entryVM is an entry VM, whose process is restarted by faults.
 type entryVM struct {
 	address netip.Addr
+	domain  string
 	link    *standin.TCPLink // to the store
 	command *exec.Cmd
-	version int64 // of the tables, last seen since the process started
+	version int64        // of the tables, last seen since the process started
+	drains  []drain.Mark // as last seen since the process started
 	log     *os.File
 }
 
@@ -128,13 +137,13 @@
 		s.ports[i] = freePort(s.t)
 	}
 	s.requireNoError(s.store.PutTables(s.version, "core"))
-	for range 6 {
-		s.addHost()
+	for i := range soakHosts {
+		s.addHost(soakDomains[i%len(soakDomains)])
 	}
 	for i := range *soakVMs {
 		link, err := standin.NewTCPLink(s.address)
 		s.requireNoError(err)
-		v := &entryVM{address: netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i + 1)}), link: link}
+		v := &entryVM{address: netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i + 1)}), domain: soakDomains[i%len(soakDomains)], link: link}
 		s.vms = append(s.vms, v)
 		s.startVM(v)
 	}
@@ -157,15 +166,15 @@
 	return uint16(socket.LocalAddr().(*net.UDPAddr).Port)
 }
 
-func (s *soak) addHost() {
+func (s *soak) addHost(domain string) {
 	s.hostCount++
 	host := startHost(s.t, s.hostCount, s.ports[0])
 	link := s.addLink(host)
 	s.mu.Lock()
-	s.hosts[host.ID()] = &soakHost{Host: host, link: link}
+	s.hosts[host.ID()] = &soakHost{Host: host, domain: domain, link: link}
 	s.published[host.ID()] = true
 	s.mu.Unlock()
-	s.requireNoError(s.store.PutHost(host, "core", "a", false))
+	s.requireNoError(s.store.PutHost(host, "core", domain, false))
 }
 
 // addLink inserts a relay in front of a host, which accepts health checks at the address of the relay
@@ -188,7 +197,7 @@
 func (s *soak) startVM(v *entryVM) {
 	at := func(i int) string { return netip.AddrPortFrom(v.address, s.ports[i]).String() }
 	settings, err := json.Marshal(map[string]any{
-		"name": v.address.String(), "domain": "a", "packet_address": at(0), "readiness_address": at(1),
+		"name": v.address.String(), "domain": v.domain, "packet_address": at(0), "readiness_address": at(1),
 		"operator_address": at(2), "sibling_address": at(3), "seeds": []string{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, 1}), s.ports[2]).String()},
 		"store_address": v.link.Address(), "policy": "local", "log_lines_per_second": 20, "flow_lifetime_seconds": 60,
 		"stop_ms": 100, "max_flows": 1000, "cpu_share": 1, "link_mbps": 100,
@@ -203,7 +212,7 @@
 	v.command.Env = []string{settingsVariable + "=" + path}
 	v.command.Stdout, v.command.Stderr = v.log, v.log
 	s.requireNoError(v.command.Start())
-	v.version = 0
+	v.version, v.drains = 0, nil
 }
 
 // terminate sends a signal to the process of a VM and waits until it exits.
@@ -242,23 +251,27 @@
 	}
 }
 
-// checkConverged checks that all VMs use the newest tables after the faults have ended.
+// checkConverged checks that all VMs use the newest tables and drains after the faults have ended.
 func (s *soak) checkConverged() {
+	hasConverged := func(v *entryVM) bool { return v.version == s.version && slices.Equal(v.drains, s.drain.marks()) }
 	for range maxIdleChecks * maxIdleChecks {
 		s.checkVersions()
-		if !slices.ContainsFunc(s.vms, func(v *entryVM) bool { return v.version != s.version }) {
+		if !slices.ContainsFunc(s.vms, func(v *entryVM) bool { return !hasConverged(v) }) {
 			return
 		}
 	}
 	for _, v := range s.vms {
-		if v.version != s.version {
-			s.t.Errorf("seed %d: %s uses version %d of the tables, want %d", *soakSeed, v.address, v.version, s.version)
+		if !hasConverged(v) {
+			s.t.Errorf("seed %d: %s uses version %d of the tables and drains %v, want %d and %v",
+				*soakSeed, v.address, v.version, v.drains, s.version, s.drain.marks())
 		}
 	}
 }
 
-// checkVersions checks that the version of the tables in use never decreases while a process runs.
+// checkVersions checks that the version of the tables in use never decreases while a process runs. It also
+// notices when all VMs know of the drain.
 func (s *soak) checkVersions() {
+	defer s.updateDrain()
 	for _, v := range s.vms {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		status, err := operator.NewFrontClient(netip.AddrPortFrom(v.address, s.ports[2]).String()).Status(ctx)
@@ -269,6 +282,6 @@
 		if status.View.Version < v.version {
 			s.t.Errorf("seed %d: version of the tables is %d after %d", *soakSeed, status.View.Version, v.version)
 		}
-		v.version = status.View.Version
+		v.version, v.drains = status.View.Version, status.Drains
 	}
 }
