Tell of the drains that a starting VM learns

Change: the drains in force are returned along with the view. Test: TestStartingVMKnowsDrainsOfASibling, extended.

--- a/catalog/drains.go
+++ b/catalog/drains.go
@@ -10,6 +10,15 @@
 // Drains returns the drains in force, ordered by domain.
 func (c *Catalog) Drains() []drain.Mark { return c.drains.InForce() }
 
+// KnownDrains returns the drains in force as changes of an empty view.
+func (c *Catalog) KnownDrains() []Change {
+	var all []Change
+	for _, m := range c.Drains() {
+		all = append(all, Change{Subject: "domain " + m.Domain, Before: "unknown", After: c.describeDrain(m.Domain), Drain: &m})
+	}
+	return all
+}
+
 // MergeDrains merges drains that may be known before the changes that they came with are complete, and
 // returns those that were new. The catalog's revision and age stay.
 func (c *Catalog) MergeDrains(now clock.Millis, marks []drain.Mark) []Change {
--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -160,8 +160,10 @@
 	view, err := fetchView(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), 0, 0)
 	is.NoErr(err)
 	is.Equal(len(d.newFlowDomains()), 0) // it serves nothing before it has a view
-	d.mergeFetchedView(d.clock.Now(), view, true, "sibling")
+	changes := d.mergeFetchedView(d.clock.Now(), view, true, "sibling")
 	is.Equal(d.newFlowDomains(), []string{"b"})
+	is.Equal(len(changes), 2) // logs and the audit trail tell of the view and of the drain
+	is.Equal(changes[1].After, "drained since revision 11")
 }
 
 // A view that was compressed for another VM just before the drain is not served any more.
--- a/front/reading.go
+++ b/front/reading.go
@@ -167,8 +167,8 @@
 }
 
 // mergeChanges merges changes from a source into the catalog, updates the engine, and returns the
-// changes that were new. The first complete view is returned as a single change. The caller holds
-// the lock.
+// changes that were new. The first complete view is returned as a single change, with the drains in force. The
+// caller holds the lock.
 func (d *Daemon) mergeChanges(now, confirmedAt clock.Millis, changes *catalog.Changes, isFull bool, source string) []catalog.Change {
 	wasComplete := d.catalog.IsComplete()
 	previousGeneration := d.catalog.Generation()
@@ -186,7 +186,8 @@
 		d.readyAt = now
 		d.log.Info("ready", "at_ms", now, "tables", d.catalog.Tables().Version, "revision", d.catalog.Revision(),
 			"targets", len(d.catalog.Entries()), "source", source)
-		return []catalog.Change{{Subject: "view", Before: "none", After: "tables " + strconv.FormatInt(d.catalog.Tables().Version, 10)}}
+		view := catalog.Change{Subject: "view", Before: "none", After: "tables " + strconv.FormatInt(d.catalog.Tables().Version, 10)}
+		return append([]catalog.Change{view}, d.catalog.KnownDrains()...)
 	}
 	d.keepRecent(now, applied)
 	return applied
