--- a/experiment/drain_test.go
+++ b/experiment/drain_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/experiment"
@@ -80,6 +81,29 @@
 	}
 }
 
+// TestDrainsAmongOtherFaults plays drains with whatever else may fail. No flow is opened at a target of a drained
+// domain once all VMs know, and no open flow of a living target is reset.
+func TestDrainsAmongOtherFaults(t *testing.T) {
+	t.Parallel()
+	kinds := []experiment.FaultKind{
+		experiment.DrainDomain, experiment.DrainDomain, experiment.DeafClients, experiment.MuteClients, experiment.CutVMs, experiment.PauseVMs,
+		experiment.KillVMs, experiment.RestartVMs, experiment.DrainTargets, experiment.CrashTargets, experiment.SlowTargets,
+		experiment.FlapTargets, experiment.PartitionDomain, experiment.LoadBurst, experiment.ShiftClients, experiment.LosePackets,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		size, pattern := drawWorld(t, kinds)
+		pattern.Faults = append(pattern.Faults, experiment.Fault{
+			Kind: experiment.DrainDomain, Domain: rapid.IntRange(0, size.Domains-1).Draw(t, "drained"),
+			At: clock.Millis(rapid.IntRange(2000, 8000).Draw(t, "drained at")), For: 5 * clock.Second,
+		})
+		report := experiment.Run(size, pattern, "local", inband.Local{}, rapid.Uint64().Draw(t, "seed"))
+		if report.DrainedOpenings > 0 || report.UnexplainedResets > 0 {
+			t.Fatalf("%d flows were opened in a drained domain; %d resets without a cause, the first: %s",
+				report.DrainedOpenings, report.UnexplainedResets, report.FirstUnexplained)
+		}
+	})
+}
+
 // TestReturnAfterADrain checks that targets whose drain is taken back share the load evenly: the busiest one has
 // no larger part of all requests than without a drain, but for chance.
 func TestReturnAfterADrain(t *testing.T) {
