--- a/front/reading.go
+++ b/front/reading.go
@@ -210,7 +210,8 @@
 	d.recentUntil = now + recentTargetTime
 }
 
-// updateEngine passes the tables, the drained domains and the changed targets to the engine. The caller holds the lock.
+// updateEngine passes the tables, the drained domains and the changed targets to the engine. The caller
+// holds the lock.
 func (d *Daemon) updateEngine() {
 	if tables := d.catalog.Tables(); tables != nil {
 		d.engine.SetTables(tables)
--- a/inband/drained.go
+++ b/inband/drained.go
@@ -26,12 +26,22 @@
 // drainedDomainsOf returns the drained domains that have targets of the route, ordered by name.
 func (e *Engine) drainedDomainsOf(route *Route) []string {
 	var domains []string
-	for _, b := range e.byID {
-		isOfRoute := slices.ContainsFunc(route.Shares, func(s Share) bool { return s.Service == b.target.Service })
-		if isOfRoute && b.isDrained && b.target.State != Gone {
-			domains = append(domains, b.target.Domain)
+	for _, share := range route.Shares {
+		if p := e.pools[share.Service]; p != nil {
+			domains = addDrainedDomains(domains, p.local)
+			domains = addDrainedDomains(domains, p.remote)
 		}
 	}
 	slices.Sort(domains)
-	return slices.Compact(domains)
+	return domains
+}
+
+// addDrainedDomains adds the domains of drained targets that have not left, each once.
+func addDrainedDomains(domains []string, targets []*Backend) []string {
+	for _, b := range targets {
+		if b.isDrained && b.target.State != Gone && !slices.Contains(domains, b.target.Domain) {
+			domains = append(domains, b.target.Domain)
+		}
+	}
+	return domains
 }
--- a/siblings/siblings_test.go
+++ b/siblings/siblings_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/siblings"
 )
@@ -27,6 +28,7 @@
 		Kind: siblings.Announce, From: contact(1, "a", 3),
 		View:       &siblings.ViewSummary{Revision: 9, AgeMS: 30, Version: 4, Digest: 1 << 63},
 		Targets:    []*inband.Target{{ID: "i-1", State: inband.Leaving, Address: netip.MustParseAddrPort("10.1.0.1:80")}},
+		Drains:     []drain.Mark{{Domain: "a", Revision: 8}, {Domain: "b", Revision: 9, HasEnded: true}},
 		Contacts:   []siblings.Contact{contact(2, "b", 1)},
 		Suspicions: []inband.Suspicion{{ID: "i-2", StartedAtMS: 7}},
 		Outcomes:   []inband.OutcomeReport{{ID: "i-3", StartedAtMS: 8, Succeeded: 1, Failed: 2}},
@@ -41,6 +43,7 @@
 func TestEncodeTruncatesLargeMessages(t *testing.T) {
 	is := is.New(t)
 	m := siblings.Message{Kind: siblings.Announce, From: contact(1, "a", 3), View: &siblings.ViewSummary{Revision: 9}}
+	m.Drains = []drain.Mark{{Domain: "a", Revision: 8}}
 	for i := range 100 {
 		m.Targets = append(m.Targets, &inband.Target{ID: fmt.Sprintf("i-%d", i)})
 		m.Contacts = append(m.Contacts, contact(i, "b", 1))
@@ -51,6 +54,7 @@
 	decoded, err := siblings.Decode(data)
 	is.NoErr(err)
 	is.True(len(decoded.Targets) > 0)
+	is.Equal(decoded.Drains, m.Drains) // they are the last content to be left out
 	is.Equal(decoded.View, m.View)
 }
 
