--- a/front/metrics.go
+++ b/front/metrics.go
@@ -41,6 +41,7 @@
 	shedRequestsMetric    = Metric{"almondflow_front_shed_requests", counterType, "requests", "Requests that full targets shed, which does not count against them."}
 	overloadedPoolsMetric = Metric{"almondflow_front_full_pools", gaugeType, "pools", "Pools whose targets have more work than they can finish in time."}
 	tablesVersionMetric   = Metric{"almondflow_front_tables_version", gaugeType, "version", "Version of the tables in use."}
+	drainedDomainsMetric  = Metric{"almondflow_front_drained_domains", gaugeType, "domains", "Failure domains that the operator drains, whose targets get no new flows."}
 	readyAfterMetric      = Metric{"almondflow_front_ready_after", gaugeType, "milliseconds", "Time from the start of the process to its first view."}
 	droppedLinesMetric    = Metric{"almondflow_front_log_lines_dropped", counterType, "lines", "Log lines dropped because nothing read them in time."}
 	controlBytesMetric    = Metric{"almondflow_front_control_sent", counterType, "bytes", "Bytes of messages sent to other entry VMs."}
@@ -60,7 +61,7 @@
 // AllMetrics returns the descriptions of all metrics of the daemon.
 func AllMetrics() []Metric {
 	return []Metric{
-		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, shedRequestsMetric, overloadedPoolsMetric, tablesVersionMetric, readyAfterMetric,
+		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, shedRequestsMetric, overloadedPoolsMetric, drainedDomainsMetric, tablesVersionMetric, readyAfterMetric,
 		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric,
 		loadSentMetric, loadBytesMetric, loadReceivedMetric, loadReportersMetric, loadAgeMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
 	}
@@ -171,6 +172,7 @@
 		{failingTargetsMetric, int64(d.engine.FailingTargets())},
 		{overloadedPoolsMetric, int64(d.engine.OverloadedPools())},
 		{loadReportersMetric, int64(d.engine.LoadReporters(now))},
+		{drainedDomainsMetric, int64(len(d.catalog.Drains()))},
 		{tablesVersionMetric, version},
 		{readyAfterMetric, int64(d.readyAt)},
 	} {
--- a/front/reading.go
+++ b/front/reading.go
@@ -126,6 +126,7 @@
 	d.fullRead.AddPage(page, next)
 	d.readScheduler.SchedulePage(now, d.fullRead.Pages(), d.isSeed() || d.fullRead.ExceedsSiblingViewDelay(now))
 	if d.catalog.IsComplete() {
+		d.mergePageDrains(now, page)
 		return
 	}
 	if d.isFetching {
@@ -166,8 +167,8 @@
 }
 
 // mergeChanges merges changes from a source into the catalog, updates the engine, and returns the
-// changes that were new. The first complete view is returned as a single change. The caller holds
-// the lock.
+// changes that were new. The first complete view is returned as a single change, with the drains in force. The
+// caller holds the lock.
 func (d *Daemon) mergeChanges(now, confirmedAt clock.Millis, changes *catalog.Changes, isFull bool, source string) []catalog.Change {
 	wasComplete := d.catalog.IsComplete()
 	previousGeneration := d.catalog.Generation()
@@ -185,31 +186,37 @@
 		d.readyAt = now
 		d.log.Info("ready", "at_ms", now, "tables", d.catalog.Tables().Version, "revision", d.catalog.Revision(),
 			"targets", len(d.catalog.Entries()), "source", source)
-		return []catalog.Change{{Subject: "view", Before: "none", After: "tables " + strconv.FormatInt(d.catalog.Tables().Version, 10)}}
+		view := catalog.Change{Subject: "view", Before: "none", After: "tables " + strconv.FormatInt(d.catalog.Tables().Version, 10)}
+		return append([]catalog.Change{view}, d.catalog.KnownDrains()...)
 	}
 	d.keepRecent(now, applied)
 	return applied
 }
 
-// keepRecent keeps changed targets for the next announcements. The caller holds the lock.
+// keepRecent keeps changed targets and drains for the next announcements. The caller holds the lock.
 func (d *Daemon) keepRecent(now clock.Millis, applied []catalog.Change) {
 	if now > d.recentUntil {
-		d.recentTargets = d.recentTargets[:0]
+		d.recentTargets, d.recentDrains = d.recentTargets[:0], d.recentDrains[:0]
 	}
 	const maxTargets = 24
 	for _, c := range applied {
 		if c.Target != nil && len(d.recentTargets) < maxTargets {
 			d.recentTargets = append(d.recentTargets, c.Target)
 		}
+		if c.Drain != nil {
+			d.recentDrains = append(d.recentDrains, *c.Drain)
+		}
 	}
 	d.recentUntil = now + recentTargetTime
 }
 
-// updateEngine passes the tables and the changed targets to the engine. The caller holds the lock.
+// updateEngine passes the tables, the drained domains and the changed targets to the engine. The caller
+// holds the lock.
 func (d *Daemon) updateEngine() {
 	if tables := d.catalog.Tables(); tables != nil {
 		d.engine.SetTables(tables)
 	}
+	d.engine.SetDrainedDomains(d.drainedDomains())
 	d.engine.UpdateTargets(publishedTargets(d.catalog.TakeChanged()))
 }
 
--- a/front/status.go
+++ b/front/status.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/load"
 	"github.com/almondflow/almondflow/siblings"
@@ -19,6 +20,7 @@
 	View       *siblings.ViewSummary `json:"view"`
 	ReaderRank int                   `json:"reader_rank"` // VMs that read the store before this one
 	Siblings   []siblings.Contact    `json:"siblings"`
+	Drains     []drain.Mark          `json:"drains,omitempty"` // failure domains that get no new flows
 	Targets    []inband.Health       `json:"targets"`
 	Pools      []load.Pool           `json:"pools,omitempty"` // if VMs share their load
 }
@@ -30,8 +32,8 @@
 	status := Status{
 		Name: d.settings.Load().Name, Domain: d.settings.Load().Domain, UptimeMS: now,
 		Ready: d.catalog.IsComplete() && !d.isStopping, View: d.viewSummary(now),
-		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now), Targets: d.engine.Targets(),
-		Pools: d.engine.LoadPools(),
+		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now),
+		Drains: d.catalog.Drains(), Pools: d.engine.LoadPools(), Targets: d.engine.Targets(),
 	}
 	d.mu.Unlock()
 	d.writeJSON(w, status)
