--- a/front/fuzz_test.go
+++ b/front/fuzz_test.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"encoding/base64"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/netip"
@@ -9,6 +11,7 @@
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/load"
 	"github.com/almondflow/almondflow/siblings"
 )
 
@@ -38,6 +41,8 @@
 	f.Add([]byte(`{"kind":"suspect",`+from+`,"grades":[{"id":"i-1","good":-1,"bad":9223372036854775807}]}`), int64(1<<60))
 	f.Add([]byte(`{"kind":"announce",`+from+`,"view":{"revision":9,"age_ms":-9223372036854775808,"version":7,"digest":1},"targets":[{"id":"i-1","mark":9,"born":5,"revision":8},{"id":"","slots":-1}],"tables":{"base":1,"version":9,"set":[{"shares":null},{"shares":[{"service":"core","weight":-7}]}]}}`), int64(-1))
 	f.Add([]byte(`{"kind":"goodbye",`+from+`,"contacts":[{"address":"10.1.0.8:1","domain":"a","age_ms":-99999999999}]}`), int64(0))
+	report := load.Encode(&load.Report{Targets: []load.TargetWork{{Tag: uint32(inband.TagOf("i-1")), Start: 1, Work: load.Work{Busy: 1e9}}}}, maxLoadBytes)
+	f.Add(fmt.Appendf(nil, `{"kind":"load",%s,"load":%q}`, from, base64.StdEncoding.EncodeToString(report)), int64(7))
 	f.Fuzz(func(_ *testing.T, data []byte, at int64) {
 		message, err := siblings.Decode(data)
 		if err != nil {
@@ -49,6 +54,9 @@
 		d.engine.ReceiveSuspicions(now, message.From.Address, message.From.Domain, message.Suspicions)
 		d.engine.ReceiveProbes(now, message.From.Domain, message.Probes)
 		d.engine.ReceiveOutcomes(now, message.From.Domain, message.Outcomes)
+		if report, err := load.Decode(message.Load); err == nil {
+			d.engine.ReceiveLoad(now, message.From.Address, message.From.Domain, report)
+		}
 		d.mergeMessage(now, message)
 		d.exercise(now)
 	})
@@ -62,7 +70,7 @@
 		catalog: catalog.New(), readScheduler: catalog.NewReadScheduler(random), members: siblings.NewMembers(self, random),
 		log: newLogger(io.Discard), readerWakeUp: make(chan struct{}, 1),
 	}
-	d.engine = inband.New(inband.Options{Domain: "a", Policy: inband.Local{}, MaxFlows: 10, FlowLifetime: clock.Minute, Seed: 1})
+	d.engine = inband.New(inband.Options{Domain: "a", Policy: inband.Local{}, MaxFlows: 10, FlowLifetime: clock.Minute, Seed: 1, SharesLoad: true})
 	target := &inband.Target{ID: "i-1", Identity: 1, Service: "core", Address: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 2, StartedAtMS: 1, Revision: 3}
 	tables := &inband.Tables{Version: 1, IdleMS: 15000, Routes: []inband.Route{
 		{Name: "feed", Address: modelRoute, Repeatable: true, Shares: []inband.Share{{Service: "core", Weight: 1}}},
@@ -89,6 +97,9 @@
 	}
 	d.engine.Explain(now, key)
 	d.engine.Targets()
+	d.engine.TakeLoadReport(now)
+	d.engine.TakeDomainReport(now)
+	d.engine.LoadPools()
 	d.members.SampleContacts(now, "a")
 	d.members.Rank(now)
 	d.catalog.Prune(now)
