Follow a store that comes back from an older copy

The store may come back from a copy some seconds old: revisions go back and are given out again, and its answers count that as an era. A VM compared revisions across that: it would ignore what the hosts wrote again under lower revisions, and a watch from a revision that the store has given out twice would skip what was lost.

A revision now holds the era before the number, so every comparison goes by the era first, and a store without eras keeps the revisions it had: decisions there are as before. A watch that is answered in a later era counts as lost history and leads to a full read. Siblings see the era in the revision of a view; they take it over if the digests agree, and else fetch the whole view, which replaces theirs. Views and reads of an earlier era change no target and make no view younger; tables never go back.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -61,7 +61,8 @@
 }
 
 // Apply merges changes that were current at asOf and returns those that were new. Older
-// versions of the tables and older revisions of entries are ignored. If the changes hold a
+// versions of the tables and older revisions of entries are ignored, and so are targets that were read
+// before the store came back from an older copy. If the changes hold a
 // delta of the tables that does not fit the current ones, their targets are merged but the
 // catalog's revision and age stay, because it still lacks the newer tables.
 func (c *Catalog) Apply(now, asOf clock.Millis, changes *Changes) []Change {
@@ -70,8 +71,10 @@
 		merged = append(merged, Change{Subject: "tables", Before: strconv.FormatInt(c.tablesVersion(), 10), After: strconv.FormatInt(t.Version, 10)})
 		c.setTables(t)
 	}
-	merged = append(merged, c.mergeTargets(now, changes.Targets)...)
-	merged = append(merged, c.mergeDrains(now, changes)...)
+	if !c.isOfEarlierEra(changes.Revision) {
+		merged = append(merged, c.mergeTargets(now, changes.Targets)...)
+		merged = append(merged, c.mergeDrains(now, changes)...)
+	}
 	if changes.Delta == nil || changes.Delta.Version <= c.tablesVersion() {
 		c.Confirm(asOf, changes.Revision)
 	}
@@ -152,8 +155,12 @@
 }
 
 // Replace merges a full read that was current at asOf and returns what was new. Entries that
-// the read lacks have ended, unless they are newer than it.
+// the read lacks have ended, unless they are newer than it. After the store came back from an older copy,
+// targets whose entries the copy lacks may run: they publish them again.
 func (c *Catalog) Replace(now, asOf clock.Millis, changes *Changes) []Change {
+	if c.hasFullRead && changes.Revision.Era() > c.revision.Era() {
+		c.expiryPossibleUntil = now + expiryGrace
+	}
 	present := make(map[string]bool, len(changes.Targets))
 	full := *changes
 	full.Targets = slices.Clone(changes.Targets)
@@ -172,6 +179,9 @@
 // Confirm records that the catalog was complete up to a revision at asOf, which may be before
 // the start of the process if the view came from a sibling. Older confirmations are ignored.
 func (c *Catalog) Confirm(asOf clock.Millis, revision inband.Revision) {
+	if c.isOfEarlierEra(revision) {
+		return
+	}
 	c.revision = max(c.revision, revision)
 	if c.isConfirmed && asOf-c.confirmedAt > staleViewAge {
 		c.expiryPossibleUntil = asOf + expiryGrace
@@ -181,6 +191,11 @@
 	}
 }
 
+// isOfEarlierEra reports whether a revision was given out before the store came back from an older copy.
+func (c *Catalog) isOfEarlierEra(revision inband.Revision) bool {
+	return revision.Era() < c.revision.Era()
+}
+
 // mergeTarget merges one target and reports whether placement depends on the change.
 func (c *Catalog) mergeTarget(now clock.Millis, t *inband.Target) (Change, bool) {
 	e, ok := c.entries[t.ID]
@@ -199,6 +214,9 @@
 		return Change{}, false
 	}
 	before := e.target
+	if e.hasLeftBefore(t) {
+		return Change{}, false
+	}
 	if t.State == inband.Gone {
 		change := e.end(now, t.Revision, c.mayHaveExpired(now))
 		return change, before.State != inband.Gone
--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -23,6 +23,9 @@
 	ErrTooLong = errors.New("the response of the store is too long for one call")
 )
 
+// errEraChanged means that the store came back from an older copy in the middle of a full read.
+var errEraChanged = errors.New("the store came back from an older copy during the read")
+
 // InvalidEntry describes an entry of the store that cannot be used.
 type InvalidEntry struct {
 	Key    string
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -79,6 +79,14 @@
 	return isNew
 }
 
+// hasLeftBefore reports whether the target began to leave, or left, before the store came back from an older
+// copy, which shows this start of the target as serving.
+func (e *Entry) hasLeftBefore(t *inband.Target) bool {
+	isCopy := t.Revision.Era() > e.target.Revision.Era() && t.StartedAtMS == e.target.StartedAtMS
+	isLeaving := e.target.State == inband.Leaving || e.hasEnded && e.wasLeaving
+	return isCopy && isLeaving && t.State == inband.Serving
+}
+
 // end marks the target as gone and keeps its other fields for its open flows. The caller sets
 // mayHaveExpired if the entry may have ended for lack of heartbeats.
 func (e *Entry) end(now clock.Millis, revision inband.Revision, mayHaveExpired bool) Change {
--- a/catalog/fullread.go
+++ b/catalog/fullread.go
@@ -29,6 +29,16 @@
 	return f.next
 }
 
+// CheckEra returns an error if a page is of another era of the store than the pages before, and starts the read
+// again then: what was read is no longer in the store.
+func (f *FullRead) CheckEra(page *Changes) error {
+	if f.changes == nil || page.Revision.Era() == f.changes.Revision.Era() {
+		return nil
+	}
+	*f = FullRead{}
+	return errEraChanged
+}
+
 // AddPage adds a page that is not the last one. next is the key after which the next page starts.
 func (f *FullRead) AddPage(page *Changes, next string) {
 	f.pages++
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -52,7 +52,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "name\t%s\ndomain\t%s\nready\t%v\nuptime_ms\t%d\nreader_rank\t%d\n", s.Name, s.Domain, s.Ready, s.UptimeMS, s.ReaderRank)
 	if s.View != nil {
-		_, _ = fmt.Fprintf(t, "tables_version\t%d\nrevision\t%d\nview_age_ms\t%d\n", s.View.Version, s.View.Revision, s.View.AgeMS)
+		_, _ = fmt.Fprintf(t, "tables_version\t%d\nrevision\t%v\nview_age_ms\t%d\n", s.View.Version, s.View.Revision, s.View.AgeMS)
 	}
 	for _, m := range s.Drains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained since revision %d\n", m.Domain, m.Revision)
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -120,7 +120,8 @@
 	newestVersion   int64
 	previousVersion int64
 	newestVersionAt clock.Millis
-	hasDiverged     bool // the view differs from a sibling's view of the same revision
+	era             uint64 // of the store, in the view
+	hasDiverged     bool   // the view differs from a sibling's view of the same revision
 	probes          chan queuedProbe
 	readerWakeUp    chan struct{} // makes readStore recompute when the next read is due
 }
--- a/front/messages.go
+++ b/front/messages.go
@@ -147,7 +147,7 @@
 	applied, isNewer, needsFetch := d.mergeMessage(now, m)
 	isFetching := needsFetch && !d.isFetching
 	d.isFetching = d.isFetching || isFetching
-	version, revision := d.currentVersions()
+	version, revision := d.versionsToFetchAfter(m.View)
 	isLocal := m.From.Domain == d.members.Self().Domain
 	reply := siblings.Message{
 		Kind: siblings.Heartbeat, View: d.viewSummary(now), Contacts: d.members.SampleContacts(now, m.From.Domain),
@@ -217,6 +217,7 @@
 		return applied, false, true
 	}
 	d.catalog.Confirm(confirmedAt, v.Revision)
+	d.noteEra(now, m.From.Address.String())
 	return applied, ageGain >= minForwardGain, false
 }
 
--- a/front/reading.go
+++ b/front/reading.go
@@ -113,7 +113,11 @@
 // For a page it also returns the key of the next one, which is empty after the last page.
 func (d *Daemon) callStore(ctx context.Context, isFull bool, after string, revision inband.Revision) (*catalog.Changes, string, error) {
 	if isFull {
-		return d.options.Store.Page(ctx, after)
+		page, next, err := d.options.Store.Page(ctx, after)
+		if err == nil {
+			err = d.fullRead.CheckEra(page)
+		}
+		return page, next, err
 	}
 	changes, err := d.options.Store.Changes(ctx, revision, changesPollTime.Duration())
 	return changes, "", err
@@ -178,6 +182,10 @@
 	} else {
 		applied = d.catalog.Apply(now, confirmedAt, changes)
 	}
+	if !wasComplete {
+		d.era = d.catalog.Revision().Era()
+	}
+	d.noteEra(now, source)
 	if d.catalog.Generation() == previousGeneration && wasComplete {
 		return applied
 	}
@@ -193,6 +201,15 @@
 	return applied
 }
 
+// noteEra logs that the store came back from an older copy. The caller holds the lock.
+func (d *Daemon) noteEra(now clock.Millis, source string) {
+	era := d.catalog.Revision().Era()
+	if era != d.era {
+		d.log.Warn("store_era", "at_ms", now, "before", d.era, "after", era, "source", source)
+		d.era = era
+	}
+}
+
 // keepRecent keeps changed targets and drains for the next announcements. The caller holds the lock.
 func (d *Daemon) keepRecent(now clock.Millis, applied []catalog.Change) {
 	if now > d.recentUntil {
--- a/front/views.go
+++ b/front/views.go
@@ -18,6 +18,7 @@
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/siblings"
 )
 
 const (
@@ -57,6 +58,16 @@
 	return d.catalog.Tables().Version, d.catalog.Revision()
 }
 
+// versionsToFetchAfter returns the versions after which to fetch the changes that a sibling's view has. They are
+// zero, for all of it, if the store came back from an older copy before it: changes of another era do not tell
+// what the store has lost. The caller holds the lock.
+func (d *Daemon) versionsToFetchAfter(view *siblings.ViewSummary) (version int64, revision inband.Revision) {
+	if view != nil && view.Revision.Era() > d.catalog.Revision().Era() {
+		return 0, 0
+	}
+	return d.currentVersions()
+}
+
 // updateFromSibling fetches the changes that this VM lacks from another VM and merges them.
 func (d *Daemon) updateFromSibling(ctx context.Context, from netip.AddrPort, version int64, revision inband.Revision) {
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
@@ -91,7 +102,8 @@
 
 // mergeFetchedView merges a fetched view. The caller holds the lock.
 func (d *Daemon) mergeFetchedView(now clock.Millis, response *viewResponse, isFull bool, from string) []catalog.Change {
-	isFull = isFull && !d.catalog.IsComplete()
+	isNewEra := response.Changes.Revision.Era() > d.catalog.Revision().Era()
+	isFull = isFull && (isNewEra || !d.catalog.IsComplete())
 	applied := d.mergeChanges(now, now-response.AgeMS, response.Changes, isFull, from)
 	if isFull {
 		d.readScheduler.RecordSiblingView()
--- a/inband/target.go
+++ b/inband/target.go
@@ -7,9 +7,6 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
-// Revision numbers the changes of the platform's store. Higher is newer.
-type Revision uint64
-
 // State is the lifecycle state that a target announces.
 type State uint8
 
