Answer no copy of an opening with a reset

Cause: a copy of an opening that could not be placed any more was reset, as a first copy is: its target left or was drained, its route went to an empty pool, or the pool was overloaded. An earlier copy may have reached a target through this VM or another, whose answer the client has by then, so the reset may come on a flow that is open.

Ruled out: a reset where the first target did not answer in time. Its answer may be late and under way. A reset where this VM knows of no earlier copy: the number of the copy says that there were some. A reset without a route: a VM with older tables lacks a route that another one has forwarded by.

Change: one rule in handleOpening: what would be a reset is dropped for a copy.

Cost: a client whose first copy was lost in a VM, and whose copy no target takes, waits until its own time limit.

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -97,17 +97,29 @@
 	return e.handleOngoing(now, p, f)
 }
 
-// handleOpening places a new flow. An opening with another number than the tracked one is a new flow of a
-// client that reuses its port.
+// handleOpening places a new flow or moves one that is not open yet. A copy that can't be served is dropped, not
+// reset: an earlier one may have reached a target through this VM or another, and the flow may be open there by
+// now. Its client tries again, or gets that target's answer.
 func (e *Engine) handleOpening(now clock.Millis, p *Packet, f *flow) Verdict {
+	isCopy := p.Ack > 0 || f.isOpenedBy(p)
+	verdict := e.placeOpening(now, p, f)
+	if verdict.Action == Reset && isCopy {
+		verdict.Action = Drop
+	}
+	return verdict
+}
+
+// placeOpening places a new flow. An opening with another number than the tracked one is a new flow of a
+// client that reuses its port.
+func (e *Engine) placeOpening(now clock.Millis, p *Packet, f *flow) Verdict {
 	route := e.routes[p.Key.Destination]
 	if route == nil {
 		if f != nil && f.phase == opening {
-			e.removeFlow(f) // before its silence after the reset counts against the target
+			e.removeFlow(f) // before its silence counts against the target
 		}
 		return Verdict{Action: Reset, Reason: NoRoute, Seq: p.Seq}
 	}
-	if f != nil && f.phase == opening && p.Seq == f.nextSeq {
+	if f.isOpenedBy(p) {
 		return e.handleRetransmit(now, p, f, route)
 	}
 	if f != nil {
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -30,6 +30,11 @@
 	responseBytes uint32       // acknowledged bytes of the response to the newest request
 }
 
+// isOpenedBy reports whether a packet is another copy of the flow's opening. It is false for a nil flow.
+func (f *flow) isOpenedBy(p *Packet) bool {
+	return f != nil && f.phase == opening && p.Seq == f.nextSeq
+}
+
 // startAt records that this VM has forwarded none of the client's data so far. The client's next
 // byte has the given sequence number, as far as this VM knows.
 func (f *flow) startAt(seq uint32) { f.forwardedFrom, f.nextSeq = seq, seq }
--- a/inband/retransmit_test.go
+++ b/inband/retransmit_test.go
@@ -89,6 +89,67 @@
 	}
 }
 
+// A copy that can't be served is dropped: an earlier one may have opened the flow at a target, through this VM
+// or another, and a reset would tear it. Only a first copy is reset.
+func TestCopyOfAnOpeningIsNeverReset(t *testing.T) {
+	leaving := target("i-1", "a")
+	leaving.State = inband.Leaving
+	tests := []struct {
+		name   string
+		change func(e *inband.Engine)
+		want   inband.Reason
+	}{
+		{"its target leaves", func(e *inband.Engine) { e.UpdateTargets(published(leaving)) }, inband.NoTarget},
+		{"all domains are drained", func(e *inband.Engine) { e.SetDrainedDomains([]string{"a"}) }, inband.NoTarget},
+		{"its route goes to an empty pool", func(e *inband.Engine) { e.SetTables(tablesTo(inband.Share{Service: "none", Weight: 1})) }, inband.NoTarget},
+		{"its route is dropped", func(e *inband.Engine) { e.SetTables(&inband.Tables{Version: 2}) }, inband.NoRoute},
+		{"the pool is overloaded", func(e *inband.Engine) { overload(e) }, inband.Overloaded},
+	}
+	copies := []struct {
+		name    string
+		isHere  bool // the first copy came to this VM
+		after   clock.Millis
+		number  uint32
+		isCopy  bool
+		isMoved bool // to another target, so that the state of the pool counts
+	}{
+		{"copy read at once", true, 5, 1, true, false},
+		{"copy after the target's silence", true, 200, 1, true, true},
+		{"second copy after a stall", true, 600, 2, true, false},
+		{"first copy that the network repeats", true, 5, 0, true, false},
+		{"copy of an opening that another VM had", false, 200, 1, true, true},
+		{"first copy", false, 200, 0, false, true},
+	}
+	for _, tt := range tests {
+		for _, c := range copies {
+			t.Run(tt.name+", "+c.name, func(t *testing.T) {
+				is := is.New(t)
+				e := newEngine(target("i-1", "a"))
+				e.SetTables(prioritizedTables())
+				if c.isHere {
+					is.Equal(e.Handle(1630, opening(101, feedAddress, 0)).Action, inband.Forward)
+				}
+				tt.change(e)
+				v := e.Handle(1630+c.after, opening(101, feedAddress, c.number))
+				if tt.want == inband.Overloaded && !c.isMoved {
+					is.Equal(v.Reason, inband.Repeated) // its target still serves it
+					return
+				}
+				is.Equal(v.Reason, tt.want)
+				is.Equal(v.Action == inband.Drop, c.isCopy)
+				is.Equal(v.Action == inband.Reset, !c.isCopy)
+			})
+		}
+	}
+}
+
+// overload keeps the pool of an engine overloaded from 1630 on.
+func overload(e *inband.Engine) {
+	loadTarget(e, 12, 2, 120)
+	e.Handle(1130, opening(100, holdAddress, 0))
+	e.Handle(1630, opening(102, holdAddress, 0))
+}
+
 // Both targets may answer if the copy of an opening goes to another one than the opening. The flow stays
 // with the one that the client chose, whatever its later packets carry, and also where the route has left
 // that target's pool.
