Claim a list of all drains only where one was read

Cause: a VM sent any view as one that holds all drains, also if it had started with the view of a sibling whose version knows no drains. A VM that knew of a drain, at the same revision, took the lack of it for its end, and announced the end to others.

Ruled out: refusing the view of such a sibling. While the store is away, a VM that starts would serve nobody.

Change: the catalog keeps whether a list of all drains was merged, and sends that. A VM that starts with a view without it serves at once and goes on with the full read of the store.

Test: TestViewWithoutDrainsEndsNone and TestViewWithoutDrainsNeedsAFullRead; both failed before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -20,6 +20,7 @@
 	tablesHistory       []*inband.Tables // earlier versions, oldest first
 	entries             map[string]*Entry
 	drains              drain.Set
+	hasAllDrains        bool // a list of all drains was merged
 	revision            inband.Revision
 	confirmedAt         clock.Millis // may be before the start of the process
 	isConfirmed         bool
@@ -263,7 +264,7 @@
 // revision lacks. Targets that only sent heartbeats since then are left out. Drains are few and all there, so
 // that a sibling that missed the end of one learns it.
 func (c *Catalog) ChangesSince(version int64, revision inband.Revision) *Changes {
-	changes := &Changes{Revision: c.revision, Drains: c.drains.All(), HasAllDrains: true}
+	changes := &Changes{Revision: c.revision, Drains: c.drains.All(), HasAllDrains: c.hasAllDrains}
 	if c.tablesVersion() > version {
 		changes.Delta = c.TablesDeltaSince(version)
 		if changes.Delta == nil {
--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -39,7 +39,7 @@
 	Delta          *inband.TablesDelta `json:"delta,omitempty"`  // replaces Tables if set
 	Targets        []*inband.Target    `json:"targets"`
 	Drains         []drain.Mark        `json:"drains,omitempty"`
-	HasAllDrains   bool                `json:"has_all_drains,omitempty"` // other domains are not drained at Revision
+	HasAllDrains   bool                `json:"has_all_drains,omitempty"` // the drains of other domains ended by Revision
 	Revision       inband.Revision     `json:"revision"`                 // up to which the changes are complete
 	InvalidEntries []InvalidEntry      `json:"-"`
 }
--- a/catalog/drains.go
+++ b/catalog/drains.go
@@ -10,6 +10,10 @@
 // Drains returns the drains in force, ordered by domain.
 func (c *Catalog) Drains() []drain.Mark { return c.drains.InForce() }
 
+// HasAllDrains reports whether a list of all drains has been merged, so that other domains are not drained. It
+// is false after a view of a sibling whose version knows no drains.
+func (c *Catalog) HasAllDrains() bool { return c.hasAllDrains }
+
 // KnownDrains returns the drains in force as changes of an empty view.
 func (c *Catalog) KnownDrains() []Change {
 	var all []Change
@@ -34,6 +38,7 @@
 	marks := changes.Drains
 	if changes.HasAllDrains {
 		marks = append(c.drains.Missing(marks, changes.Revision), marks...)
+		c.hasAllDrains = true
 	}
 	var merged []Change
 	for _, m := range marks {
--- a/catalog/drains_test.go
+++ b/catalog/drains_test.go
@@ -99,6 +99,27 @@
 	is.Equal(len(starting.Drains()), 2) // the sibling told of the end
 }
 
+// withoutDrains returns the view of a sibling whose version knows no drains.
+func withoutDrains(view *catalog.Changes) *catalog.Changes {
+	view.Drains, view.HasAllDrains = nil, false
+	return view
+}
+
+// A VM that started with the view of a sibling that knows no drains ends none at others, until it has read the
+// store.
+func TestViewWithoutDrainsEndsNone(t *testing.T) {
+	is := is.New(t)
+	starting, known := catalog.New(), newDrainedCatalog()
+	starting.Replace(0, 0, withoutDrains(known.ChangesSince(0, 0)))
+	starting.Confirm(1, 11)
+	known.Apply(2, 2, starting.ChangesSince(1, 10))
+	is.Equal(known.Drains(), []drain.Mark{drainOf("a", 9)})
+
+	starting.Replace(3, 3, fullRead(12))
+	known.Apply(4, 4, starting.ChangesSince(1, 10))
+	is.Equal(len(known.Drains()), 0)
+}
+
 // The digest tells a VM that it missed a drain or its end.
 func TestDigestCoversDrains(t *testing.T) {
 	is := is.New(t)
--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -166,6 +166,20 @@
 	is.Equal(changes[1].After, "drained since revision 11")
 }
 
+// A VM that starts with the view of a sibling whose version knows no drains serves at once, and goes on to read
+// the drains from the store.
+func TestViewWithoutDrainsNeedsAFullRead(t *testing.T) {
+	for _, hasAllDrains := range []bool{true, false} {
+		is := is.New(t)
+		d := newDaemon(t, Options{})
+		view := storeContent(10)
+		view.HasAllDrains = hasAllDrains
+		d.mergeFetchedView(0, &viewResponse{Changes: view}, true, "sibling")
+		is.True(d.catalog.IsComplete())
+		is.Equal(d.readScheduler.NeedsFullRead(), !hasAllDrains)
+	}
+}
+
 // A view that was compressed for another VM just before the drain is not served any more.
 func TestCachedViewIsNotServedWithoutADrain(t *testing.T) {
 	is := is.New(t)
--- a/front/views.go
+++ b/front/views.go
@@ -105,7 +105,7 @@
 	isNewEra := response.Changes.Revision.Era() > d.catalog.Revision().Era()
 	isFull = isFull && (isNewEra || !d.catalog.IsComplete())
 	applied := d.mergeChanges(now, now-response.AgeMS, response.Changes, isFull, from)
-	if isFull {
+	if isFull && d.catalog.HasAllDrains() { // otherwise the full read goes on
 		d.readScheduler.RecordSiblingView()
 	}
 	// The response omits changes up to the requested revision. If those differ, the digests do,
