Assume slow starts at the end of a domain's drain

Cause: targets of a drained domain may have become cold.

Ruled out: the slow start in the digest, which changes with each heartbeat; a counter of slow starts in messages, which all VMs would fetch for each target.

Change: a VM that merges the end of a drain takes the domain's targets for ones in slow start, for as long as their service says, until a newer entry tells. That needs no message: each VM has the end. Services without a slow start are placed on as before.

Cost: targets that stayed warm get few flows of VMs that do not read the store for one slow start. A VM that starts after the end has no such assumption, but the rests of slow starts in the view that it starts with.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -223,6 +223,9 @@
 		return change, before.State != inband.Gone
 	}
 	e.target, e.hasEnded = t, false
+	if e.endAssumedSlowStart(now) { // siblings keep theirs, which is no longer
+		c.recordSlowStart(t.ID)
+	}
 	isCold := e.updateSlowStart(now)
 	change := Change{Subject: "target " + t.ID, Before: before.State.String(), After: t.State.String()}
 	if isCold {
--- a/catalog/drains.go
+++ b/catalog/drains.go
@@ -47,10 +47,35 @@
 			continue
 		}
 		merged = append(merged, Change{Subject: "domain " + m.Domain, Before: before, After: c.describeDrain(m.Domain), Drain: &m})
+		if m.HasEnded {
+			c.assumeSlowStarts(now, m)
+		}
 	}
 	return merged
 }
 
+// assumeSlowStarts takes the targets of a domain whose drain has ended for ones in slow start, until their next
+// entries tell. Most VMs see no entries that only tell of a slow start.
+func (c *Catalog) assumeSlowStarts(now clock.Millis, end drain.Mark) {
+	if c.tables == nil {
+		return
+	}
+	for _, s := range c.tables.Services {
+		for id, e := range c.entries {
+			isIn := e.target.Domain == end.Domain && e.target.Service == s.Name
+			if isIn && e.assumeSlowStart(now+s.SlowStartMS, end.Revision) {
+				c.recordSlowStart(id)
+			}
+		}
+	}
+}
+
+// recordSlowStart has the slow start of a target passed on to placement, but not to siblings.
+func (c *Catalog) recordSlowStart(id string) {
+	c.changedIDs[id] = struct{}{}
+	c.generation++
+}
+
 // describeDrain returns the state of a domain's drain for logs and the audit trail.
 func (c *Catalog) describeDrain(domain string) string {
 	m, isKnown := c.drains.Mark(domain)
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -37,6 +37,7 @@
 	wasLeaving      bool // the target was leaving when its entry ended
 	mayHaveExpired  bool // the end was seen during or just after a time without a current view
 	slowStartUntil  clock.Millis
+	assumedAt       inband.Revision // of the end of a drain, from which the slow start is assumed; 0 if its entry told
 	changedRevision inband.Revision // of the newest change that placement depends on
 }
 
@@ -66,6 +67,26 @@
 // SlowStartUntil returns the time at which the target's slow start ends.
 func (e *Entry) SlowStartUntil() clock.Millis { return e.slowStartUntil }
 
+// assumeSlowStart takes the target for one in slow start, unless its entry is newer than a revision. It reports
+// whether that is new.
+func (e *Entry) assumeSlowStart(until clock.Millis, revision inband.Revision) bool {
+	if e.hasEnded || e.target.Revision > revision || until <= e.slowStartUntil {
+		return false
+	}
+	e.slowStartUntil, e.assumedAt = until, revision
+	return true
+}
+
+// endAssumedSlowStart takes the rest of an assumed slow start from an entry that is newer than the assumption. It
+// reports whether there was one.
+func (e *Entry) endAssumedSlowStart(now clock.Millis) bool {
+	if e.assumedAt == 0 || e.target.Revision <= e.assumedAt {
+		return false
+	}
+	e.slowStartUntil, e.assumedAt = now+e.target.SlowStartLeftMS, 0
+	return true
+}
+
 // updateSlowStart takes the slow start from the newest entry of the target. It reports whether a new slow start
 // began; a late heartbeat during one only makes it seem a bit longer.
 func (e *Entry) updateSlowStart(now clock.Millis) bool {
--- a/catalog/slowstart_test.go
+++ b/catalog/slowstart_test.go
@@ -10,6 +10,53 @@
 	"github.com/almondflow/almondflow/inband"
 )
 
+// Most VMs see no entry that only tells of a slow start, but each learns of the end of a drain.
+func TestTargetsAreInSlowStartAfterADrain(t *testing.T) {
+	const (
+		slowStart = 8 * clock.Second
+		at        = 20 * clock.Second
+	)
+	newer := func(revision inband.Revision, left clock.Millis) *catalog.Changes {
+		target := newTarget("i-1", revision, inband.Serving)
+		target.SlowStartLeftMS = left
+		return newChanges(0, revision, target)
+	}
+	tests := []struct {
+		name     string
+		services []inband.Service
+		domain   string
+		later    []*catalog.Changes
+		want     clock.Millis // end of the slow start
+	}{
+		{"no entry", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", nil, at + slowStart},
+		{"warm entry", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(13, 0)}, at},
+		{"cold entry", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(13, 3000)}, at + 3000},
+		{"entry from before the end", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(11, 0)}, at + slowStart},
+		{"other domain", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "b", nil, 0},
+		{"other service", []inband.Service{{Name: "store", SlowStartMS: slowStart}}, "a", nil, 0},
+		{"no slow starts", nil, "a", nil, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := catalog.New()
+			first := newChanges(1, 10, newTarget("i-1", 9, inband.Serving))
+			first.Tables.Services = tt.services
+			first.Targets[0].Service, first.Targets[0].Domain = "core", "a"
+			c.Replace(0, 0, first)
+			c.Apply(10, 10, newDrains(10, drainOf(tt.domain, 10)))
+			c.TakeChanged()
+			c.Apply(at, at, newDrains(12, endOf(tt.domain, 12)))
+			for _, changes := range tt.later {
+				changes.Targets[0].Service, changes.Targets[0].Domain = "core", "a"
+				is.Equal(len(c.Apply(at, at, changes)), 0) // siblings need not be told
+			}
+			is.Equal(entryI1(c).SlowStartUntil(), tt.want)
+			is.Equal(len(c.TakeChanged()) > 0, tt.want > 0) // placement is told
+		})
+	}
+}
+
 // Targets may become cold without a restart, for example while their domain is drained. Only their
 // entries tell.
 func TestTargetThatBecomesCold(t *testing.T) {
