Keep a flow at its target when another one answers late

Cause: a copy of an opening may go to another target than the first. From 3 s after the opening on, a packet with the tag of the other answer counted as that of a client that reuses its port, and went to that target: two live targets got parts of one flow.

Ruled out: no port reuse by tag at all; a client that reuses its port through another VM would reach the old target.

Change: a flow keeps the tags of the targets that this VM sent other copies of its opening; none of them shows a reuse. Other tags do as before.

Limit: a client that reuses a port within the flow's lifetime at exactly that target, through another VM, is taken for the old flow. Copies that other VMs sent elsewhere are not known here.

Test: TestTwoAnswersAcrossAChangeOfTables goes on to 20 s, and failed there before; TestThreeAnswers holds for all three copies.

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -139,16 +139,26 @@
 	previous := f.backend
 	if e.isTimedOutOpening(now, f) {
 		e.recordTimeout(now, f, false)
-		e.removeFlow(f)
-		verdict := e.placeFlow(now, p, route, previous, MovedUnresponsive)
+		verdict := e.placeAgain(now, p, f, route, previous, MovedUnresponsive)
 		verdict.Unresponsive = previous
 		return verdict
 	}
 	if route.leadsTo(previous.target.Service) && previous.acceptsNewFlows(now) {
 		return forward(previous, Repeated)
 	}
+	return e.placeAgain(now, p, f, route, nil, PlacedAnew)
+}
+
+// placeAgain chooses another target for a flow that is not open yet, and remembers those of earlier copies.
+func (e *Engine) placeAgain(now clock.Millis, p *Packet, f *flow, route *Route, avoid *Backend, reason Reason) Verdict {
+	earlier := *f
 	e.removeFlow(f)
-	return e.placeFlow(now, p, route, nil, PlacedAnew)
+	verdict := e.placeFlow(now, p, route, avoid, reason)
+	if f := e.flows.find(p.Key); f != nil {
+		f.otherTags = earlier.otherTags
+		f.addOtherTarget(earlier.backend.tag)
+	}
+	return verdict
 }
 
 // isTimedOutOpening reports whether a copy of the flow's opening shows that its target did not answer in
@@ -255,7 +265,7 @@
 func (e *Engine) confirmTarget(now clock.Millis, p *Packet, f *flow) {
 	if b := e.byTag[p.Tag]; b != nil && b != f.backend {
 		e.release(f)
-		f.backend = b
+		f.choose(b)
 		b.flows++
 	} else {
 		e.recordAnswer(now, f)
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -1,6 +1,10 @@
 package inband
 
-import "github.com/almondflow/almondflow/clock"
+import (
+	"slices"
+
+	"github.com/almondflow/almondflow/clock"
+)
 
 // phase is the stage that a flow has reached.
 type phase uint8
@@ -11,6 +15,10 @@
 	ended                // the client has sent everything, or the flow was reset
 )
 
+// maxOtherTargets is the number of targets that may answer one opening besides the one that the flow stays with.
+// Clients send two copies.
+const maxOtherTargets = 2
+
 // flow is the state that this entry VM keeps of one flow.
 type flow struct {
 	key           Key
@@ -28,6 +36,8 @@
 	nextSeq       uint32       // sequence number after the newest data that this VM forwarded, or of the opening
 	ack           uint32       // client's newest acknowledgment number
 	responseBytes uint32       // acknowledged bytes of the response to the newest request
+	// tags of the targets that got other copies of the opening, newest first
+	otherTags [maxOtherTargets]Tag
 }
 
 // isOpenedBy reports whether a packet is another copy of the flow's opening. It is false for a nil flow.
@@ -35,6 +45,22 @@
 	return f != nil && f.phase == opening && p.Seq == f.nextSeq
 }
 
+// addOtherTarget records that a target got another copy of the opening.
+func (f *flow) addOtherTarget(tag Tag) {
+	copy(f.otherTags[1:], f.otherTags[:])
+	f.otherTags[0] = tag
+}
+
+// choose makes a target that answered the flow's, and the one before another that may answer.
+func (f *flow) choose(b *Backend) {
+	if i := slices.Index(f.otherTags[:], b.tag); i >= 0 {
+		f.otherTags[i] = f.backend.tag
+	} else {
+		f.addOtherTarget(f.backend.tag)
+	}
+	f.backend = b
+}
+
 // startAt records that this VM has forwarded none of the client's data so far. The client's next
 // byte has the given sequence number, as far as this VM knows.
 func (f *flow) startAt(seq uint32) { f.forwardedFrom, f.nextSeq = seq, seq }
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -1,6 +1,10 @@
 package inband
 
-import "github.com/almondflow/almondflow/clock"
+import (
+	"slices"
+
+	"github.com/almondflow/almondflow/clock"
+)
 
 // observePacket derives from a packet whether the flow's target answers. It reports whether the
 // packet is the first sign that the previous one was not answered in time.
@@ -60,10 +64,11 @@
 
 // isPortReuse reports whether a packet belongs to another flow than the tracked one, because
 // the client reused its port through another VM. Shortly after the opening a different tag is
-// no sign of that: two targets may have answered, and the flow stays with the first.
+// no sign of that: two targets may have answered, and the flow stays with the first. The tags of targets that
+// this VM sent copies of the opening are none later, either: their answers may be late.
 func (e *Engine) isPortReuse(now clock.Millis, p *Packet, f *flow) bool {
 	if p.Tag == f.backend.tag || p.Tag == 0 {
 		return false
 	}
-	return now-f.openedAt > openingLifetime
+	return now-f.openedAt > openingLifetime && !slices.Contains(f.otherTags[:], p.Tag)
 }
--- a/inband/retransmit_test.go
+++ b/inband/retransmit_test.go
@@ -1,6 +1,8 @@
 package inband_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -162,9 +164,34 @@
 			e.Handle(1000, opening(1, feedAddress, 0))
 			e.SetTables(tablesTo(inband.Share{Service: "new", Weight: 1}))
 			e.Handle(1005, opening(1, feedAddress, 1))
-			for i, id := range []string{chosen, "i-1", "i-2"} {
-				v := e.Handle(1010+clock.Millis(i), data(1, feedAddress, inband.TagOf(id), uint32(101+50*i), 500))
-				is.Equal(v.Backend.Target().ID, chosen)
+			packets := uint32(0)
+			for _, after := range []clock.Millis{10, 3010, 20000} { // also when a late copy of the other answer comes
+				for i, id := range []string{chosen, "i-1", "i-2"} {
+					v := e.Handle(1000+after+clock.Millis(i), data(1, feedAddress, inband.TagOf(id), 101+50*packets, 500))
+					is.Equal(v.Backend.Target().ID, chosen)
+					packets++
+				}
+			}
+		})
+	}
+}
+
+// Each of three targets may answer one of the three copies that clients send.
+func TestThreeAnswers(t *testing.T) {
+	for chosen := range 3 {
+		t.Run(fmt.Sprintf("copy %d", chosen), func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"), target("i-2", "a"), target("i-3", "a"))
+			var tags []inband.Tag
+			for i, at := range []clock.Millis{1000, 1200, 1600} {
+				e.Sweep(at - 200)
+				v := e.Handle(at, opening(1, feedAddress, uint32(i)))
+				is.True(!slices.Contains(tags, v.Tag()))
+				tags = append(tags, v.Tag())
+			}
+			for i, tag := range append([]inband.Tag{tags[chosen]}, tags...) {
+				v := e.Handle(1610+clock.Millis(i)*4*clock.Second, data(1, feedAddress, tag, uint32(101+50*i), 500))
+				is.Equal(v.Tag(), tags[chosen])
 			}
 		})
 	}
