Forget the end of a drain that siblings tell each other

Cause: the end of a drain that came with a sibling's view counted as known from then on. VMs that had forgotten it took it from others again, and so kept it alive for each other.

Ruled out: taking in no end of an unknown drain. A VM that starts with a view needs the ends that are so young that a late message may still hold their begin.

Change: a view tells how long each end has been known, and a VM takes in none that it would have forgotten.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -264,10 +264,10 @@
 }
 
 // ChangesSince returns what a sibling with the given version of the tables and the given
-// revision lacks. Targets that only sent heartbeats since then are left out. Drains are few and all there, so
+// revision lacks now. Targets that only sent heartbeats since then are left out. Drains are few and all there, so
 // that a sibling that missed the end of one learns it.
-func (c *Catalog) ChangesSince(version int64, revision inband.Revision) *Changes {
-	changes := &Changes{Revision: c.revision, Drains: c.drains.All(), HasAllDrains: c.hasAllDrains}
+func (c *Catalog) ChangesSince(now clock.Millis, version int64, revision inband.Revision) *Changes {
+	changes := &Changes{Revision: c.revision, Drains: c.drains.All(now), HasAllDrains: c.hasAllDrains}
 	if c.tablesVersion() > version {
 		changes.Delta = c.TablesDeltaSince(version)
 		if changes.Delta == nil {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -179,7 +179,7 @@
 	b.Replace(0, 0, start)
 	a.Apply(1, 1, newChanges(2, 14, newTarget("i-1", 12, inband.Serving), newTarget("i-3", 13, inband.Serving), newTarget("i-2", 14, inband.Leaving)))
 	is.True(a.Digest() != b.Digest())
-	missing := a.ChangesSince(b.Tables().Version, b.Revision())
+	missing := a.ChangesSince(0, b.Tables().Version, b.Revision())
 	is.Equal(len(missing.Targets), 2) // the heartbeat of i-1 is left out
 	b.Apply(2, 1, missing)
 	is.Equal(a.Digest(), b.Digest())
@@ -192,7 +192,7 @@
 	a, b := catalog.New(), catalog.New()
 	a.Replace(0, 0, newChanges(1, 10, newTarget("i-1", 9, inband.Serving)))
 	a.Apply(0, 0, newChanges(0, 11, newTarget("i-1", 11, inband.Gone)))
-	b.Replace(1, 1, a.ChangesSince(0, 0))
+	b.Replace(1, 1, a.ChangesSince(0, 0, 0))
 	is.Equal(entryI1(b).Target().State, inband.Gone)
 	is.Equal(entryI1(b).FallbackUntil(), clock.Millis(0))
 	is.True(entryI1(b).MayReturnUntil() > 2) // the entry may have expired in an outage
--- a/catalog/drains_test.go
+++ b/catalog/drains_test.go
@@ -67,13 +67,13 @@
 		{"page of an unfinished full read", func(c *catalog.Catalog) { c.MergeDrains(now, []drain.Mark{drainOf("b", 13)}) }, []drain.Mark{drainOf("a", 9), drainOf("b", 13)}},
 		{"old view of a sibling", func(c *catalog.Catalog) {
 			c.Apply(now, now, newDrains(12, endOf("a", 12)))
-			c.Apply(now, now, newDrainedCatalog().ChangesSince(1, 0))
+			c.Apply(now, now, newDrainedCatalog().ChangesSince(0, 1, 0))
 		}, nil},
 		{"sibling that never heard of drains", func(c *catalog.Catalog) { c.Apply(now, now, newDrains(20)) }, []drain.Mark{drainOf("a", 9)}},
 		{"the end was missed in a pause of hours", func(c *catalog.Catalog) {
 			sibling := catalog.New()
 			sibling.Replace(0, 0, fullRead(20))
-			c.Apply(now, now, sibling.ChangesSince(1, c.Revision()))
+			c.Apply(now, now, sibling.ChangesSince(0, 1, c.Revision()))
 		}, nil},
 	}
 	for _, tt := range tests {
@@ -92,7 +92,7 @@
 	known := newDrainedCatalog()
 	known.Apply(1, 1, newDrains(12, drainOf("b", 11), endOf("c", 12)))
 	starting := catalog.New()
-	starting.Replace(2, 2, known.ChangesSince(0, 0))
+	starting.Replace(2, 2, known.ChangesSince(0, 0, 0))
 	is.Equal(starting.Drains(), []drain.Mark{drainOf("a", 9), drainOf("b", 11)})
 	is.Equal(starting.Digest(), known.Digest())
 	starting.Apply(3, 3, newDrains(0, drainOf("c", 10)))
@@ -110,16 +110,31 @@
 func TestViewWithoutDrainsEndsNone(t *testing.T) {
 	is := is.New(t)
 	starting, known := catalog.New(), newDrainedCatalog()
-	starting.Replace(0, 0, withoutDrains(known.ChangesSince(0, 0)))
+	starting.Replace(0, 0, withoutDrains(known.ChangesSince(0, 0, 0)))
 	starting.Confirm(1, 11)
-	known.Apply(2, 2, starting.ChangesSince(1, 10))
+	known.Apply(2, 2, starting.ChangesSince(0, 1, 10))
 	is.Equal(known.Drains(), []drain.Mark{drainOf("a", 9)})
 
 	starting.Replace(3, 3, fullRead(12))
-	known.Apply(4, 4, starting.ChangesSince(1, 10))
+	known.Apply(4, 4, starting.ChangesSince(0, 1, 10))
 	is.Equal(len(known.Drains()), 0)
 }
 
+// VMs that send each other their views must not keep the end of a drain alive.
+func TestTombstonesOfSiblingsDie(t *testing.T) {
+	is := is.New(t)
+	a, b := newDrainedCatalog(), newDrainedCatalog()
+	a.Apply(0, 0, newDrains(12, endOf("a", 12)))
+	for now := clock.Millis(0); now <= 20*clock.Minute; now += 100 * clock.Second {
+		b.Apply(now, now, a.ChangesSince(now, 1, 10))
+		a.Prune(now)
+		a.Apply(now, now, b.ChangesSince(now, 1, 10))
+		b.Prune(now + 50*clock.Second)
+	}
+	is.Equal(len(a.ChangesSince(0, 1, 10).Drains), 0)
+	is.Equal(len(b.ChangesSince(0, 1, 10).Drains), 0)
+}
+
 // The digest tells a VM that it missed a drain or its end.
 func TestDigestCoversDrains(t *testing.T) {
 	is := is.New(t)
--- a/drain/set.go
+++ b/drain/set.go
@@ -32,10 +32,15 @@
 	if m.Domain == "" || ok && m.Revision <= known.mark.Revision {
 		return false
 	}
+	if !ok && m.KnownMS > tombstoneRetention {
+		return false // it was forgotten here
+	}
 	if s.marks == nil {
 		s.marks = map[string]entry{}
 	}
-	s.marks[m.Domain] = entry{mark: m, since: now}
+	since := now - max(0, m.KnownMS)
+	m.KnownMS = 0
+	s.marks[m.Domain] = entry{mark: m, since: since}
 	wasInForce := ok && !known.mark.HasEnded
 	return wasInForce || !m.HasEnded
 }
@@ -68,11 +73,15 @@
 	return e.mark, ok
 }
 
-// All returns all marks, including those of ended drains, ordered by domain.
-func (s *Set) All() []Mark {
+// All returns all marks, including those of ended drains and how long these have been known, ordered by domain.
+func (s *Set) All(now clock.Millis) []Mark {
 	var all []Mark
 	for _, e := range s.marks {
-		all = append(all, e.mark)
+		m := e.mark
+		if m.HasEnded {
+			m.KnownMS = now - e.since
+		}
+		all = append(all, m)
 	}
 	slices.SortFunc(all, func(a, b Mark) int { return strings.Compare(a.Domain, b.Domain) })
 	return all
@@ -81,7 +90,7 @@
 // InForce returns the marks of the drains in force, ordered by domain.
 func (s *Set) InForce() []Mark {
 	var inForce []Mark
-	for _, m := range s.All() {
+	for _, m := range s.All(0) {
 		if !m.HasEnded {
 			inForce = append(inForce, m)
 		}
--- a/drain/set_test.go
+++ b/drain/set_test.go
@@ -37,7 +37,7 @@
 	drains.Merge(0, drain.Mark{Domain: "a", Revision: 9, HasEnded: true})
 	fmt.Println(drains.InForce())
 	// Output:
-	// [{a 7 false}]
+	// [{a 7 false 0}]
 	// []
 }
 
@@ -82,7 +82,7 @@
 		}
 		inOrder, shuffled := merged(marks...), merged(rapid.Permutation(marks).Draw(t, "order")...)
 		is := is.New(t)
-		is.Equal(shuffled.All(), inOrder.All())
+		is.Equal(shuffled.All(0), inOrder.All(0))
 		is.Equal(shuffled.Digest(), inOrder.Digest())
 	})
 }
@@ -121,7 +121,7 @@
 	is := is.New(t)
 	s := merged(begin("a", 7), begin("b", 8), end("b", 9))
 	s.Prune(3 * clock.Minute)
-	is.Equal(s.All(), []drain.Mark{begin("a", 7), end("b", 9)})
+	is.Equal(s.All(3*clock.Minute), []drain.Mark{begin("a", 7), {Domain: "b", Revision: 9, HasEnded: true, KnownMS: 3 * clock.Minute}})
 	s.Prune(3*clock.Minute + 1)
-	is.Equal(s.All(), []drain.Mark{begin("a", 7)}) // a drain in force stays
+	is.Equal(s.All(0), []drain.Mark{begin("a", 7)}) // a drain in force stays
 }
--- a/front/era_test.go
+++ b/front/era_test.go
@@ -68,7 +68,7 @@
 	version, revision := behind.versionsToFetchAfter(news.View)
 	is.Equal(version, int64(0))
 	is.Equal(revision, inband.Revision(0))
-	behind.mergeFetchedView(500, &viewResponse{Digest: reader.catalog.Digest(), Changes: reader.catalog.ChangesSince(0, 0)}, true, "")
+	behind.mergeFetchedView(500, &viewResponse{Digest: reader.catalog.Digest(), Changes: reader.catalog.ChangesSince(0, 0, 0)}, true, "")
 	is.Equal(servingTargets(behind), 1)
 	is.Equal(behind.catalog.Revision().Era(), uint64(2))
 	is.Equal(behind.catalog.Tables().Version, int64(5)) // tables never go back
@@ -76,7 +76,7 @@
 
 	_, isNewer, needsFetch := behind.mergeMessage(500, messageOf(late))
 	is.True(!isNewer && !needsFetch)
-	behind.mergeFetchedView(500, &viewResponse{Changes: late.catalog.ChangesSince(0, 0)}, true, "")
+	behind.mergeFetchedView(500, &viewResponse{Changes: late.catalog.ChangesSince(0, 0, 0)}, true, "")
 	is.Equal(servingTargets(behind), 1)
 }
 
--- a/front/fuzz_test.go
+++ b/front/fuzz_test.go
@@ -103,5 +103,5 @@
 	d.members.SampleContacts(now, "a")
 	d.members.Rank(now)
 	d.catalog.Prune(now)
-	d.catalog.ChangesSince(0, 0)
+	d.catalog.ChangesSince(0, 0, 0)
 }
--- a/front/views.go
+++ b/front/views.go
@@ -217,7 +217,7 @@
 		return cached.body, now - cached.confirmedAt, nil
 	}
 	age := d.catalog.Age(now)
-	response := viewResponse{Digest: d.catalog.Digest(), Changes: d.catalog.ChangesSince(version, revision)}
+	response := viewResponse{Digest: d.catalog.Digest(), Changes: d.catalog.ChangesSince(now, version, revision)}
 	d.mu.Unlock()
 	body, err := compressJSON(response)
 	if err != nil {
