Look at no drained targets for new flows

Cause: candidates were drawn from all targets of a pool, and drained ones thrown away. With few domains left many openings found none in their sample and scanned the whole pool; with none left each did. Each of them also wrote a log line without a limit.

Ruled out: a count of drained targets, which helps only where all are drained.

Change: a pool lists the targets that new flows may go to, and lists them again when other domains are drained.

--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -200,3 +200,10 @@
 	d.mergePage(1000, page, "x")
 	is.Equal(d.newFlowDomains(), []string{"b"})
 }
+
+// While every domain is drained each opening is rejected, and none of their lines may crowd out the others.
+func TestRejectedOpeningsAreRoutine(t *testing.T) {
+	for _, reason := range []inband.Reason{inband.NoRoute, inband.NoTarget, inband.Overloaded} {
+		t.Run(reason.String(), func(t *testing.T) { is.New(t).True(isRoutine(reason)) })
+	}
+}
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -20,8 +20,9 @@
 
 // pool holds the targets of a service.
 type pool struct {
-	local           []*Backend // in the VM's own failure domain
-	remote          []*Backend
+	backends        []*Backend    // all of them
+	local           []*Backend    // in the VM's own failure domain, unless that is drained
+	remote          []*Backend    // in other domains that are not drained
 	domainPools     []*domainPool // the same targets, by failure domain
 	load            *loadState
 	isOverloaded    bool         // set once overload has lasted for overloadTime
@@ -36,6 +37,15 @@
 func (p *pool) add(b *Backend, domain string) {
 	b.domainPool = p.in(load.PoolID{Service: b.target.Service, Domain: b.target.Domain})
 	b.domainPool.backends = append(b.domainPool.backends, b)
+	p.backends = append(p.backends, b)
+	p.addCandidate(b, domain)
+}
+
+// addCandidate adds a target to those that new flows may go to, unless it is drained.
+func (p *pool) addCandidate(b *Backend, domain string) {
+	if b.isDrained {
+		return
+	}
 	if b.target.Domain == domain {
 		p.local = append(p.local, b)
 		return
@@ -43,6 +53,14 @@
 	p.remote = append(p.remote, b)
 }
 
+// updateCandidates lists the targets that new flows may go to again, as other ones are drained.
+func (p *pool) updateCandidates(domain string) {
+	p.local, p.remote = nil, nil
+	for _, b := range p.backends {
+		p.addCandidate(b, domain)
+	}
+}
+
 // selection tracks the cheapest target seen so far. Ties are broken at random.
 type selection struct {
 	best *Backend
--- a/inband/drained.go
+++ b/inband/drained.go
@@ -15,6 +15,9 @@
 	for _, b := range e.byID {
 		b.isDrained = e.drained[b.target.Domain]
 	}
+	for _, p := range e.pools {
+		p.updateCandidates(e.options.Domain)
+	}
 }
 
 // hasDrained reports whether exactly the given domains are drained.
@@ -28,8 +31,7 @@
 	var domains []string
 	for _, share := range route.Shares {
 		if p := e.pools[share.Service]; p != nil {
-			domains = addDrainedDomains(domains, p.local)
-			domains = addDrainedDomains(domains, p.remote)
+			domains = addDrainedDomains(domains, p.backends)
 		}
 	}
 	slices.Sort(domains)
--- a/inband/drained_test.go
+++ b/inband/drained_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -117,6 +118,43 @@
 	})
 }
 
+// costCounter counts the targets whose cost is computed.
+type costCounter struct {
+	inband.Local
+	count *int
+}
+
+func (c costCounter) Cost(now clock.Millis, from inband.Location, b *inband.Backend) float64 {
+	*c.count++
+	return c.Local.Cost(now, from, b)
+}
+
+// A drain makes no opening to a large pool look at more targets than without it.
+func TestDrainCostsNoFullScan(t *testing.T) {
+	is := is.New(t)
+	const maxCandidates = 32 + 8 // samples in the own domain and in the others
+	count := 0
+	e := inband.New(inband.Options{Domain: "a", Policy: costCounter{count: &count}, MaxFlows: 1000, FlowLifetime: clock.Minute, Seed: 1})
+	e.ReplaceView(tables(1), published(largePool(4000, "abcd")...))
+	e.SetDrainedDomains([]string{"a", "b", "c"})
+	for flow := range 1000 {
+		count = 0
+		is.Equal(e.Handle(0, numberedOpening(flow)).Backend.Target().Domain, "d")
+		is.True(count <= maxCandidates)
+	}
+}
+
+// BenchmarkChooseWithoutTargets rejects openings while every domain of a large pool is drained.
+func BenchmarkChooseWithoutTargets(b *testing.B) {
+	e := newLargeEngine(largePool(4000, "abcd"), 1000)
+	e.SetDrainedDomains([]string{"a", "b", "c", "d"})
+	p := numberedOpening(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Handle(0, p)
+	}
+}
+
 func TestExplainNamesDrainedDomains(t *testing.T) {
 	is := is.New(t)
 	other := target("i-3", "c")
