Test the announcement that a daemon sends

Cause: the tests of a drain's announcement built the message themselves, so all of package front passed without the drains in the message that a daemon sends.

Change: the message is built apart from its sending, and the tests take it through Encode and Decode.

Test: TestAnnouncementBringsDrainAndItsEnd and the new TestAnnouncementBesideManyTargets, with 24 changed targets; both fail once announcement leaves the drains out.

--- a/front/announce.go
+++ b/front/announce.go
@@ -88,12 +88,7 @@
 // read from the store, some VMs of each other domain get it, too.
 func (d *Daemon) announce(now clock.Millis, isFromStore bool, maxRecipients int) {
 	d.mu.Lock()
-	message := siblings.Message{Kind: siblings.Announce, View: d.viewSummary(now)}
-	if now < d.recentUntil {
-		message.Targets = append([]*inband.Target(nil), d.recentTargets...)
-		message.Drains = slices.Clone(d.recentDrains)
-	}
-	message.Tables = d.recentTablesDelta(now)
+	message := d.announcement(now)
 	recipients := addressesOf(d.members.SampleLocal(now, maxRecipients))
 	if isFromStore {
 		recipients = append(recipients, addressesOf(d.members.SampleRemote(now, remoteRecipientsPerDomain))...)
@@ -104,6 +99,17 @@
 	}
 }
 
+// announcement returns what this VM tells of its view and of recent changes, without a view before it is complete.
+// The caller holds the lock.
+func (d *Daemon) announcement(now clock.Millis) siblings.Message {
+	message := siblings.Message{Kind: siblings.Announce, View: d.viewSummary(now), Tables: d.recentTablesDelta(now)}
+	if now < d.recentUntil {
+		message.Targets = slices.Clone(d.recentTargets)
+		message.Drains = slices.Clone(d.recentDrains)
+	}
+	return message
+}
+
 // recentTablesDelta returns the latest change of the tables, or nil if it is not recent. The
 // caller holds the lock.
 func (d *Daemon) recentTablesDelta(now clock.Millis) *inband.TablesDelta {
--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -111,21 +112,42 @@
 	is := is.New(t)
 	sibling, d := newReadDaemon(t), newReadDaemon(t)
 	sibling.mergeWatched(1000, drain.Mark{Domain: "a", Revision: drainBegin})
-	d.receive(context.Background(), sibling.announcement(1000))
+	d.receive(context.Background(), received(t, sibling, 1000))
 	is.Equal(d.catalog.Drains(), sibling.catalog.Drains())
 	is.Equal(d.newFlowDomains(), []string{"b"})
 	sibling.mergeWatched(5000, drain.Mark{Domain: "a", Revision: drainEnd, HasEnded: true})
-	d.receive(context.Background(), sibling.announcement(5000))
+	d.receive(context.Background(), received(t, sibling, 5000))
 	is.Equal(len(d.catalog.Drains()), 0)
 	is.Equal(d.catalog.Digest(), sibling.catalog.Digest())
 }
 
-// announcement returns what a daemon announces of its view.
-func (d *Daemon) announcement(now clock.Millis) *siblings.Message {
-	from := siblings.Contact{Address: netip.MustParseAddrPort("127.0.0.9:7720"), Domain: "b"}
-	view := d.viewSummary(now)
-	view.AgeMS = -clock.Minute - now // newer than what the receiver has, whose clock is the system's
-	return &siblings.Message{Kind: siblings.Announce, From: from, View: view, Drains: d.recentDrains}
+// received returns the announcement of a daemon as another one gets it.
+func received(t *testing.T, d *Daemon, now clock.Millis) *siblings.Message {
+	t.Helper()
+	is := is.New(t)
+	message := d.announcement(now)
+	message.From = siblings.Contact{Address: netip.MustParseAddrPort("127.0.0.9:7720"), Domain: "b"}
+	message.View.AgeMS = -clock.Minute - now // newer than what the receiver has, whose clock is the system's
+	data, err := siblings.Encode(message)
+	is.NoErr(err)
+	decoded, err := siblings.Decode(data)
+	is.NoErr(err)
+	return decoded
+}
+
+// The drain is in the datagram also where more targets changed than it holds.
+func TestAnnouncementBesideManyTargets(t *testing.T) {
+	is := is.New(t)
+	d := newReadDaemon(t)
+	var changes []catalog.Change
+	for i := range maxRecentTargets {
+		changes = append(changes, catalog.Change{Target: newDomainTarget(fmt.Sprintf("i-a-long-name-of-target-%02d", i), "c")})
+	}
+	d.keepRecent(1000, changes)
+	d.mergeWatched(1000, drain.Mark{Domain: "a", Revision: drainBegin})
+	message := received(t, d, 1010)
+	is.Equal(message.Drains, []drain.Mark{{Domain: "a", Revision: drainBegin}})
+	is.True(len(message.Targets) < maxRecentTargets) // they fill the rest
 }
 
 // A VM that missed the announcement, or was paused for so long that the end is forgotten, fetches the view.
--- a/front/reading.go
+++ b/front/reading.go
@@ -21,6 +21,8 @@
 	changesPollTime = 500 * clock.Millisecond
 	// recentTargetTime is how long a changed target is included in announcements.
 	recentTargetTime = 2500 * clock.Millisecond
+	// maxRecentTargets is how many changed targets are kept for announcements.
+	maxRecentTargets = 24
 	// storeSource is the source of changes read from the store, in logs and the audit trail.
 	storeSource = "store"
 )
@@ -215,9 +217,8 @@
 	if now > d.recentUntil {
 		d.recentTargets, d.recentDrains = d.recentTargets[:0], d.recentDrains[:0]
 	}
-	const maxTargets = 24
 	for _, c := range applied {
-		if c.Target != nil && len(d.recentTargets) < maxTargets {
+		if c.Target != nil && len(d.recentTargets) < maxRecentTargets {
 			d.recentTargets = append(d.recentTargets, c.Target)
 		}
 		if c.Drain != nil {
