Announce each drain for its own time

Cause: drains that changed were announced until no target had changed for 2.5 s, which at many targets is never, and each change of a domain was one more mark in the message.

Change: announcements hold the newest mark of each domain, for 2.5 s after it was learnt.

--- a/front/announce.go
+++ b/front/announce.go
@@ -102,10 +102,9 @@
 // announcement returns what this VM tells of its view and of recent changes, without a view before it is complete.
 // The caller holds the lock.
 func (d *Daemon) announcement(now clock.Millis) siblings.Message {
-	message := siblings.Message{Kind: siblings.Announce, View: d.viewSummary(now), Tables: d.recentTablesDelta(now)}
+	message := siblings.Message{Kind: siblings.Announce, View: d.viewSummary(now), Tables: d.recentTablesDelta(now), Drains: d.recentDrains.marks(now)}
 	if now < d.recentUntil {
 		message.Targets = slices.Clone(d.recentTargets)
-		message.Drains = slices.Clone(d.recentDrains)
 	}
 	return message
 }
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -15,7 +15,6 @@
 
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
-	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/siblings"
 )
@@ -100,8 +99,8 @@
 	probesOut           int          // probes that wait for their outcome
 	random              *rand.Rand
 	recentTargets       []*inband.Target // changed recently, sent with announcements
-	recentDrains        []drain.Mark     // as recentTargets
-	recentUntil         clock.Millis
+	recentUntil         clock.Millis     // of recentTargets
+	recentDrains        recentDrains
 	reasonCounts        [inband.ReasonCount]uint64
 	isStopping          bool
 	nextPruneAt         clock.Millis
--- a/front/reading.go
+++ b/front/reading.go
@@ -215,14 +215,14 @@
 // keepRecent keeps changed targets and drains for the next announcements. The caller holds the lock.
 func (d *Daemon) keepRecent(now clock.Millis, applied []catalog.Change) {
 	if now > d.recentUntil {
-		d.recentTargets, d.recentDrains = d.recentTargets[:0], d.recentDrains[:0]
+		d.recentTargets = d.recentTargets[:0]
 	}
 	for _, c := range applied {
 		if c.Target != nil && len(d.recentTargets) < maxRecentTargets {
 			d.recentTargets = append(d.recentTargets, c.Target)
 		}
 		if c.Drain != nil {
-			d.recentDrains = append(d.recentDrains, *c.Drain)
+			d.recentDrains.add(now, *c.Drain)
 		}
 	}
 	d.recentUntil = now + recentTargetTime
