Send the rest of a slow start in views

Cause: a view held what was left of a slow start when its sender had read the entry, which for a VM that reads no heartbeats may be long ago. A VM that started with it limited new flows to a warm target for a slow start.

Ruled out: the age of the view instead of the sender's clock: the view is current while the entry is old. Less for an entry that the store gives late: the store does not say when it was written, and an end too early would let too many flows onto a cold target.

Change: views hold the rest as of their sending, also that of an assumed slow start.

Test: TestViewHoldsTheRestOfASlowStart; the rows late and over failed before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -276,7 +276,7 @@
 	}
 	for _, e := range c.Entries() {
 		if e.changedRevision > revision {
-			changes.Targets = append(changes.Targets, e.target)
+			changes.Targets = append(changes.Targets, e.targetAt(now))
 		}
 	}
 	return changes
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -67,6 +67,17 @@
 // SlowStartUntil returns the time at which the target's slow start ends.
 func (e *Entry) SlowStartUntil() clock.Millis { return e.slowStartUntil }
 
+// targetAt returns the target with what is left of its slow start now.
+func (e *Entry) targetAt(now clock.Millis) *inband.Target {
+	left := max(0, e.slowStartUntil-now)
+	if left == e.target.SlowStartLeftMS {
+		return e.target
+	}
+	t := *e.target
+	t.SlowStartLeftMS = left
+	return &t
+}
+
 // assumeSlowStart takes the target for one in slow start, unless its entry is newer than a revision. It reports
 // whether that is new.
 func (e *Entry) assumeSlowStart(until clock.Millis, revision inband.Revision) bool {
--- a/catalog/slowstart_test.go
+++ b/catalog/slowstart_test.go
@@ -57,6 +57,31 @@
 	}
 }
 
+// A sibling tells the rest of a slow start, not what was left of it when it read the entry.
+func TestViewHoldsTheRestOfASlowStart(t *testing.T) {
+	tests := []struct {
+		name string
+		at   clock.Millis // when the view is sent
+		want clock.Millis // end of the slow start at the receiver, which gets the view 100 ms later
+	}{
+		{"at once", 1000, 6100},
+		{"late", 4000, 6100},
+		{"over", 9000, 9100},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			known, starting := catalog.New(), catalog.New()
+			target := newTarget("i-1", 9, inband.Serving)
+			target.SlowStartLeftMS = 5000
+			known.Replace(1000, 1000, newChanges(1, 10, target))
+			starting.Replace(tt.at+100, tt.at, known.ChangesSince(tt.at, 0, 0))
+			is.Equal(entryI1(starting).SlowStartUntil(), tt.want)
+			is.Equal(target.SlowStartLeftMS, clock.Millis(5000)) // targets are immutable
+		})
+	}
+}
+
 // Targets may become cold without a restart, for example while their domain is drained. Only their
 // entries tell.
 func TestTargetThatBecomesCold(t *testing.T) {
