Compare digests up to the revision of a view

Cause: a VM that knows a drain from the first page of a full read, before its view is complete, had a digest that no other VM had. It and its siblings fetched full views from each other until the read was complete.

Change: the digest holds no mark above the revision of the view that it describes. A VM that gets a view compares its own digest up to that view's revision.

Limit: an early end, or an early new mark of a drain that was in force, still differs until the view catches up.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -295,4 +295,10 @@
 
 // Digest returns a hash of all targets that have not left the store and of the drains in force, so that
 // two VMs can check whether they agree on them.
-func (c *Catalog) Digest() uint64 { return c.digest ^ c.drains.Digest() }
+func (c *Catalog) Digest() uint64 { return c.DigestAt(c.revision) }
+
+// DigestAt returns the digest up to a revision that a sibling has. Drains that were known before the changes they
+// came with are above it.
+func (c *Catalog) DigestAt(revision inband.Revision) uint64 {
+	return c.digest ^ c.drains.Digest(revision)
+}
--- a/drain/set.go
+++ b/drain/set.go
@@ -98,11 +98,11 @@
 	return inForce
 }
 
-// Digest returns a hash of the drains in force, which is zero if there are none.
-func (s *Set) Digest() uint64 {
+// Digest returns a hash of the drains in force whose marks are not above a revision. It is zero if there are none.
+func (s *Set) Digest(upTo inband.Revision) uint64 {
 	digest := uint64(0)
 	for _, e := range s.marks {
-		if !e.mark.HasEnded {
+		if !e.mark.HasEnded && e.mark.Revision <= upTo {
 			digest ^= e.mark.hash()
 		}
 	}
--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// A VM that knows a drain before its view does fetches no view for it, and neither do its siblings.
+func TestEarlyDrainCausesNoFetch(t *testing.T) {
+	is := is.New(t)
+	ahead, behind := newReadDaemon(t), newReadDaemon(t)
+	mark := drain.Mark{Domain: "a", Revision: drainBegin}
+	ahead.mergePage(1000, &catalog.Changes{Revision: drainBegin, Drains: []drain.Mark{mark}}, "x")
+	needsFetch := func(d *Daemon, m *siblings.Message) bool {
+		_, _, needsFetch := d.mergeMessage(d.clock.Now(), m)
+		return needsFetch
+	}
+	is.True(!needsFetch(ahead, received(t, behind, 1010)))
+	is.True(!needsFetch(behind, received(t, ahead, 9000))) // the mark is not recent any more
+	behind.mergeWatched(9000, mark)
+	is.True(!needsFetch(ahead, received(t, behind, 20000)))
+}
+
 // A view that was compressed for another VM just before the drain is not served any more.
 func TestCachedViewIsNotServedWithoutADrain(t *testing.T) {
 	is := is.New(t)
--- a/front/messages.go
+++ b/front/messages.go
@@ -213,7 +213,7 @@
 		return nil, false, v.Version > d.catalog.Tables().Version
 	}
 	applied = d.mergeChanges(now, now-d.catalog.Age(now), &catalog.Changes{Delta: m.Tables, Targets: m.Targets, Drains: m.Drains}, false, m.From.Address.String())
-	if v.Version > d.catalog.Tables().Version || v.Digest != d.catalog.Digest() {
+	if v.Version > d.catalog.Tables().Version || v.Digest != d.catalog.DigestAt(v.Revision) {
 		return applied, false, true
 	}
 	d.catalog.Confirm(confirmedAt, v.Revision)
