Check a flow's state before what its target may be lost to

Cause: each data packet asked whether its target is lost, with look-ups by the name of the domain, before the checks that need none.

Change: policy, hold-off, phase and whether an answer is awaited come first, the look-up of the route last; a target without signs needs no look-up of its domain. Decisions are the same.

What the current tables say holds here, too: a flow whose route was dropped is not reset at a dead target while it waits, as nothing says that its client repeats the request.

Test: those of resets pass as they were.

--- a/inband/link.go
+++ b/inband/link.go
@@ -127,8 +127,11 @@
 // seemsCutOff reports whether a target of another domain has been unresponsive since the domain's first
 // timeout, though it is expected to run.
 func (e *Engine) seemsCutOff(now clock.Millis, b *Backend) bool {
+	if !b.evidence.isUnresponsive() { // the usual case of each packet
+		return false
+	}
 	l := e.links[b.target.Domain]
-	return l != nil && b.evidence.isUnresponsive() && b.isExpectedToRun(now) && b.evidence.lastTimeoutAt >= l.unresponsiveSince
+	return l != nil && b.isExpectedToRun(now) && b.evidence.lastTimeoutAt >= l.unresponsiveSince
 }
 
 // isUnreachable reports whether a target that seems cut off did not answer a probe of this VM either.
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -17,18 +17,18 @@
 // mayReset reports whether to reset a flow because it sends data to a lost target. Its client
 // is then better off with a new flow.
 func (e *Engine) mayReset(now clock.Millis, p *Packet, f *flow) bool {
-	return p.DataLength > 0 && e.isLostToTarget(now, f) && e.isResettable(now, f)
+	return p.DataLength > 0 && e.isInResettableState(now, f) && e.isLostToTarget(now, f) && e.isRepeatable(f)
 }
 
-// isResettable reports whether the flow's client will repeat its request on a new flow after a
-// reset, as the current tables say. During hold-off no flow is reset.
-func (e *Engine) isResettable(now clock.Millis, f *flow) bool {
-	if !e.options.Policy.ResetsFlowsOfDeadTargets() || now < e.holdOffUntil {
-		return false
-	}
-	if f.phase != open || !f.isBusy {
-		return false
-	}
+// isInResettableState reports whether a flow waits for an answer, so that a reset has its request repeated. During
+// hold-off no flow is reset.
+func (e *Engine) isInResettableState(now clock.Millis, f *flow) bool {
+	return f.phase == open && f.isBusy && now >= e.holdOffUntil && e.options.Policy.ResetsFlowsOfDeadTargets()
+}
+
+// isRepeatable reports whether the flow's client will repeat its request on a new flow after a reset, as the
+// current tables say. A flow whose route was dropped waits for its target, as its client may not.
+func (e *Engine) isRepeatable(f *flow) bool {
 	route := e.routes[f.key.Destination]
 	return route != nil && route.Repeatable
 }
@@ -73,7 +73,7 @@
 // isWaitingForLostTarget reports whether a flow waits for a lost target and its client will repeat
 // the request.
 func (e *Engine) isWaitingForLostTarget(now clock.Millis, f *flow) bool {
-	return f.isWaiting(now) && e.isLostToTarget(now, f) && e.isResettable(now, f)
+	return f.isWaiting(now) && e.isInResettableState(now, f) && e.isLostToTarget(now, f) && e.isRepeatable(f)
 }
 
 // isLostToTarget reports whether a flow's target is lost to it. A flow that came here after a probe showed
