Test copies of openings to targets that no longer take them

Cause: no test sent a copy to a domain that was drained after the first one, to a target whose entry had expired, or to one that came to share its tag, neither at once nor after the target had time to answer.

Change: rows in TestCopyOfAnOpeningFollowsTheTargets, each with a copy after 5 and after 200 ms, and TestCopyOfAnOpeningLeavesASharedTag. The rows that it had are kept.

Test: they pass; without the check for new flows in handleRetransmit four rows and the second test fail.

--- a/inband/retransmit_test.go
+++ b/inband/retransmit_test.go
@@ -67,30 +67,60 @@
 // A copy of an opening goes to a target that accepts new flows, also if the first copy went to one that did
 // then.
 func TestCopyOfAnOpeningFollowsTheTargets(t *testing.T) {
+	inState := func(state inband.State, fallbackUntil clock.Millis) func(*inband.Engine) {
+		return func(e *inband.Engine) {
+			changed := target("i-1", "a")
+			changed.State = state
+			e.UpdateTargets([]inband.Published{{Target: changed, FallbackUntil: fallbackUntil, MayReturnUntil: fallbackUntil}})
+		}
+	}
 	tests := []struct {
-		state  inband.State
-		want   inband.Reason
+		name   string
+		change func(e *inband.Engine)
+		want   inband.Reason // of a copy that is read at once
 		target string
+		moved  string // target of a copy that comes after the first one had time to answer
 	}{
-		{inband.Serving, inband.Repeated, "i-1"},
-		{inband.Leaving, inband.PlacedAnew, "i-2"},
-		{inband.Gone, inband.PlacedAnew, "i-2"},
+		{"serving", inState(inband.Serving, 0), inband.Repeated, "i-1", "i-2"},
+		{"leaving", inState(inband.Leaving, 0), inband.PlacedAnew, "i-2", "i-2"},
+		{"left", inState(inband.Gone, 0), inband.PlacedAnew, "i-2", "i-2"},
+		{"its entry has expired", inState(inband.Gone, 2000), inband.Repeated, "i-1", "i-2"},
+		{"its entry expired long ago", inState(inband.Gone, 1005), inband.PlacedAnew, "i-2", "i-2"},
+		{"its domain is drained", func(e *inband.Engine) { e.SetDrainedDomains([]string{"a"}) }, inband.PlacedAnew, "i-2", "i-2"},
+		{"the other domain is drained", func(e *inband.Engine) { e.SetDrainedDomains([]string{"b"}) }, inband.Repeated, "i-1", "i-1"},
 	}
 	for _, tt := range tests {
-		t.Run(tt.state.String(), func(t *testing.T) {
+		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			e := newEngine(target("i-1", "a"))
-			e.Handle(1000, opening(1, feedAddress, 0))
-			changed := target("i-1", "a")
-			changed.State = tt.state
-			e.UpdateTargets(published(changed, target("i-2", "a")))
-			v := e.Handle(1005, opening(1, feedAddress, 1))
+			copyAfter := func(after clock.Millis) inband.Verdict {
+				e := newEngine(target("i-1", "a"))
+				e.Handle(1000, opening(1, feedAddress, 0))
+				e.UpdateTargets(published(target("i-2", "b")))
+				tt.change(e)
+				return e.Handle(1000+after, opening(1, feedAddress, 1))
+			}
+			v := copyAfter(5)
 			is.Equal(v.Reason, tt.want)
 			is.Equal(v.Backend.Target().ID, tt.target)
+			v = copyAfter(200)
+			is.Equal(v.Reason, inband.MovedUnresponsive)
+			is.Equal(v.Backend.Target().ID, tt.moved)
 		})
 	}
 }
 
+// A target that came to share its tag takes no flow, as its packets can't be told from the other's.
+func TestCopyOfAnOpeningLeavesASharedTag(t *testing.T) {
+	is := is.New(t)
+	first, second := collidingIDs(t)
+	e := newEngine(target(first, "a"))
+	e.Handle(1000, opening(1, feedAddress, 0))
+	e.UpdateTargets(published(target(second, "a"), target("i-3", "b")))
+	v := e.Handle(1005, opening(1, feedAddress, 1))
+	is.Equal(v.Reason, inband.PlacedAnew)
+	is.Equal(v.Backend.Target().ID, "i-3")
+}
+
 // A copy that can't be served is dropped: an earlier one may have opened the flow at a target, through this VM
 // or another, and a reset would tear it. Only a first copy is reset.
 func TestCopyOfAnOpeningIsNeverReset(t *testing.T) {
