Look at each target once when a drain ends

Cause: at the end of a drain all targets were gone through for each service, which at thousands of services takes longer than a VM may stand still.

Change: one pass over the targets, with the slow starts of the services in a map.

Test: TestTargetsAreInSlowStartAfterADrain as it was, and BenchmarkDrainEnds.

--- a/catalog/drains.go
+++ b/catalog/drains.go
@@ -57,17 +57,30 @@
 // assumeSlowStarts takes the targets of a domain whose drain has ended for ones in slow start, until their next
 // entries tell. Most VMs see no entries that only tell of a slow start.
 func (c *Catalog) assumeSlowStarts(now clock.Millis, end drain.Mark) {
-	if c.tables == nil {
+	slowStarts := c.slowStarts()
+	if len(slowStarts) == 0 {
 		return
 	}
+	for id, e := range c.entries {
+		left := slowStarts[e.target.Service]
+		if left > 0 && e.target.Domain == end.Domain && e.assumeSlowStart(now+left, end.Revision) {
+			c.recordSlowStart(id)
+		}
+	}
+}
+
+// slowStarts returns how long the targets of each service are in slow start, for those that say so.
+func (c *Catalog) slowStarts() map[string]clock.Millis {
+	lengths := map[string]clock.Millis{}
+	if c.tables == nil {
+		return lengths
+	}
 	for _, s := range c.tables.Services {
-		for id, e := range c.entries {
-			isIn := e.target.Domain == end.Domain && e.target.Service == s.Name
-			if isIn && e.assumeSlowStart(now+s.SlowStartMS, end.Revision) {
-				c.recordSlowStart(id)
-			}
+		if s.SlowStartMS > 0 {
+			lengths[s.Name] = s.SlowStartMS
 		}
 	}
+	return lengths
 }
 
 // recordSlowStart has the slow start of a target passed on to placement, but not to siblings.
