Name the reason of a moved opening beside its like

PlacedAnew stood apart from MovedUnresponsive, though both say why a copy of an opening went to another target. It is MovedUnavailable now, moved_unavailable in logs and metrics. The comments on the signs of overload say what is set when.

--- a/inband/choose.go
+++ b/inband/choose.go
@@ -25,9 +25,9 @@
 	remote          []*Backend    // in other domains that are not drained
 	domainPools     []*domainPool // the same targets, by failure domain
 	load            *loadState
-	isOverloaded    bool         // set once overload has lasted for overloadTime
-	looksOverloaded bool         // it does now
-	overloadedSince clock.Millis // since when it does
+	isOverloaded    bool         // set once looksOverloaded has been for overloadTime
+	looksOverloaded bool         // the last target chosen showed both signs of overload
+	overloadedSince clock.Millis // when looksOverloaded was set
 	topPriority     int          // priority of the most urgent route to this pool
 	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
 	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -146,7 +146,7 @@
 	if route.leadsTo(previous.target.Service) && previous.acceptsNewFlows(now) {
 		return forward(previous, Repeated)
 	}
-	return e.placeAgain(now, p, f, route, nil, PlacedAnew)
+	return e.placeAgain(now, p, f, route, nil, MovedUnavailable)
 }
 
 // placeAgain chooses another target for a flow that is not open yet, and remembers those of earlier copies.
--- a/inband/retransmit_test.go
+++ b/inband/retransmit_test.go
@@ -35,11 +35,11 @@
 		want   inband.Reason
 		target string
 	}{
-		{"another pool, read late", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{5}, inband.PlacedAnew, "i-2"},
+		{"another pool, read late", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{5}, inband.MovedUnavailable, "i-2"},
 		{"another pool, first copy", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{200}, inband.MovedUnresponsive, "i-2"},
 		{"another pool, second copy", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{200, 600}, inband.MovedUnresponsive, "i-2"},
-		{"another pool, after a stall", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{700}, inband.PlacedAnew, "i-2"},
-		{"weight taken away", tablesTo(inband.Share{Service: "core"}, inband.Share{Service: "new", Weight: 1}), []clock.Millis{5}, inband.PlacedAnew, "i-2"},
+		{"another pool, after a stall", tablesTo(inband.Share{Service: "new", Weight: 1}), []clock.Millis{700}, inband.MovedUnavailable, "i-2"},
+		{"weight taken away", tablesTo(inband.Share{Service: "core"}, inband.Share{Service: "new", Weight: 1}), []clock.Millis{5}, inband.MovedUnavailable, "i-2"},
 		{"a second pool", tablesTo(inband.Share{Service: "core", Weight: 1}, inband.Share{Service: "new", Weight: 9}), []clock.Millis{5}, inband.Repeated, "i-1"},
 		{"the same pool", tablesTo(inband.Share{Service: "core", Weight: 1}), []clock.Millis{5}, inband.Repeated, "i-1"},
 		{"a pool without weight alone", tablesTo(inband.Share{Service: "core"}), []clock.Millis{5}, inband.Repeated, "i-1"},
@@ -82,11 +82,11 @@
 		moved  string // target of a copy that comes after the first one had time to answer
 	}{
 		{"serving", inState(inband.Serving, 0), inband.Repeated, "i-1", "i-2"},
-		{"leaving", inState(inband.Leaving, 0), inband.PlacedAnew, "i-2", "i-2"},
-		{"left", inState(inband.Gone, 0), inband.PlacedAnew, "i-2", "i-2"},
+		{"leaving", inState(inband.Leaving, 0), inband.MovedUnavailable, "i-2", "i-2"},
+		{"left", inState(inband.Gone, 0), inband.MovedUnavailable, "i-2", "i-2"},
 		{"its entry has expired", inState(inband.Gone, 2000), inband.Repeated, "i-1", "i-2"},
-		{"its entry expired long ago", inState(inband.Gone, 1005), inband.PlacedAnew, "i-2", "i-2"},
-		{"its domain is drained", func(e *inband.Engine) { e.SetDrainedDomains([]string{"a"}) }, inband.PlacedAnew, "i-2", "i-2"},
+		{"its entry expired long ago", inState(inband.Gone, 1005), inband.MovedUnavailable, "i-2", "i-2"},
+		{"its domain is drained", func(e *inband.Engine) { e.SetDrainedDomains([]string{"a"}) }, inband.MovedUnavailable, "i-2", "i-2"},
 		{"the other domain is drained", func(e *inband.Engine) { e.SetDrainedDomains([]string{"b"}) }, inband.Repeated, "i-1", "i-1"},
 	}
 	for _, tt := range tests {
@@ -117,7 +117,7 @@
 	e.Handle(1000, opening(1, feedAddress, 0))
 	e.UpdateTargets(published(target(second, "a"), target("i-3", "b")))
 	v := e.Handle(1005, opening(1, feedAddress, 1))
-	is.Equal(v.Reason, inband.PlacedAnew)
+	is.Equal(v.Reason, inband.MovedUnavailable)
 	is.Equal(v.Backend.Target().ID, "i-3")
 }
 
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -20,12 +20,12 @@
 	PlacedLate                      // new flow whose earlier openings were not seen here
 	Repeated                        // retransmitted opening, sent to the same target
 	MovedUnresponsive               // retransmitted opening, sent to another target because the first did not answer
+	MovedUnavailable                // retransmitted opening, sent to another target because the first takes it no more
 	NoRoute                         // no route for the address
 	NoTarget                        // no target accepts the flow
 	Overloaded                      // refused in favor of more urgent flows
 	UnknownTag                      // the packet names a target that is not known here
 	TargetDead                      // the flow's target is lost
-	PlacedAnew                      // retransmitted opening whose first target may not get it any more
 	Unanswered                      // packet of an existing flow that was retransmitted because the target did not answer
 	reasonCount
 )
@@ -34,8 +34,8 @@
 const ReasonCount = int(reasonCount)
 
 var reasonNames = [...]string{
-	"carried", "placed", "placed_late", "repeated", "moved_silent",
-	"no_route", "no_target", "overloaded", "unknown_tag", "target_dead", "placed_anew", "unanswered",
+	"carried", "placed", "placed_late", "repeated", "moved_silent", "moved_unavailable",
+	"no_route", "no_target", "overloaded", "unknown_tag", "target_dead", "unanswered",
 }
 
 // String returns the name of the reason in logs and metrics.
