Name slow starts and marks of drains by what they are

A slow start that begins was called cold, and record, Newest and MergeMarks of drains shared the words entry, Mark and MergeDrains with other things. No behavior differs; the packages' tests pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -91,7 +91,7 @@
 	if len(c.mergeTargets(now, page.Targets)) > 0 {
 		c.generation++
 	}
-	c.MergeDrains(now, page.Drains)
+	c.MergeMarks(now, page.Drains)
 }
 
 func (c *Catalog) mergeTargets(now clock.Millis, targets []*inband.Target) []Change {
@@ -226,12 +226,12 @@
 	if e.endAssumedSlowStart(now) { // siblings keep theirs, which is no longer
 		c.recordSlowStart(t.ID)
 	}
-	isCold := e.updateSlowStart(now)
+	beginsSlowStart := e.updateSlowStart(now)
 	change := Change{Subject: "target " + t.ID, Before: before.State.String(), After: t.State.String()}
-	if isCold {
+	if beginsSlowStart {
 		change.After += ", in slow start"
 	}
-	return change, isCold || !isSameForPlacement(before, t)
+	return change, beginsSlowStart || !isSameForPlacement(before, t)
 }
 
 // mayHaveExpired reports whether an entry whose end is seen now may have expired for lack of
--- a/catalog/drains.go
+++ b/catalog/drains.go
@@ -23,9 +23,9 @@
 	return all
 }
 
-// MergeDrains merges drains that may be known before the changes that they came with are complete, and
+// MergeMarks merges drains that may be known before the changes that they came with are complete, and
 // returns those that were new. The catalog's revision and age stay.
-func (c *Catalog) MergeDrains(now clock.Millis, marks []drain.Mark) []Change {
+func (c *Catalog) MergeMarks(now clock.Millis, marks []drain.Mark) []Change {
 	merged := c.mergeDrains(now, &Changes{Drains: marks})
 	if len(merged) > 0 {
 		c.generation++
@@ -91,7 +91,7 @@
 
 // describeDrain returns the state of a domain's drain for logs and the audit trail.
 func (c *Catalog) describeDrain(domain string) string {
-	m, isKnown := c.drains.Mark(domain)
+	m, isKnown := c.drains.Newest(domain)
 	switch {
 	case !isKnown:
 		return "not drained"
--- a/catalog/drains_test.go
+++ b/catalog/drains_test.go
@@ -64,7 +64,7 @@
 			c.Apply(now, now, newDrains(12, endOf("a", 12)))
 			c.Replace(now, now, fullRead(11, drainOf("a", 9)))
 		}, nil},
-		{"page of an unfinished full read", func(c *catalog.Catalog) { c.MergeDrains(now, []drain.Mark{drainOf("b", 13)}) }, []drain.Mark{drainOf("a", 9), drainOf("b", 13)}},
+		{"page of an unfinished full read", func(c *catalog.Catalog) { c.MergeMarks(now, []drain.Mark{drainOf("b", 13)}) }, []drain.Mark{drainOf("a", 9), drainOf("b", 13)}},
 		{"old view of a sibling", func(c *catalog.Catalog) {
 			c.Apply(now, now, newDrains(12, endOf("a", 12)))
 			c.Apply(now, now, newDrainedCatalog().ChangesSince(0, 1, 0))
--- a/catalog/slowstart_test.go
+++ b/catalog/slowstart_test.go
@@ -29,8 +29,8 @@
 		want     clock.Millis // end of the slow start
 	}{
 		{"no entry", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", nil, at + slowStart},
-		{"warm entry", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(13, 0)}, at},
-		{"cold entry", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(13, 3000)}, at + 3000},
+		{"entry after its slow start", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(13, 0)}, at},
+		{"entry in its slow start", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(13, 3000)}, at + 3000},
 		{"entry from before the end", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "a", []*catalog.Changes{newer(11, 0)}, at + slowStart},
 		{"other domain", []inband.Service{{Name: "core", SlowStartMS: slowStart}}, "b", nil, 0},
 		{"other service", []inband.Service{{Name: "store", SlowStartMS: slowStart}}, "a", nil, 0},
@@ -82,9 +82,9 @@
 	}
 }
 
-// Targets may become cold without a restart, for example while their domain is drained. Only their
+// A slow start may begin without a restart, for example while the domain is drained. Only the targets'
 // entries tell.
-func TestTargetThatBecomesCold(t *testing.T) {
+func TestSlowStartWithoutARestart(t *testing.T) {
 	const (
 		at     = 10 * clock.Second
 		unseen = clock.Millis(-1) // siblings send no heartbeats on
@@ -95,12 +95,12 @@
 		want   []string       // states after changes
 		until  clock.Millis   // end of the slow start
 	}{
-		{"warm", []clock.Millis{0, 0}, nil, 0},
-		{"becomes cold", []clock.Millis{0, 5000}, []string{"serving, in slow start"}, at + 6*clock.Second},
+		{"none", []clock.Millis{0, 0}, nil, 0},
+		{"begins", []clock.Millis{0, 5000}, []string{"serving, in slow start"}, at + 6*clock.Second},
 		{"heartbeats during the slow start", []clock.Millis{5000, 4000, 3000}, []string{"serving, in slow start"}, at + 5*clock.Second},
 		{"heartbeat that was late", []clock.Millis{5000, 4900}, []string{"serving, in slow start"}, at + 5900},
-		{"cold again, unknown to be warm", []clock.Millis{1500, unseen, unseen, 5000}, []string{"serving, in slow start", "serving, in slow start"}, at + 8*clock.Second},
-		{"cold again", []clock.Millis{1500, 500, 0, 5000}, []string{"serving, in slow start", "serving, in slow start"}, at + 8*clock.Second},
+		{"begins again, its end unseen", []clock.Millis{1500, unseen, unseen, 5000}, []string{"serving, in slow start", "serving, in slow start"}, at + 8*clock.Second},
+		{"begins again", []clock.Millis{1500, 500, 0, 5000}, []string{"serving, in slow start", "serving, in slow start"}, at + 8*clock.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/drain/set.go
+++ b/drain/set.go
@@ -16,11 +16,11 @@
 
 // Set holds the newest mark of each domain. The zero value is empty. A Set is not safe for concurrent use.
 type Set struct {
-	marks map[string]entry
+	marks map[string]record
 }
 
-// entry is a mark with the time from which it was known.
-type entry struct {
+// record is a mark with the time from which it was known.
+type record struct {
 	mark  Mark
 	since clock.Millis
 }
@@ -36,11 +36,11 @@
 		return false // it was forgotten here
 	}
 	if s.marks == nil {
-		s.marks = map[string]entry{}
+		s.marks = map[string]record{}
 	}
 	since := now - max(0, m.KnownMS)
 	m.KnownMS = 0
-	s.marks[m.Domain] = entry{mark: m, since: since}
+	s.marks[m.Domain] = record{mark: m, since: since}
 	wasInForce := ok && !known.mark.HasEnded
 	return wasInForce || !m.HasEnded
 }
@@ -68,8 +68,8 @@
 	}
 }
 
-// Mark returns the newest mark of a domain. It reports false if none is known.
-func (s *Set) Mark(domain string) (Mark, bool) {
+// Newest returns the newest mark of a domain. It reports false if none is known.
+func (s *Set) Newest(domain string) (Mark, bool) {
 	e, ok := s.marks[domain]
 	return e.mark, ok
 }
--- a/front/drains.go
+++ b/front/drains.go
@@ -17,7 +17,7 @@
 // mergePageDrains puts the drains of a page into force before the last page is read, which may take longer than
 // the operator waits. Siblings are told after the last page. The caller holds the lock.
 func (d *Daemon) mergePageDrains(now clock.Millis, page *catalog.Changes) {
-	applied := d.catalog.MergeDrains(now, page.Drains)
+	applied := d.catalog.MergeMarks(now, page.Drains)
 	if len(applied) == 0 {
 		return
 	}
