--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -121,6 +121,19 @@
 	is.Equal(d.catalog.Digest(), sibling.catalog.Digest())
 }
 
+// After the store came back from an older copy, announcements still bring what changed.
+func TestAnnouncementOfALaterEra(t *testing.T) {
+	is := is.New(t)
+	sibling, d := newDaemon(t, Options{}), newDaemon(t, Options{})
+	for _, reader := range []*Daemon{sibling, d} {
+		reader.mergeRead(10, storeContent(inband.NewRevision(1, 5)))
+	}
+	sibling.mergeWatched(1000, drain.Mark{Domain: "a", Revision: inband.NewRevision(1, 6)})
+	d.receive(context.Background(), received(t, sibling, 1000))
+	is.Equal(d.catalog.Drains(), sibling.catalog.Drains())
+	is.Equal(d.catalog.Revision(), sibling.catalog.Revision())
+}
+
 // received returns the announcement of a daemon as another one gets it.
 func received(t *testing.T, d *Daemon, now clock.Millis) *siblings.Message {
 	t.Helper()
