Count only work at targets that accept new flows

Cause: the sums of a pool held the work at leaving and drained targets, but were divided by the number and slots of those that accept new flows. A drained domain was not counted anew either. With eight of ten targets leaving, the pool showed the work of ten at two targets.

Change: work counts in the sums of a pool if its target accepts new flows, and a changed drain has the pools of the domain counted.

Test: TestWorkAtTargetsThatLeaveIsNotOfThePool (seen to fail with 80 open flows instead of 16) and TestDrainedTargetsAreNotOfThePool (seen to fail with 4 targets instead of 0).

--- a/inband/drained.go
+++ b/inband/drained.go
@@ -13,7 +13,10 @@
 		e.drained[domain] = true
 	}
 	for _, b := range e.byID {
-		b.isDrained = e.drained[b.target.Domain]
+		if isDrained := e.drained[b.target.Domain]; b.isDrained != isDrained {
+			b.isDrained = isDrained
+			e.load.recount(b.domainPool)
+		}
 	}
 }
 
--- a/inband/load.go
+++ b/inband/load.go
@@ -67,9 +67,9 @@
 	s.recount(d)
 }
 
-// recount has the targets of a pool counted at the next update.
+// recount has the targets of a pool counted at the next update. A target that shares its tag may be in none.
 func (s *loadState) recount(d *domainPool) {
-	if d.isCounted {
+	if d != nil && d.isCounted {
 		d.isCounted = false
 		s.uncounted = append(s.uncounted, d)
 	}
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -21,7 +21,7 @@
 	s.closeWindow(now, e.resumedAt)
 	s.news.Prune(now)
 	s.countSome(now)
-	s.addOwn()
+	s.addOwn(now)
 	e.addHeard(now)
 	for _, p := range s.news.All(now) {
 		s.addNews(&p)
@@ -34,14 +34,16 @@
 }
 
 // addOwn adds up the work of this VM.
-func (s *loadState) addOwn() {
+func (s *loadState) addOwn(now clock.Millis) {
 	for _, d := range s.working {
 		d.hasWork = false
 	}
 	s.working = s.working[:0]
 	for _, b := range s.active {
-		s.markWorking(b.domainPool)
-		b.domainPool.own = b.domainPool.own.Add(b.meter.Average(b.flows))
+		if b.countsInPool(now) {
+			s.markWorking(b.domainPool)
+			b.domainPool.own = b.domainPool.own.Add(b.meter.Average(b.flows))
+		}
 	}
 }
 
@@ -82,7 +84,7 @@
 	e.load.reported = e.load.reported[:0]
 	for report, weight := range e.load.heard.All(now) {
 		for i := range report.Targets {
-			e.addTarget(&report.Targets[i], weight)
+			e.addTarget(now, &report.Targets[i], weight)
 		}
 		for i := range report.Remote {
 			if d := e.load.byHash[report.Remote[i].Pool]; d != nil {
@@ -94,7 +96,7 @@
 }
 
 // addTarget adds what a VM reported of one target, unless it is of another start of it.
-func (e *Engine) addTarget(t *load.TargetWork, weight float64) {
+func (e *Engine) addTarget(now clock.Millis, t *load.TargetWork, weight float64) {
 	b := e.byTag[Tag(t.Tag)]
 	if b == nil || b.target.Domain != e.options.Domain || t.Start != startBits(b.target) {
 		return
@@ -104,10 +106,16 @@
 	}
 	work := t.Work.Scale(weight)
 	b.heard = b.heard.Add(work)
-	e.load.markWorking(b.domainPool)
-	b.domainPool.heard = b.domainPool.heard.Add(work)
+	if b.countsInPool(now) {
+		e.load.markWorking(b.domainPool)
+		b.domainPool.heard = b.domainPool.heard.Add(work)
+	}
 }
 
+// countsInPool reports whether the work at the target counts in the sums of its pool. These are spread over the
+// targets that accept new flows, so the work of the others would make those look fuller than they are.
+func (b *Backend) countsInPool(now clock.Millis) bool { return b.acceptsNewFlows(now) }
+
 // startBits returns the low bits of a target's start time, which tell its restarts apart.
 func startBits(t *Target) uint8 { return uint8(t.StartedAtMS) } //nolint:gosec // the rest is left out
 
