Forget the load of removed targets in the sums of pools

Cause: targets that were removed with open flows stayed listed as ones with work and pointed to their former pool, which shares its hash with the new one. Two sums were told for one pool, and receivers kept the larger.

Change: a removed target is listed no more, and a pool that was replaced takes no work, also if an open flow begins a request.

Test: TestRemovedTargetsAreNotOfThePool, seen to fail with 10 listed targets instead of 2.

--- a/inband/load.go
+++ b/inband/load.go
@@ -54,9 +54,20 @@
 
 // removePools forgets the pools before they are added anew.
 func (s *loadState) removePools() {
+	for _, d := range s.pools {
+		d.isListed = false
+	}
 	s.pools, s.byHash, s.uncounted = nil, map[uint32]*domainPool{}, nil
 }
 
+// removeTargets lists the targets that were removed no more. Their flows may go on.
+func (s *loadState) removeTargets(byID map[string]*Backend) {
+	s.active = slices.DeleteFunc(s.active, func(b *Backend) bool {
+		b.isActive = byID[b.target.ID] == b
+		return !b.isActive
+	})
+}
+
 // add makes a pool known that got a target.
 func (s *loadState) add(d *domainPool) {
 	if !d.isListed {
--- a/inband/loadtargets_test.go
+++ b/inband/loadtargets_test.go
@@ -73,6 +73,26 @@
 	}
 }
 
+// TestRemovedTargetsAreNotOfThePool removes targets with open flows, of which one begins a request after that.
+func TestRemovedTargetsAreNotOfThePool(t *testing.T) {
+	is := is.New(t)
+	targets := servingTargets(10)
+	e := newSharingEngine(targets)
+	removed := e.byID["t9"]
+	for _, b := range e.byID {
+		b.flows = 3
+		e.load.track(b)
+	}
+	e.ReceiveLoad(100, fleetAddress, "east", reportOf(targets, load.Work{Flows: 5}))
+	e.Sweep(250)
+	e.ReplaceView(nil, targets[:2])
+	is.Equal(len(e.load.active), 2)
+	e.load.track(removed)
+	e.Sweep(500)
+	is.Equal(e.LoadPools()[0].Work, load.Work{Flows: 16})
+	is.Equal(len(e.TakeDomainReport(500).Pools), 1)
+}
+
 func TestDrainedTargetsAreNotOfThePool(t *testing.T) {
 	is := is.New(t)
 	targets := servingTargets(4)
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -114,7 +114,10 @@
 
 // countsInPool reports whether the work at the target counts in the sums of its pool. These are spread over the
 // targets that accept new flows, so the work of the others would make those look fuller than they are.
-func (b *Backend) countsInPool(now clock.Millis) bool { return b.acceptsNewFlows(now) }
+// Open flows of a target that was removed still point to it and its former pool.
+func (b *Backend) countsInPool(now clock.Millis) bool {
+	return b.domainPool.isListed && b.acceptsNewFlows(now)
+}
 
 // startBits returns the low bits of a target's start time, which tell its restarts apart.
 func startBits(t *Target) uint8 { return uint8(t.StartedAtMS) } //nolint:gosec // the rest is left out
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -142,6 +142,7 @@
 		e.addToPool(b)
 	}
 	e.byID, e.byTag = byID, byTag
+	e.load.removeTargets(byID)
 	e.watchlist.backends = slices.DeleteFunc(e.watchlist.backends, func(b *Backend) bool { return byID[b.target.ID] != b })
 	for service, p := range e.pools {
 		if previous := previousPools[service]; previous != nil {
