Count slow requests until their callers give up

Cause: a request whose client was silent for 2.5 s left the measured work, also at a target whose answers take longer, and a packet of a client that still waits did not bring it back. Requests of callers that give up sooner counted for too long.

Change: a silent request counts for as long as callers of its route wait, or for 2.5 s where the tables do not say. A later packet of a request or an opening that is not answered counts it again.

Test: TestSlowRequestsCountUntilTheirCallersGiveUp (failed for callers that wait 3.5 s and for those that wait 1 s) and TestALaterPacketShowsThatARequestIsUnderWay (failed with no request instead of one).

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -133,6 +133,7 @@
 		return verdict
 	}
 	if route.leadsTo(previous.target.Service) && previous.acceptsNewFlows(now) {
+		e.resumeMeter(f)
 		return forward(previous, Repeated)
 	}
 	e.removeFlow(f)
--- a/inband/loadsweep_test.go
+++ b/inband/loadsweep_test.go
@@ -63,3 +63,57 @@
 		is.Equal(e.busyRequests(), 0)
 	}
 }
+
+// TestSlowRequestsCountUntilTheirCallersGiveUp has a request whose client waits in silence at a target that
+// answers others after 2 s.
+func TestSlowRequestsCountUntilTheirCallersGiveUp(t *testing.T) {
+	tests := []struct {
+		name            string
+		timeout         clock.Millis
+		isBusy, isEnded clock.Millis // times
+	}{
+		{"no timeout is known", 0, timeoutLifetime, timeoutLifetime + 2*clock.Second},
+		{"callers wait longer", 3500, 3500, 5 * clock.Second},
+		{"callers wait less", 1000, 1000, 2500},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := routedEngine(servingTargets(1), 10, tt.timeout)
+			p := openingOf(1)
+			e.Handle(1, &p)
+			request := requestAfter(&p, e.byID["t0"].tag)
+			e.Handle(1, &request)
+			for now := sweepInterval; now <= tt.isBusy; now += sweepInterval {
+				e.byID["t0"].latency.add(now, 2*clock.Second)
+				e.Sweep(now)
+			}
+			is.Equal(e.busyRequests(), 1)
+			e.sweepUntil(tt.isBusy+sweepInterval, tt.isEnded)
+			is.Equal(e.busyRequests(), 0)
+		})
+	}
+}
+
+// TestALaterPacketShowsThatARequestIsUnderWay has a client that waits in silence for longer than its target took
+// for other requests, and then retransmits.
+func TestALaterPacketShowsThatARequestIsUnderWay(t *testing.T) {
+	is := is.New(t)
+	e := routedEngine(servingTargets(1), 10, 0)
+	p := openingOf(1)
+	e.Handle(1, &p)
+	e.sweepUntil(sweepInterval, clock.Second)
+	is.Equal(e.busyRequests(), 0)
+	tag := e.byID["t0"].tag
+	e.Handle(1100, &p)
+	is.Equal(e.busyRequests(), 1)
+	request := requestAfter(&p, tag)
+	e.Handle(1200, &request)
+	e.sweepUntil(1250, 3*clock.Second)
+	is.Equal(e.busyRequests(), 0)
+	e.Handle(3100, &request)
+	is.Equal(e.busyRequests(), 1)
+	request.Ack, request.DataLength = request.Ack+500, 0
+	e.Handle(3200, &request)
+	is.Equal(e.busyRequests(), 0)
+}
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -11,6 +11,7 @@
 		e.recordAnswer(now, f)
 		e.markAnswered(f)
 	}
+	e.resumeMeter(f)
 	if p.DataLength == 0 {
 		return false
 	}
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		e.recordIdleOutcome(now, f)
-		if f.isMetered && now-f.seenAt > timeoutLifetime {
+		if f.isMetered && now-f.seenAt > e.callerTimeout(f) {
 			e.stopMeter(f) // the client uses another VM or has given up
 		}
 		if !e.isExpired(now, f) {
@@ -63,6 +63,14 @@
 	e.updateLoad(now)
 }
 
+// callerTimeout returns the time after which a caller that sends nothing is taken to have given up its request.
+func (e *Engine) callerTimeout(f *flow) clock.Millis {
+	if route := e.routes[f.key.Destination]; route != nil && route.TimeoutMS > 0 {
+		return route.TimeoutMS
+	}
+	return timeoutLifetime
+}
+
 // slotsPerSweep returns how many slots of the flow table a sweep checks. Where load is shared, each is checked
 // once a second, as a request that ended unseen counts as load until then.
 func (e *Engine) slotsPerSweep() int {
--- a/inband/work.go
+++ b/inband/work.go
@@ -4,10 +4,9 @@
 
 // markBusy records that the flow waits for an answer.
 func (e *Engine) markBusy(f *flow) {
-	f.isBusy, f.isMetered = true, true
+	f.isBusy = true
 	f.backend.busy++
-	f.backend.meter.Begin(e.activeAt)
-	e.load.track(f.backend)
+	e.startMeter(f)
 }
 
 // markIdle records that the flow is not waiting for an answer.
@@ -27,6 +26,24 @@
 	e.markIdle(f)
 }
 
+// startMeter counts the flow's request in the measured work of its target.
+func (e *Engine) startMeter(f *flow) {
+	if f.isMetered {
+		return
+	}
+	f.isMetered = true
+	f.backend.meter.Begin(e.activeAt)
+	e.load.track(f.backend)
+}
+
+// resumeMeter counts a request again whose client was taken to have given up, as a packet of it shows that it
+// waits.
+func (e *Engine) resumeMeter(f *flow) {
+	if f.isBusy {
+		e.startMeter(f)
+	}
+}
+
 // stopMeter ends the flow's request in the measured work of its target.
 func (e *Engine) stopMeter(f *flow) {
 	if f.isMetered {
