Start measuring load anew after a pause

Change: after a pause the meters start anew and the first window makes the averages alone. A VM sends no report before it has measured a window. Forgetting the load of others forgets what was estimated by it, too.

--- a/front/load.go
+++ b/front/load.go
@@ -24,10 +24,13 @@
 		return
 	}
 	d.mu.Lock()
+	hasMeasured := d.engine.HasMeasuredLoad()
 	report := d.engine.TakeLoadReport(now)
 	recipients := d.members.SampleLocal(now, loadRecipients)
 	d.mu.Unlock()
-	d.sendLoad(&report, recipients)
+	if hasMeasured {
+		d.sendLoad(&report, recipients)
+	}
 }
 
 // shareRemoteLoad tells a VM of another failure domain what the VMs of this one have under way.
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -59,6 +59,10 @@
 			is := is.New(t)
 			d, fake := newSharingDaemon(t, tt.sharesLoad)
 			d.runMaintenance(fake.Now())
+			d.shareLoad(fake.Now()) // has measured nothing so far
+			is.Equal(counted(d, loadSentMetric), int64(0))
+			fake.Advance(tickInterval)
+			d.runMaintenance(fake.Now())
 			d.shareLoad(fake.Now())
 			d.shareRemoteLoad(fake.Now()) // knows no VM of another domain
 			is.Equal(counted(d, loadSentMetric), tt.expected)
--- a/inband/load.go
+++ b/inband/load.go
@@ -11,22 +11,23 @@
 
 // loadState holds what this VM knows of the work of others, and which targets and pools have work.
 type loadState struct {
-	isShared   bool
-	active     []*Backend // targets with work of this VM
-	reported   []*Backend // targets of which other VMs reported work
-	heard      load.Heard
-	news       *load.News
-	pools      []*domainPool
-	byHash     map[uint32]*domainPool // the same, by the hash of the ID
-	working    []*domainPool          // those that have work
-	uncounted  []*domainPool          // those whose targets changed
-	countIndex int                    // in pools, of the one that was counted last
-	quiet      load.Estimate          // of pools without work
-	age        clock.Millis           // of the reports heard, as of the last update
-	ownDomain  uint32                 // hash of the name
-	domain     string
-	windowAt   clock.Millis // when the window of the meters began
-	resumedAt  clock.Millis // as of the last update
+	isShared    bool
+	active      []*Backend // targets with work of this VM
+	reported    []*Backend // targets of which other VMs reported work
+	heard       load.Heard
+	news        *load.News
+	pools       []*domainPool
+	byHash      map[uint32]*domainPool // the same, by the hash of the ID
+	working     []*domainPool          // those that have work
+	uncounted   []*domainPool          // those whose targets changed
+	countIndex  int                    // in pools, of the one that was counted last
+	quiet       load.Estimate          // of pools without work
+	age         clock.Millis           // of the reports heard, as of the last update
+	ownDomain   uint32                 // hash of the name
+	domain      string
+	windowAt    clock.Millis // when the window of the meters began
+	resumedAt   clock.Millis // as of the last update
+	hasMeasured bool         // the last window was measured
 }
 
 func newLoadState(options *Options) *loadState {
@@ -46,10 +47,18 @@
 	}
 }
 
-// forget forgets what was heard of other VMs.
+// forget forgets what was heard of other VMs and what was believed by it.
 func (s *loadState) forget() {
 	s.heard.Forget()
 	s.news.Forget()
+	s.age = load.ReportLifetime
+	for _, b := range s.reported {
+		b.heard = load.Work{}
+	}
+	for _, d := range s.working {
+		d.hasWork = false
+	}
+	s.reported, s.working = s.reported[:0], s.working[:0]
 }
 
 // removePools forgets the pools before they are added anew.
@@ -138,7 +147,14 @@
 
 // ForgetLoad forgets what other VMs reported. It is called after a pause, as their reports may be older than
 // the clock shows.
-func (e *Engine) ForgetLoad() { e.load.forget() }
+func (e *Engine) ForgetLoad() {
+	e.load.forget()
+	e.load.quiet = load.Sample{Others: e.localVMs - 1}.ByTarget(load.Work{}, 1)
+}
+
+// HasMeasuredLoad reports whether this VM has measured its work since it started or last stood still. Before, a
+// report would tell others that it has none.
+func (e *Engine) HasMeasuredLoad() bool { return e.load.hasMeasured && e.load.resumedAt == e.resumedAt }
 
 // LoadReporters returns the number of VMs whose reports count.
 func (e *Engine) LoadReporters(now clock.Millis) int { return e.load.heard.VMs(now) }
--- a/inband/loadfleet_test.go
+++ b/inband/loadfleet_test.go
@@ -147,6 +147,9 @@
 
 // report sends a VM's report to some others.
 func (f *loadFleet) report(vm *loadVM) {
+	if !vm.engine.HasMeasuredLoad() {
+		return
+	}
 	report := vm.engine.TakeLoadReport(f.now)
 	for _, i := range f.random.Perm(len(f.vms))[:min(recipients, len(f.vms))] {
 		if to := f.vms[i]; to != vm && !f.isLost(vm, to) {
--- a/inband/loadreport.go
+++ b/inband/loadreport.go
@@ -15,10 +15,10 @@
 }
 
 // TakeDomainReport returns the report for VMs of other failure domains: the work of all VMs of the own one.
-// It is empty while this VM has no news of the others.
+// It is empty while this VM has not measured its own work or has no news of the others.
 func (e *Engine) TakeDomainReport(now clock.Millis) load.Report {
 	var r load.Report
-	if e.localVMs > 1 && e.load.heard.VMs(now) == 0 {
+	if !e.HasMeasuredLoad() || e.localVMs > 1 && e.load.heard.VMs(now) == 0 {
 		return r
 	}
 	for _, d := range e.load.working {
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -47,14 +47,15 @@
 	}
 }
 
-// closeWindow closes the window of the meters, or discards it if the process stood still meanwhile. Targets
-// without work of this VM are listed no more.
+// closeWindow closes the window of the meters. If the process stood still meanwhile, they start anew, as what
+// they measured is as old as the pause is long. Targets without work of this VM are listed no more.
 func (s *loadState) closeWindow(now, resumedAt clock.Millis) {
+	s.hasMeasured = resumedAt == s.resumedAt
 	for _, b := range s.active {
-		if resumedAt == s.resumedAt {
+		if s.hasMeasured {
 			b.meter.CloseWindow(now, now-s.windowAt)
 		} else {
-			b.meter.DiscardWindow(now)
+			b.meter.Restart(now)
 		}
 	}
 	s.windowAt, s.resumedAt = now, resumedAt
--- a/load/meter.go
+++ b/load/meter.go
@@ -15,6 +15,7 @@
 	busyTime  clock.Millis // time that requests were under way in this window, summed over them
 	average   float32      // requests under way
 	rate      float32      // requests finished per second
+	isNew     bool         // nothing was measured before this window
 }
 
 // Begin records that a request begins.
@@ -36,21 +37,36 @@
 func (m *Meter) CloseWindow(now, elapsed clock.Millis) {
 	m.advance(now)
 	if elapsed > 0 {
-		weight := float32(elapsed) / float32(elapsed+smoothingTime)
+		weight := m.weightOf(elapsed)
 		m.average += weight * (float32(m.busyTime)/float32(elapsed) - m.average)
 		m.rate += weight * (float32(m.finished)*float32(clock.Second)/float32(elapsed) - m.rate)
 	}
-	m.DiscardWindow(now)
+	m.startWindow(now)
 }
 
-// DiscardWindow starts a new window without a look at this one. Its length says nothing if the process stood
-// still meanwhile.
-func (m *Meter) DiscardWindow(now clock.Millis) {
+// weightOf returns the weight of a window in the averages. The first one after Forget makes them alone.
+func (m *Meter) weightOf(elapsed clock.Millis) float32 {
+	if m.isNew {
+		m.isNew = false
+		return 1
+	}
+	return float32(elapsed) / float32(elapsed+smoothingTime)
+}
+
+// startWindow starts a new window.
+func (m *Meter) startWindow(now clock.Millis) {
 	m.changedAt, m.busyTime, m.finished = now, 0, 0
 }
 
 // Forget forgets what was measured. Requests under way remain counted until they end.
-func (m *Meter) Forget() { *m = Meter{busy: m.busy, changedAt: m.changedAt} }
+func (m *Meter) Forget() { *m = Meter{busy: m.busy, changedAt: m.changedAt, isNew: true} }
+
+// Restart forgets what was measured and starts a new window, as the length of this one says nothing if the
+// process stood still meanwhile.
+func (m *Meter) Restart(now clock.Millis) {
+	m.Forget()
+	m.startWindow(now)
+}
 
 // Busy returns the number of requests under way now.
 func (m *Meter) Busy() int { return int(m.busy) }
