Let relayed news of load grow no younger

Cause: the age of a sum was rounded down when it was encoded, and the way of the message was not added, so news that VMs relay stayed young.

Change: ages are rounded up, and a receiver adds the least time of a message.

Test: TestNewsGrowsNoYoungerOnItsWay and TestAgeOfNewsIncludesItsWay (40 ms instead of 42), both seen to fail.

--- a/front/load.go
+++ b/front/load.go
@@ -59,6 +59,9 @@
 		d.logRoutine("load_ignored", "at_ms", now, "source", m.From.Address, "error", err)
 		return
 	}
+	for i := range report.Pools {
+		report.Pools[i].Age += transitTime
+	}
 	d.metrics.loadReceived.Inc(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -121,3 +121,13 @@
 	is.True(d.allowMessages(size, 100, siblings.Suspect) > 0)
 	is.True(d.allowMessages(size, 100, siblings.Heartbeat) > 0)
 }
+
+// TestAgeOfNewsIncludesItsWay has news of another domain arrive with the age that it had when it was sent.
+func TestAgeOfNewsIncludesItsWay(t *testing.T) {
+	is := is.New(t)
+	d, fake := newSharingDaemon(t, true)
+	pool := load.PoolID{Service: "core", Domain: "b"}.Hash()
+	report := load.Report{Pools: []load.PoolNews{{Pool: pool, Source: load.HashDomain("b"), Work: load.Work{Busy: 3}, Age: 40}}}
+	d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: load.Encode(&report, maxLoadBytes)})
+	is.Equal(d.engine.TakeLoadReport(fake.Now()).Pools[0].Age, 40+transitTime)
+}
--- a/load/encode.go
+++ b/load/encode.go
@@ -63,7 +63,7 @@
 	data = binary.LittleEndian.AppendUint32(data, p.Pool)
 	data = binary.LittleEndian.AppendUint32(data, p.Source)
 	data = appendWork(data, p.Work)
-	return binary.AppendUvarint(data, uint64(p.Age/ageUnit))
+	return binary.AppendUvarint(data, uint64((p.Age+ageUnit-1)/ageUnit)) // news grows no younger when it is relayed
 }
 
 func appendWork(data []byte, w Work) []byte {
--- a/load/encode_test.go
+++ b/load/encode_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 )
 
@@ -46,6 +47,21 @@
 	}
 }
 
+// TestNewsGrowsNoYoungerOnItsWay relays news through a chain of VMs, each of which keeps it for a while.
+func TestNewsGrowsNoYoungerOnItsWay(t *testing.T) {
+	for kept := range clock.Millis(25) {
+		is := is.New(t)
+		news := load.PoolNews{Pool: 1, Source: 7, Work: load.Work{Busy: 1}, Age: 3}
+		for range 20 {
+			before := news.Age + kept
+			report, err := load.Decode(load.Encode(&load.Report{Pools: []load.PoolNews{{Pool: 1, Source: 7, Work: news.Work, Age: before}}}, maxBytes))
+			is.NoErr(err)
+			news = report.Pools[0]
+			is.True(news.Age >= before)
+		}
+	}
+}
+
 func TestReportsAreLimited(t *testing.T) {
 	for _, pools := range []int{0, 8, 300} {
 		is := is.New(t)
