Ignore messages of load where the part is off

Cause: they were decoded and counted, and made their senders known. Change: they are dropped before they are decoded. Test: TestMessagesOfLoadAreIgnoredIfThePartIsOff, seen to fail with a message counted as received.

--- a/front/load.go
+++ b/front/load.go
@@ -54,6 +54,9 @@
 
 // receiveLoad takes in what another VM tells of load.
 func (d *Daemon) receiveLoad(now clock.Millis, m *siblings.Message) {
+	if !d.parts.SharesLoad {
+		return
+	}
 	report, err := load.Decode(m.Load)
 	if err != nil {
 		d.logRoutine("load_ignored", "at_ms", now, "source", m.From.Address, "error", err)
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -131,3 +131,14 @@
 	d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: load.Encode(&report, maxLoadBytes)})
 	is.Equal(d.engine.TakeLoadReport(fake.Now()).Pools[0].Age, 40+transitTime)
 }
+
+func TestMessagesOfLoadAreIgnoredIfThePartIsOff(t *testing.T) {
+	is := is.New(t)
+	d, fake := newSharingDaemon(t, false)
+	stranger := siblings.Contact{Address: netip.MustParseAddrPort("127.0.0.1:10"), Domain: "a"}
+	for _, data := range [][]byte{load.Encode(&load.Report{}, maxLoadBytes), {9}} {
+		d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: stranger, Load: data})
+	}
+	is.Equal(counted(d, loadReceivedMetric), int64(0))
+	is.Equal(d.members.CountLocal(fake.Now()), 1)
+}
