Report the flows that this VM took over while idle

Cause: a flow that another VM had opened, or whose client had chosen another target, counted at its target, but did not list the target as one with work, so it was told to no one.

Change: whatever raises the count of flows lists the target.

Test: TestFlowsOfOtherVMsAreMeasured, both cases seen to fail.

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -173,7 +173,7 @@
 		f.backend = b
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.startAt(p.Seq)
-		b.flows++
+		e.hold(f)
 		e.markBusy(f)
 	}
 	return forward(b, reason)
@@ -230,7 +230,7 @@
 		f.ack = p.Ack
 		f.startAt(p.Seq)
 		f.recordForwarded(p)
-		b.flows++
+		e.hold(f)
 		if p.DataLength > 0 {
 			e.markBusy(f)
 		}
@@ -245,7 +245,7 @@
 	if b := e.byTag[p.Tag]; b != nil && b != f.backend {
 		e.release(f)
 		f.backend = b
-		b.flows++
+		e.hold(f)
 	} else {
 		e.recordAnswer(now, f)
 	}
--- a/inband/loadsweep_test.go
+++ b/inband/loadsweep_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
 )
 
 // routedEngine returns an engine that shares its load and has a route to the targets.
@@ -117,3 +119,36 @@
 	e.Handle(3200, &request)
 	is.Equal(e.busyRequests(), 0)
 }
+
+// TestFlowsOfOtherVMsAreMeasured has a flow that another VM opened come through this one while idle, and one
+// whose client chose another target than this VM.
+func TestFlowsOfOtherVMsAreMeasured(t *testing.T) {
+	tests := []struct {
+		name string
+		open func(e *Engine, p *Packet) string // returns the target that the client uses
+	}{
+		{"taken over while idle", func(*Engine, *Packet) string { return "t0" }},
+		{"moved to another target", func(e *Engine, p *Packet) string {
+			if e.Handle(1, p).Backend == e.byID["t0"] {
+				return "t1"
+			}
+			return "t0"
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := routedEngine(servingTargets(2), 10, 0)
+			p := openingOf(1)
+			b := e.byID[tt.open(e, &p)]
+			confirming := requestAfter(&p, b.tag)
+			confirming.DataLength = 0
+			e.Handle(100, &confirming)
+			e.Sweep(sweepInterval)
+			is.Equal(b.flows, 1)
+			reported := e.TakeLoadReport(sweepInterval).Targets
+			is.True(slices.Contains(reported, load.TargetWork{Tag: uint32(b.tag), Work: load.Work{Flows: 1}}))
+			is.Equal(e.LoadPools()[0].Work.Flows, 1.0)
+		})
+	}
+}
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -15,6 +15,12 @@
 	sweepsPerRound   = 4 // sweeps in a second
 )
 
+// hold adds a flow to its target's counts.
+func (e *Engine) hold(f *flow) {
+	f.backend.flows++
+	e.load.track(f.backend)
+}
+
 // release removes a flow from its target's counts.
 func (e *Engine) release(f *flow) {
 	e.markIdle(f)
