Have the belief in load follow the end of a burst sooner

Cause: traced in a fleet of 20 VMs at 30 targets, after a burst with 500 requests under way. Two causes remain once ended requests are found and slow ones are counted: a VM hears each other one every 3 s in the mean, and reports up to 1.5 s old counted in full, those of 4 s in part, so what was believed was 1.6 s old in the mean; and the averages were smoothed over 750 ms before they were told.

Ruled out: flows whose clients are gone. The sum of all meters was 29 requests 2 s after the burst while 320 were believed. Smoothing over 250 ms has too much noise: TestShedRequestsAreNoFailures fails with it.

Change: a report counts in full for 1 s and for nothing at 2.5 s; requests under way are smoothed over 500 ms, the rate of finished ones over 750 ms as before.

Test: TestBeliefFollowsTheEndOfABurst, seen to fail with 104 believed for 34 under way after 4 s.

What remains is the age of reports.

--- a/inband/loadbelief_test.go
+++ b/inband/loadbelief_test.go
@@ -90,3 +90,46 @@
 		})
 	}
 }
+
+// TestBeliefFollowsTheEndOfABurst has requests take longer and longer for 4 s, as in a queue, so that hundreds are
+// under way, and then as long as before. As long after that as a killed VM counts as alive, the belief in the sum
+// may be off by maxBeliefError a target.
+func TestBeliefFollowsTheEndOfABurst(t *testing.T) {
+	const start, end = 6 * clock.Second, 10 * clock.Second
+	for _, vms := range []int{20, 50} {
+		is := is.New(t)
+		f := newLoadFleet(vms, fleetTargets, 3)
+		f.rate = 600
+		f.serviceMS = func(string) clock.Millis {
+			if f.now > start && f.now < end {
+				return min(1200, 50+(f.now-start)/2)
+			}
+			return 50
+		}
+		f.run(end)
+		is.True(f.truthOfAll() > 10*fleetTargets) // the load of the burst
+		for f.now < end+4*clock.Second {
+			f.run(clock.Second)
+			t.Logf("%d VMs, %d ms after the burst: %.0f requests, %.0f believed", vms, f.now-end, f.truthOfAll(), f.meanBeliefOfAll())
+		}
+		is.True(math.Abs(f.meanBeliefOfAll()-f.truthOfAll()) < maxBeliefError*fleetTargets)
+	}
+}
+
+// truthOfAll returns how many requests are under way now.
+func (f *loadFleet) truthOfAll() float64 {
+	sum := 0
+	for _, vm := range f.vms {
+		sum += vm.engine.busyRequests()
+	}
+	return float64(sum)
+}
+
+// meanBeliefOfAll returns how many requests VMs believe to be under way, in the mean.
+func (f *loadFleet) meanBeliefOfAll() float64 {
+	sum := 0.0
+	for _, vm := range f.vms {
+		sum += vm.engine.LoadPools()[0].Work.Busy
+	}
+	return sum / float64(len(f.vms))
+}
--- a/load/heard.go
+++ b/load/heard.go
@@ -10,10 +10,10 @@
 const (
 	// freshTime is how long a report counts in full. In small failure domains each VM hears each other one
 	// that often.
-	freshTime = 1500 * clock.Millisecond
+	freshTime = clock.Second
 	// ReportLifetime is the age at which a report counts for nothing. Its weight falls until then, so that
 	// the belief changes bit by bit when a VM is heard no more.
-	ReportLifetime = 4 * clock.Second
+	ReportLifetime = 2500 * clock.Millisecond
 	// maxReports limits the reports that are kept. More of them would hardly tell more of all VMs.
 	maxReports = 32
 )
--- a/load/meter.go
+++ b/load/meter.go
@@ -2,9 +2,14 @@
 
 import "github.com/almondflow/almondflow/clock"
 
-// smoothingTime is the time after which a change shows by two thirds in the averages of a Meter. Requests
-// take tens of milliseconds, so it averages over many of them.
-const smoothingTime = 750 * clock.Millisecond
+// Times after which a change shows by about two thirds in the averages of a Meter.
+const (
+	// busySmoothingTime is shorter, as the time under way is summed exactly and a queue that has emptied must
+	// not count for long.
+	busySmoothingTime = 500 * clock.Millisecond
+	// rateSmoothingTime is longer, as few requests finish in a window.
+	rateSmoothingTime = 750 * clock.Millisecond
+)
 
 // Meter measures the work that this entry VM has at one target. Beginning and ending a request changes two
 // counters and an exact sum; averages are taken when a window closes. The zero value is ready for use.
@@ -37,17 +42,16 @@
 func (m *Meter) CloseWindow(now, elapsed clock.Millis) {
 	m.advance(now)
 	if elapsed > 0 {
-		weight := m.weightOf(elapsed)
-		m.average += weight * (float32(m.busyTime)/float32(elapsed) - m.average)
-		m.rate += weight * (float32(m.finished)*float32(clock.Second)/float32(elapsed) - m.rate)
+		m.average += m.weightOf(elapsed, busySmoothingTime) * (float32(m.busyTime)/float32(elapsed) - m.average)
+		m.rate += m.weightOf(elapsed, rateSmoothingTime) * (float32(m.finished)*float32(clock.Second)/float32(elapsed) - m.rate)
+		m.isNew = false
 	}
 	m.startWindow(now)
 }
 
 // weightOf returns the weight of a window in the averages. The first one after Forget makes them alone.
-func (m *Meter) weightOf(elapsed clock.Millis) float32 {
+func (m *Meter) weightOf(elapsed, smoothingTime clock.Millis) float32 {
 	if m.isNew {
-		m.isNew = false
 		return 1
 	}
 	return float32(elapsed) / float32(elapsed+smoothingTime)
