Tell other failure domains of load from a few VMs only

Cause: each VM told another domain once a second, although all VMs of its domain know about the same sums, so the bytes between domains grew with the number of VMs.

Change: in each round a VM tells another domain with the probability that four of its domain do on average. Receivers relay the news within their domain as before.

Test: TestFewVMsTellOtherDomains, seen to fail for 40 VMs. Of 200 rounds one of 40 VMs is expected to tell in 20.

--- a/front/load.go
+++ b/front/load.go
@@ -14,6 +14,9 @@
 	// loadRecipients is the number of VMs that get each report. A VM gets as many on average, whatever the
 	// number of VMs.
 	loadRecipients = 3
+	// remoteReporters is the number of VMs of a failure domain that tell others in a round, on average. All of
+	// its VMs know about the same sums.
+	remoteReporters = 4
 	// maxLoadBytes limits an encoded report, which grows by a third in a message.
 	maxLoadBytes = 640
 )
@@ -33,12 +36,17 @@
 	}
 }
 
-// shareRemoteLoad tells a VM of another failure domain what the VMs of this one have under way.
+// shareRemoteLoad tells a VM of another failure domain what the VMs of this one have under way, if it falls to
+// this VM in this round. The more VMs there are, the less often it does, as bytes between domains are expensive.
 func (d *Daemon) shareRemoteLoad(now clock.Millis) {
 	if !d.parts.SharesLoad {
 		return
 	}
 	d.mu.Lock()
+	if vms := 1 + d.members.CountLocal(now); d.random.IntN(vms) >= remoteReporters {
+		d.mu.Unlock()
+		return
+	}
 	report := d.engine.TakeDomainReport(now)
 	recipients := d.members.SampleRemote(now, 1)
 	d.mu.Unlock()
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 
@@ -142,3 +143,35 @@
 	is.Equal(counted(d, loadReceivedMetric), int64(0))
 	is.Equal(d.members.CountLocal(fake.Now()), 1)
 }
+
+// TestFewVMsTellOtherDomains has this VM be one of some in its domain, all of which know the same.
+func TestFewVMsTellOtherDomains(t *testing.T) {
+	tests := []struct {
+		name          string
+		vms           int
+		atLeast, most int64 // messages in 200 rounds
+	}{
+		{"few VMs", remoteReporters, 199, 199}, // the first one has measured nothing
+		{"40 VMs", 40, 5, 40},                  // 20 are expected
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d, fake := newSharingDaemon(t, true)
+			d.random = rand.New(rand.NewPCG(1, 2))
+			report := load.Encode(&load.Report{Remote: []load.PoolWork{{Pool: load.PoolID{Service: "core", Domain: "b"}.Hash()}}}, maxLoadBytes)
+			for range 200 {
+				d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: report})
+				for i := range tt.vms - 2 {
+					d.members.MarkAlive(fake.Now(), siblings.Contact{Address: netip.AddrPortFrom(otherVM.Address.Addr(), uint16(20000+i)), Domain: "a"})
+				}
+				d.members.MarkAlive(fake.Now(), siblings.Contact{Address: netip.MustParseAddrPort("127.0.0.1:11"), Domain: "b"})
+				fake.Advance(tickInterval)
+				d.runMaintenance(fake.Now())
+				d.shareRemoteLoad(fake.Now())
+			}
+			sent := counted(d, loadSentMetric)
+			is.True(sent >= tt.atLeast && sent <= tt.most)
+		})
+	}
+}
