Ignore news of unknown pools and reports that name a target twice

Cause: sums of pools that do not exist filled the room for news, 512 of them, for 8 s and were relayed, and the numbers of a tag named twice added up.

Ruled out: a limit on the numbers themselves. A VM may have tens of thousands of flows at a target, and a limit of that size does not keep a forged report from filling a target. That a sender need not be a member holds for all kinds of messages: its address must be the one that it names, and it is a member then. Pools named twice are no error, as two may share a hash.

Test: TestNewsOfUnknownPoolsIsIgnored and TestReportsThatNameATargetTwiceAreRejected, seen to fail.

--- a/inband/load.go
+++ b/inband/load.go
@@ -136,7 +136,8 @@
 	isLocal := domain == e.options.Domain
 	for i := range report.Pools {
 		p := &report.Pools[i]
-		if p.Source != e.load.ownDomain && (isLocal || p.Source == source) {
+		isKnown := e.load.byHash[p.Pool] != nil // news of others would only fill the room
+		if isKnown && p.Source != e.load.ownDomain && (isLocal || p.Source == source) {
 			e.load.news.Add(now, p)
 		}
 	}
--- a/inband/loadfailures_test.go
+++ b/inband/loadfailures_test.go
@@ -211,3 +211,14 @@
 	is.Equal(told.vms[0].engine.LoadPools(), nil)
 	is.Equal(told.vms[0].engine.LoadReporters(told.now), 0)
 }
+
+func TestNewsOfUnknownPoolsIsIgnored(t *testing.T) {
+	is := is.New(t)
+	e := newSharingEngine(servingTargets(1))
+	known := load.PoolNews{Pool: load.PoolID{Service: "orders", Domain: "east"}.Hash(), Source: load.HashDomain("west")}
+	for i := range 1000 {
+		e.ReceiveLoad(100, fleetAddress, "west", load.Report{Pools: []load.PoolNews{{Pool: uint32(i), Source: known.Source}}})
+	}
+	e.ReceiveLoad(100, fleetAddress, "west", load.Report{Pools: []load.PoolNews{known}})
+	is.Equal(e.TakeLoadReport(100).Pools, []load.PoolNews{known})
+}
--- a/load/decode.go
+++ b/load/decode.go
@@ -11,6 +11,7 @@
 var (
 	errCutOff   = errors.New("the report is cut off")
 	errTooLarge = errors.New("a number of the report is too large")
+	errRepeated = errors.New("the report names a target twice")
 )
 
 // Decode decodes a report. It returns an error if the data is not a report, so that no number of it is
@@ -27,12 +28,24 @@
 	for d.err == nil && len(d.data) > 0 {
 		r.Targets = append(r.Targets, d.targetWork())
 	}
+	if hasRepeatedTag(r.Targets) {
+		d.fail(errRepeated) // its numbers would add up
+	}
 	if d.err != nil {
 		return Report{}, fmt.Errorf("decode load report: %w", d.err)
 	}
 	return r, nil
 }
 
+// hasRepeatedTag reports whether two items are of targets with the same tag.
+func hasRepeatedTag(targets []TargetWork) bool {
+	seen := make(map[uint32]struct{}, len(targets))
+	for i := range targets {
+		seen[targets[i].Tag] = struct{}{}
+	}
+	return len(seen) < len(targets)
+}
+
 // decoder reads values from the start of the data. After an error it returns zeros.
 type decoder struct {
 	data []byte
--- a/load/encode_test.go
+++ b/load/encode_test.go
@@ -140,3 +140,14 @@
 		is.True(err != nil)
 	}
 }
+
+func TestReportsThatNameATargetTwiceAreRejected(t *testing.T) {
+	is := is.New(t)
+	report := &load.Report{Targets: []load.TargetWork{{Tag: 1}, {Tag: 2}, {Tag: 1, Start: 3}}}
+	_, err := load.Decode(load.Encode(report, maxBytes))
+	is.True(err != nil)
+	// Two pools may share a hash.
+	report = &load.Report{Remote: []load.PoolWork{{Pool: 1}, {Pool: 1}}, Pools: []load.PoolNews{{Pool: 1}, {Pool: 1}}}
+	_, err = load.Decode(load.Encode(report, maxBytes))
+	is.NoErr(err)
+}
