Tell the work that does not fit into a report in sum

Cause: targets that did not fit into a report counted as without work. Change: a report holds one sum for each pool of what was cut, which receivers spread evenly over the pool's targets. Test: TestWorkThatDoesNotFitIntoAReportIsToldInSum, a VM with a request at each of 300 targets, seen to fail.

--- a/inband/domainpool.go
+++ b/inband/domainpool.go
@@ -8,6 +8,7 @@
 // domainPool holds the targets of a pool in one failure domain.
 type domainPool struct {
 	id        load.PoolID
+	hash      uint32 // of the id
 	backends  []*Backend
 	isLocal   bool // in this VM's own failure domain
 	isListed  bool // in loadState.pools
@@ -22,6 +23,7 @@
 	hasWork       bool      // as of the last update; if not, the fields below are not set
 	own           load.Work // of this VM, averaged
 	heard         load.Work // of other VMs of this VM's failure domain, by the weights of their reports
+	heardSum      load.Work // the same, told in sum only
 	foreign       load.Work // of the VMs of other failure domains
 	fromOwnDomain load.Work // of all VMs of this VM's failure domain
 	estimate      load.Estimate
@@ -35,7 +37,7 @@
 			return d
 		}
 	}
-	d := &domainPool{id: id}
+	d := &domainPool{id: id, hash: id.Hash()}
 	p.domainPools = append(p.domainPools, d)
 	return d
 }
@@ -64,10 +66,11 @@
 }
 
 // update estimates the work of all VMs at the pool's targets. Of the targets of this VM's own failure domain
-// the others report each one, of the rest only sums, which are taken to be spread evenly.
+// the others report each one that fits, of the rest only sums, which are taken to be spread evenly.
 func (d *domainPool) update(sample load.Sample) {
 	if d.isLocal {
 		d.estimate = sample.ByTarget(d.heard, d.targets)
+		d.estimate.AddEven(sample.PerTarget(d.heardSum, d.targets))
 	} else {
 		d.estimate = sample.BySum(d.heard, d.targets)
 	}
--- a/inband/loadreport.go
+++ b/inband/loadreport.go
@@ -11,7 +11,7 @@
 // TakeLoadReport returns the report for the VMs of the own failure domain: this VM's own work, and what it
 // knows of the work of other failure domains.
 func (e *Engine) TakeLoadReport(now clock.Millis) load.Report {
-	return load.Report{Targets: e.targetWork(), Remote: e.remoteWork(), Pools: e.load.news.All(now)}
+	return load.Report{Targets: e.targetWork(now), Remote: e.remoteWork(), Pools: e.load.news.All(now)}
 }
 
 // TakeDomainReport returns the report for VMs of other failure domains: the work of all VMs of the own one.
@@ -29,11 +29,15 @@
 }
 
 // targetWork returns this VM's work at targets of its own failure domain, most work first.
-func (e *Engine) targetWork() []load.TargetWork {
+func (e *Engine) targetWork(now clock.Millis) []load.TargetWork {
 	var all []load.TargetWork
 	for _, b := range e.load.active {
 		if b.target.Domain == e.options.Domain && e.byTag[b.tag] == b {
-			all = append(all, load.TargetWork{Tag: uint32(b.tag), Start: startBits(b.target), Work: b.meter.Average(b.flows)})
+			work := load.TargetWork{Tag: uint32(b.tag), Start: startBits(b.target), Work: b.meter.Average(b.flows)}
+			if b.countsInPool(now) {
+				work.Pool = b.domainPool.hash
+			}
+			all = append(all, work)
 		}
 	}
 	slices.SortFunc(all, func(a, b load.TargetWork) int {
--- a/inband/loadsweep_test.go
+++ b/inband/loadsweep_test.go
@@ -147,7 +147,7 @@
 			e.Sweep(sweepInterval)
 			is.Equal(b.flows, 1)
 			reported := e.TakeLoadReport(sweepInterval).Targets
-			is.True(slices.Contains(reported, load.TargetWork{Tag: uint32(b.tag), Work: load.Work{Flows: 1}}))
+			is.True(slices.Contains(reported, load.TargetWork{Tag: uint32(b.tag), Work: load.Work{Flows: 1}, Pool: b.domainPool.hash}))
 			is.Equal(e.LoadPools()[0].Work.Flows, 1.0)
 		})
 	}
--- a/inband/loadtargets_test.go
+++ b/inband/loadtargets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/matryer/is"
@@ -114,3 +115,31 @@
 	is.Equal(orders.Targets, 4)
 	is.Equal(orders.Work, load.Work{Flows: 20})
 }
+
+// TestWorkThatDoesNotFitIntoAReportIsToldInSum has another VM with a busy request at each of 300 targets, of which
+// a report holds some 75.
+func TestWorkThatDoesNotFitIntoAReportIsToldInSum(t *testing.T) {
+	is := is.New(t)
+	const count = 300
+	targets := servingTargets(count)
+	sender, receiver := newSharingEngine(targets), newSharingEngine(targets)
+	for _, b := range sender.byID {
+		b.flows = 2
+		b.meter.Restart(0)
+		b.meter.Begin(0)
+		sender.load.track(b)
+	}
+	sender.Sweep(sweepInterval)
+	report := sender.TakeLoadReport(sweepInterval)
+	data := load.Encode(&report, reportBytes)
+	is.True(len(data) <= reportBytes)
+	decoded, err := load.Decode(data)
+	is.NoErr(err)
+	is.True(len(decoded.Targets) < count/2)
+	receiver.ReceiveLoad(sweepInterval, fleetAddress, "east", decoded)
+	receiver.Sweep(sweepInterval)
+	work := receiver.LoadPools()[0].Work
+	const tolerance = 1.0 // requests and flows, as numbers are rounded
+	is.True(math.Abs(work.Busy-count) < tolerance)
+	is.True(math.Abs(work.Flows-2*count) < tolerance)
+}
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -88,14 +88,25 @@
 			e.addTarget(now, &report.Targets[i], weight)
 		}
 		for i := range report.Remote {
-			if d := e.load.byHash[report.Remote[i].Pool]; d != nil {
-				e.load.markWorking(d)
-				d.heard = d.heard.Add(report.Remote[i].Work.Scale(weight))
-			}
+			e.load.addSum(&report.Remote[i], weight)
 		}
 	}
 }
 
+// addSum adds what a VM reported of a pool in sum.
+func (s *loadState) addSum(p *load.PoolWork, weight float64) {
+	d := s.byHash[p.Pool]
+	if d == nil {
+		return
+	}
+	s.markWorking(d)
+	if d.isLocal {
+		d.heardSum = d.heardSum.Add(p.Work.Scale(weight))
+		return
+	}
+	d.heard = d.heard.Add(p.Work.Scale(weight))
+}
+
 // addTarget adds what a VM reported of one target, unless it is of another start of it.
 func (e *Engine) addTarget(now clock.Millis, t *load.TargetWork, weight float64) {
 	b := e.byTag[Tag(t.Tag)]
--- a/load/encode.go
+++ b/load/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
 )
@@ -17,20 +18,50 @@
 // maxUnits limits each number of an encoded report.
 const maxUnits = 1 << 30
 
-// Encode encodes a report in at most the given number of bytes. What does not fit is left out: sums of
-// pools take three quarters of the room at most, and the targets with the least work come last.
+// Encode encodes a report in at most the given number of bytes. Sums of pools take three quarters of the room
+// at most, and the targets with the least work are told in sum only if they do not fit.
 func Encode(r *Report, maxBytes int) []byte {
-	data := make([]byte, 0, maxBytes)
-	data = appendLimited(data, r.Pools, maxBytes/2, appendPoolNews)
-	data = appendLimited(data, r.Remote, maxBytes/4, appendPoolWork)
-	for i := range r.Targets {
-		next := appendTargetWork(data, &r.Targets[i])
+	data := appendLimited(make([]byte, 0, maxBytes), r.Pools, maxBytes/2, appendPoolNews)
+	whole := appendLimited(data, r.Remote, maxBytes/4, appendPoolWork)
+	whole, told := appendTargets(whole, r.Targets, maxBytes)
+	if told == len(r.Targets) {
+		return whole
+	}
+	_, told = appendTargets(nil, r.Targets, maxBytes-len(data)-maxBytes/4)
+	remote := slices.Concat(sumByPool(r.Targets[told:]), r.Remote)
+	data = appendLimited(data, remote, maxBytes/4, appendPoolWork)
+	data, _ = appendTargets(data, r.Targets[:told], maxBytes)
+	return data
+}
+
+// appendTargets appends as many targets as fit and returns their number.
+func appendTargets(data []byte, targets []TargetWork, maxBytes int) ([]byte, int) {
+	for i := range targets {
+		next := appendTargetWork(data, &targets[i])
 		if len(next) > maxBytes {
-			break
+			return data, i
 		}
 		data = next
 	}
-	return data
+	return data, len(targets)
+}
+
+// sumByPool adds up the work of targets by their pools, in the order of the targets.
+func sumByPool(targets []TargetWork) []PoolWork {
+	var sums []PoolWork
+	for i := range targets {
+		t := &targets[i]
+		if t.Pool == 0 {
+			continue
+		}
+		j := slices.IndexFunc(sums, func(p PoolWork) bool { return p.Pool == t.Pool })
+		if j < 0 {
+			sums = append(sums, PoolWork{Pool: t.Pool})
+			j = len(sums) - 1
+		}
+		sums[j].Work = sums[j].Work.Add(t.Work)
+	}
+	return sums
 }
 
 // appendLimited appends as many items as fit into a number of bytes, and before them how many they are.
--- a/load/estimate.go
+++ b/load/estimate.go
@@ -41,8 +41,15 @@
 	if s.Weight <= 0 || targets == 0 {
 		return Estimate{ownExtra: float64(s.Others)}
 	}
-	even := heard.Scale((s.heardShare() + s.perReport()) / float64(targets))
-	return Estimate{ownExtra: s.perReport(), even: even}
+	return Estimate{ownExtra: s.perReport(), even: s.PerTarget(heard, targets)}
+}
+
+// PerTarget returns the part of each target in a sum that VMs reported, if it is spread evenly.
+func (s Sample) PerTarget(heard Work, targets int) Work {
+	if s.Weight <= 0 || targets == 0 {
+		return Work{}
+	}
+	return heard.Scale((s.heardShare() + s.perReport()) / float64(targets))
 }
 
 // heardShare returns the factor by which heard work counts. It is below one if VMs were heard that are gone.
