Test the belief in a slow target, and deaths that are noticed late

In the fleet of the tests a killed VM counts as alive for 4 s, as in the daemon; those that leave are known at once. VMs beyond 256 no longer share addresses.

--- a/inband/loadbelief_test.go
+++ b/inband/loadbelief_test.go
@@ -133,3 +133,21 @@
 	}
 	return sum / float64(len(f.vms))
 }
+
+// TestSlowTargetLooksFuller has one target take eight times as long as the others. The belief in its work must be
+// nearer to the truth than to the mean of all targets.
+func TestSlowTargetLooksFuller(t *testing.T) {
+	is := is.New(t)
+	f := newLoadFleet(fleetVMs, fleetTargets, 3)
+	f.serviceMS = func(id string) clock.Millis {
+		if id == "t0" {
+			return 400
+		}
+		return 50
+	}
+	f.run(11 * clock.Second)
+	truth, mean, belief := f.truth("t0").Busy, f.truthOfAll()/fleetTargets, f.meanBeliefAt("t0")
+	t.Logf("%.1f requests, %.1f believed, %.1f in the mean of all targets", truth, belief, mean)
+	is.True(truth-mean > maxBeliefError)
+	is.True(math.Abs(belief-truth) < math.Abs(belief-mean))
+}
--- a/inband/loadfailures_test.go
+++ b/inband/loadfailures_test.go
@@ -142,7 +142,7 @@
 	f := newLoadFleet(fleetVMs, fleetTargets, 11)
 	f.run(6 * clock.Second)
 	for _, vm := range f.vms[5:] {
-		vm.isDown = true
+		vm.isDown, vm.upAt = true, f.now-aliveTimeout // they say so
 	}
 	f.rate = 0
 	f.run(500) // reports of those that left still count
--- a/inband/loadfleet_test.go
+++ b/inband/loadfleet_test.go
@@ -15,6 +15,7 @@
 	sweepInterval = 250 * clock.Millisecond
 	reportTime    = 500 * clock.Millisecond
 	maxTransit    = 200 * clock.Millisecond
+	aliveTimeout  = 4 * clock.Second // after the last sign of a VM
 	recipients    = 3
 	reportBytes   = 640
 )
@@ -37,7 +38,8 @@
 	index    int
 	engine   *Engine
 	requests []fakeRequest
-	isDown   bool // killed or paused
+	isDown   bool         // killed or paused
+	upAt     clock.Millis // when it was last up
 }
 
 // fakeRequest is a request of a client that has its own flow.
@@ -74,7 +76,7 @@
 var fleetAddress = netip.MustParseAddrPort("198.18.0.1:8443")
 
 func (f *loadFleet) address(vm *loadVM) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(vm.index)}), 7720)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(vm.index >> 8), byte(vm.index)}), 7720)
 }
 
 // run lets time pass.
@@ -84,6 +86,7 @@
 		f.deliver()
 		for _, vm := range f.vms {
 			if !vm.isDown {
+				vm.upAt = f.now
 				f.step(vm)
 			}
 		}
@@ -101,7 +104,7 @@
 	}
 	phase := clock.Millis(vm.index) * fleetStep
 	if (f.now+phase)%sweepInterval == 0 {
-		vm.engine.SetLocalVMs(f.alive())
+		vm.engine.SetLocalVMs(f.knownAlive())
 		vm.engine.Sweep(f.now)
 	}
 	if (f.now+phase)%reportTime == 0 {
@@ -178,6 +181,17 @@
 	f.messages = remaining
 }
 
+// knownAlive returns how many VMs count as alive, which they do for a while after their end.
+func (f *loadFleet) knownAlive() int {
+	count := 0
+	for _, vm := range f.vms {
+		if f.now-vm.upAt < aliveTimeout {
+			count++
+		}
+	}
+	return count
+}
+
 func (f *loadFleet) alive() int {
 	count := 0
 	for _, vm := range f.vms {
