--- a/front/load.go
+++ b/front/load.go
@@ -14,6 +14,9 @@
 	// loadRecipients is the number of VMs that get each report. A VM gets as many on average, whatever the
 	// number of VMs.
 	loadRecipients = 3
+	// remoteReporters is the number of VMs of a failure domain that tell others in a round, on average. All of
+	// its VMs know about the same sums.
+	remoteReporters = 4
 	// maxLoadBytes limits an encoded report, which grows by a third in a message.
 	maxLoadBytes = 640
 )
@@ -24,18 +27,26 @@
 		return
 	}
 	d.mu.Lock()
+	hasMeasured := d.engine.HasMeasuredLoad()
 	report := d.engine.TakeLoadReport(now)
 	recipients := d.members.SampleLocal(now, loadRecipients)
 	d.mu.Unlock()
-	d.sendLoad(&report, recipients)
+	if hasMeasured {
+		d.sendLoad(&report, recipients)
+	}
 }
 
-// shareRemoteLoad tells a VM of another failure domain what the VMs of this one have under way.
+// shareRemoteLoad tells a VM of another failure domain what the VMs of this one have under way, if it falls to
+// this VM in this round. The more VMs there are, the less often it does, as bytes between domains are expensive.
 func (d *Daemon) shareRemoteLoad(now clock.Millis) {
 	if !d.parts.SharesLoad {
 		return
 	}
 	d.mu.Lock()
+	if vms := 1 + d.members.CountLocal(now); d.random.IntN(vms) >= remoteReporters {
+		d.mu.Unlock()
+		return
+	}
 	report := d.engine.TakeDomainReport(now)
 	recipients := d.members.SampleRemote(now, 1)
 	d.mu.Unlock()
@@ -51,11 +62,17 @@
 
 // receiveLoad takes in what another VM tells of load.
 func (d *Daemon) receiveLoad(now clock.Millis, m *siblings.Message) {
+	if !d.parts.SharesLoad {
+		return
+	}
 	report, err := load.Decode(m.Load)
 	if err != nil {
 		d.logRoutine("load_ignored", "at_ms", now, "source", m.From.Address, "error", err)
 		return
 	}
+	for i := range report.Pools {
+		report.Pools[i].Age += transitTime
+	}
 	d.metrics.loadReceived.Inc(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 
@@ -59,6 +60,10 @@
 			is := is.New(t)
 			d, fake := newSharingDaemon(t, tt.sharesLoad)
 			d.runMaintenance(fake.Now())
+			d.shareLoad(fake.Now()) // has measured nothing so far
+			is.Equal(counted(d, loadSentMetric), int64(0))
+			fake.Advance(tickInterval)
+			d.runMaintenance(fake.Now())
 			d.shareLoad(fake.Now())
 			d.shareRemoteLoad(fake.Now()) // knows no VM of another domain
 			is.Equal(counted(d, loadSentMetric), tt.expected)
@@ -117,3 +122,56 @@
 	is.True(d.allowMessages(size, 100, siblings.Suspect) > 0)
 	is.True(d.allowMessages(size, 100, siblings.Heartbeat) > 0)
 }
+
+// TestAgeOfNewsIncludesItsWay has news of another domain arrive with the age that it had when it was sent.
+func TestAgeOfNewsIncludesItsWay(t *testing.T) {
+	is := is.New(t)
+	d, fake := newSharingDaemon(t, true)
+	pool := load.PoolID{Service: "core", Domain: "b"}.Hash()
+	report := load.Report{Pools: []load.PoolNews{{Pool: pool, Source: load.HashDomain("b"), Work: load.Work{Busy: 3}, Age: 40}}}
+	d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: load.Encode(&report, maxLoadBytes)})
+	is.Equal(d.engine.TakeLoadReport(fake.Now()).Pools[0].Age, 40+transitTime)
+}
+
+func TestMessagesOfLoadAreIgnoredIfThePartIsOff(t *testing.T) {
+	is := is.New(t)
+	d, fake := newSharingDaemon(t, false)
+	stranger := siblings.Contact{Address: netip.MustParseAddrPort("127.0.0.1:10"), Domain: "a"}
+	for _, data := range [][]byte{load.Encode(&load.Report{}, maxLoadBytes), {9}} {
+		d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: stranger, Load: data})
+	}
+	is.Equal(counted(d, loadReceivedMetric), int64(0))
+	is.Equal(d.members.CountLocal(fake.Now()), 1)
+}
+
+// TestFewVMsTellOtherDomains has this VM be one of some in its domain, all of which know the same.
+func TestFewVMsTellOtherDomains(t *testing.T) {
+	tests := []struct {
+		name          string
+		vms           int
+		atLeast, most int64 // messages in 200 rounds
+	}{
+		{"few VMs", remoteReporters, 199, 199}, // the first one has measured nothing
+		{"40 VMs", 40, 5, 40},                  // 20 are expected
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d, fake := newSharingDaemon(t, true)
+			d.random = rand.New(rand.NewPCG(1, 2))
+			report := load.Encode(&load.Report{Remote: []load.PoolWork{{Pool: load.PoolID{Service: "core", Domain: "b"}.Hash()}}}, maxLoadBytes)
+			for range 200 {
+				d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: report})
+				for i := range tt.vms - 2 {
+					d.members.MarkAlive(fake.Now(), siblings.Contact{Address: netip.AddrPortFrom(otherVM.Address.Addr(), uint16(20000+i)), Domain: "a"})
+				}
+				d.members.MarkAlive(fake.Now(), siblings.Contact{Address: netip.MustParseAddrPort("127.0.0.1:11"), Domain: "b"})
+				fake.Advance(tickInterval)
+				d.runMaintenance(fake.Now())
+				d.shareRemoteLoad(fake.Now())
+			}
+			sent := counted(d, loadSentMetric)
+			is.True(sent >= tt.atLeast && sent <= tt.most)
+		})
+	}
+}
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -57,7 +57,10 @@
 func (p *pool) updateCandidates(domain string, drained map[string]bool) {
 	p.local, p.remote = p.local[:0], p.remote[:0]
 	for _, b := range p.backends {
-		b.isDrained = drained[b.target.Domain]
+		if isDrained := drained[b.target.Domain]; b.isDrained != isDrained {
+			b.isDrained = isDrained
+			p.load.recount(b.domainPool)
+		}
 		p.addCandidate(b, domain)
 	}
 }
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -144,6 +144,7 @@
 		return verdict
 	}
 	if route.leadsTo(previous.target.Service) && previous.acceptsNewFlows(now) {
+		e.resumeMeter(f)
 		return forward(previous, Repeated)
 	}
 	return e.placeAgain(now, p, f, route, nil, MovedUnavailable)
@@ -194,7 +195,7 @@
 		f.backend = b
 		f.openedAt, f.seenAt, f.sentAt = now, now, now
 		f.startAt(p.Seq)
-		b.flows++
+		e.hold(f)
 		e.markBusy(f)
 	}
 	return forward(b, reason)
@@ -251,7 +252,7 @@
 		f.ack = p.Ack
 		f.startAt(p.Seq)
 		f.recordForwarded(p)
-		b.flows++
+		e.hold(f)
 		if p.DataLength > 0 {
 			e.markBusy(f)
 		}
@@ -266,7 +267,7 @@
 	if b := e.byTag[p.Tag]; b != nil && b != f.backend {
 		e.release(f)
 		f.choose(b)
-		b.flows++
+		e.hold(f)
 	} else {
 		e.recordAnswer(now, f)
 	}
--- a/inband/load.go
+++ b/inband/load.go
@@ -11,22 +11,23 @@
 
 // loadState holds what this VM knows of the work of others, and which targets and pools have work.
 type loadState struct {
-	isShared   bool
-	active     []*Backend // targets with work of this VM
-	reported   []*Backend // targets of which other VMs reported work
-	heard      load.Heard
-	news       *load.News
-	pools      []*domainPool
-	byHash     map[uint32]*domainPool // the same, by the hash of the ID
-	working    []*domainPool          // those that have work
-	uncounted  []*domainPool          // those whose targets changed
-	countIndex int                    // in pools, of the one that was counted last
-	quiet      load.Estimate          // of pools without work
-	age        clock.Millis           // of the reports heard, as of the last update
-	ownDomain  uint32                 // hash of the name
-	domain     string
-	windowAt   clock.Millis // when the window of the meters began
-	resumedAt  clock.Millis // as of the last update
+	isShared    bool
+	active      []*Backend // targets with work of this VM
+	reported    []*Backend // targets of which other VMs reported work
+	heard       load.Heard
+	news        *load.News
+	pools       []*domainPool
+	byHash      map[uint32]*domainPool // the same, by the hash of the ID
+	working     []*domainPool          // those that have work
+	uncounted   []*domainPool          // those whose targets changed
+	countIndex  int                    // in pools, of the one that was counted last
+	quiet       load.Estimate          // of pools without work
+	age         clock.Millis           // of the reports heard, as of the last update
+	ownDomain   uint32                 // hash of the name
+	domain      string
+	windowAt    clock.Millis // when the window of the meters began
+	resumedAt   clock.Millis // as of the last update
+	hasMeasured bool         // the last window was measured
 }
 
 func newLoadState(options *Options) *loadState {
@@ -46,17 +47,36 @@
 	}
 }
 
-// forget forgets what was heard of other VMs.
+// forget forgets what was heard of other VMs and what was believed by it.
 func (s *loadState) forget() {
 	s.heard.Forget()
 	s.news.Forget()
+	s.age = load.ReportLifetime
+	for _, b := range s.reported {
+		b.heard = load.Work{}
+	}
+	for _, d := range s.working {
+		d.hasWork = false
+	}
+	s.reported, s.working = s.reported[:0], s.working[:0]
 }
 
 // removePools forgets the pools before they are added anew.
 func (s *loadState) removePools() {
+	for _, d := range s.pools {
+		d.isListed = false
+	}
 	s.pools, s.byHash, s.uncounted = nil, map[uint32]*domainPool{}, nil
 }
 
+// removeTargets lists the targets that were removed no more. Their flows may go on.
+func (s *loadState) removeTargets(byID map[string]*Backend) {
+	s.active = slices.DeleteFunc(s.active, func(b *Backend) bool {
+		b.isActive = byID[b.target.ID] == b
+		return !b.isActive
+	})
+}
+
 // add makes a pool known that got a target.
 func (s *loadState) add(d *domainPool) {
 	if !d.isListed {
@@ -67,9 +87,9 @@
 	s.recount(d)
 }
 
-// recount has the targets of a pool counted at the next update.
+// recount has the targets of a pool counted at the next update. A target that shares its tag may be in none.
 func (s *loadState) recount(d *domainPool) {
-	if d.isCounted {
+	if d != nil && d.isCounted {
 		d.isCounted = false
 		s.uncounted = append(s.uncounted, d)
 	}
@@ -116,7 +136,8 @@
 	isLocal := domain == e.options.Domain
 	for i := range report.Pools {
 		p := &report.Pools[i]
-		if p.Source != e.load.ownDomain && (isLocal || p.Source == source) {
+		isKnown := e.load.byHash[p.Pool] != nil // news of others would only fill the room
+		if isKnown && p.Source != e.load.ownDomain && (isLocal || p.Source == source) {
 			e.load.news.Add(now, p)
 		}
 	}
@@ -127,7 +148,14 @@
 
 // ForgetLoad forgets what other VMs reported. It is called after a pause, as their reports may be older than
 // the clock shows.
-func (e *Engine) ForgetLoad() { e.load.forget() }
+func (e *Engine) ForgetLoad() {
+	e.load.forget()
+	e.load.quiet = load.Sample{Others: e.localVMs - 1}.ByTarget(load.Work{}, 1)
+}
+
+// HasMeasuredLoad reports whether this VM has measured its work since it started or last stood still. Before, a
+// report would tell others that it has none.
+func (e *Engine) HasMeasuredLoad() bool { return e.load.hasMeasured && e.load.resumedAt == e.resumedAt }
 
 // LoadReporters returns the number of VMs whose reports count.
 func (e *Engine) LoadReporters(now clock.Millis) int { return e.load.heard.VMs(now) }
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -21,7 +21,7 @@
 	s.closeWindow(now, e.resumedAt)
 	s.news.Prune(now)
 	s.countSome(now)
-	s.addOwn()
+	s.addOwn(now)
 	e.addHeard(now)
 	for _, p := range s.news.All(now) {
 		s.addNews(&p)
@@ -34,25 +34,28 @@
 }
 
 // addOwn adds up the work of this VM.
-func (s *loadState) addOwn() {
+func (s *loadState) addOwn(now clock.Millis) {
 	for _, d := range s.working {
 		d.hasWork = false
 	}
 	s.working = s.working[:0]
 	for _, b := range s.active {
-		s.markWorking(b.domainPool)
-		b.domainPool.own = b.domainPool.own.Add(b.meter.Average(b.flows))
+		if b.countsInPool(now) {
+			s.markWorking(b.domainPool)
+			b.domainPool.own = b.domainPool.own.Add(b.meter.Average(b.flows))
+		}
 	}
 }
 
-// closeWindow closes the window of the meters, or discards it if the process stood still meanwhile. Targets
-// without work of this VM are listed no more.
+// closeWindow closes the window of the meters. If the process stood still meanwhile, they start anew, as what
+// they measured is as old as the pause is long. Targets without work of this VM are listed no more.
 func (s *loadState) closeWindow(now, resumedAt clock.Millis) {
+	s.hasMeasured = resumedAt == s.resumedAt
 	for _, b := range s.active {
-		if resumedAt == s.resumedAt {
+		if s.hasMeasured {
 			b.meter.CloseWindow(now, now-s.windowAt)
 		} else {
-			b.meter.DiscardWindow(now)
+			b.meter.Restart(now)
 		}
 	}
 	s.windowAt, s.resumedAt = now, resumedAt
@@ -82,19 +85,30 @@
 	e.load.reported = e.load.reported[:0]
 	for report, weight := range e.load.heard.All(now) {
 		for i := range report.Targets {
-			e.addTarget(&report.Targets[i], weight)
+			e.addTarget(now, &report.Targets[i], weight)
 		}
 		for i := range report.Remote {
-			if d := e.load.byHash[report.Remote[i].Pool]; d != nil {
-				e.load.markWorking(d)
-				d.heard = d.heard.Add(report.Remote[i].Work.Scale(weight))
-			}
+			e.load.addSum(&report.Remote[i], weight)
 		}
 	}
 }
 
+// addSum adds what a VM reported of a pool in sum.
+func (s *loadState) addSum(p *load.PoolWork, weight float64) {
+	d := s.byHash[p.Pool]
+	if d == nil {
+		return
+	}
+	s.markWorking(d)
+	if d.isLocal {
+		d.heardSum = d.heardSum.Add(p.Work.Scale(weight))
+		return
+	}
+	d.heard = d.heard.Add(p.Work.Scale(weight))
+}
+
 // addTarget adds what a VM reported of one target, unless it is of another start of it.
-func (e *Engine) addTarget(t *load.TargetWork, weight float64) {
+func (e *Engine) addTarget(now clock.Millis, t *load.TargetWork, weight float64) {
 	b := e.byTag[Tag(t.Tag)]
 	if b == nil || b.target.Domain != e.options.Domain || t.Start != startBits(b.target) {
 		return
@@ -104,8 +118,17 @@
 	}
 	work := t.Work.Scale(weight)
 	b.heard = b.heard.Add(work)
-	e.load.markWorking(b.domainPool)
-	b.domainPool.heard = b.domainPool.heard.Add(work)
+	if b.countsInPool(now) {
+		e.load.markWorking(b.domainPool)
+		b.domainPool.heard = b.domainPool.heard.Add(work)
+	}
+}
+
+// countsInPool reports whether the work at the target counts in the sums of its pool. These are spread over the
+// targets that accept new flows, so the work of the others would make those look fuller than they are.
+// Open flows of a target that was removed still point to it and its former pool.
+func (b *Backend) countsInPool(now clock.Millis) bool {
+	return b.domainPool.isListed && b.acceptsNewFlows(now)
 }
 
 // startBits returns the low bits of a target's start time, which tell its restarts apart.
--- a/load/encode_test.go
+++ b/load/encode_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 )
 
@@ -46,6 +47,21 @@
 	}
 }
 
+// TestNewsGrowsNoYoungerOnItsWay relays news through a chain of VMs, each of which keeps it for a while.
+func TestNewsGrowsNoYoungerOnItsWay(t *testing.T) {
+	for kept := range clock.Millis(25) {
+		is := is.New(t)
+		news := load.PoolNews{Pool: 1, Source: 7, Work: load.Work{Busy: 1}, Age: 3}
+		for range 20 {
+			before := news.Age + kept
+			report, err := load.Decode(load.Encode(&load.Report{Pools: []load.PoolNews{{Pool: 1, Source: 7, Work: news.Work, Age: before}}}, maxBytes))
+			is.NoErr(err)
+			news = report.Pools[0]
+			is.True(news.Age >= before)
+		}
+	}
+}
+
 func TestReportsAreLimited(t *testing.T) {
 	for _, pools := range []int{0, 8, 300} {
 		is := is.New(t)
@@ -124,3 +140,14 @@
 		is.True(err != nil)
 	}
 }
+
+func TestReportsThatNameATargetTwiceAreRejected(t *testing.T) {
+	is := is.New(t)
+	report := &load.Report{Targets: []load.TargetWork{{Tag: 1}, {Tag: 2}, {Tag: 1, Start: 3}}}
+	_, err := load.Decode(load.Encode(report, maxBytes))
+	is.True(err != nil)
+	// Two pools may share a hash.
+	report = &load.Report{Remote: []load.PoolWork{{Pool: 1}, {Pool: 1}}, Pools: []load.PoolNews{{Pool: 1}, {Pool: 1}}}
+	_, err = load.Decode(load.Encode(report, maxBytes))
+	is.NoErr(err)
+}
