Add package admission, which refuses openings by urgency

Change: Controller takes the work at a pool by failure domain and gives a share for each priority. Test: tables for levels, room elsewhere, a lone VM, timeouts, agreement of VMs. Nothing calls the package yet.

--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,197 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/admission"
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+// Levels of a pool whose most urgent callers want their answer within 400 ms.
+var (
+	orders  = admission.Level{Priority: 1, TargetLatency: 400, Timeout: 6000}
+	feeds   = admission.Level{Priority: 2, TargetLatency: 800, Timeout: 5000}
+	reports = admission.Level{Priority: 3, TargetLatency: 100, Timeout: 5000}
+)
+
+// settlingTime is long enough for averages to settle.
+const settlingTime = 10 * clock.Second
+
+// poolWith returns the work at 20 targets with 2 slots each, at which one more request takes the given time.
+func poolWith(domain string, responseTime float64) load.Pool {
+	const targets, slots, finished = 20, 40, 640.0 // a slot is occupied for 62.5 ms
+	return load.Pool{
+		ID: load.PoolID{Service: "orders", Domain: domain}, Targets: targets, Slots: slots,
+		Work: load.Work{Busy: responseTime*finished/1000 - targets, Finished: finished},
+	}
+}
+
+// withAge returns the pool with news of another age.
+func withAge(p load.Pool, age clock.Millis) load.Pool {
+	p.Age = age
+	return p
+}
+
+// vm is an entry VM that refuses openings to one pool.
+type vm struct {
+	admission.Controller
+	now clock.Millis
+}
+
+func newVM(levels ...admission.Level) *vm {
+	v := &vm{now: clock.Second}
+	v.SetLevels(levels)
+	return v
+}
+
+// hear updates the controller for some time with the same news and returns the refused shares.
+func (v *vm) hear(duration clock.Millis, domains ...load.Pool) []float64 {
+	for end := v.now + duration; v.now < end; v.now += admission.UpdateInterval {
+		v.Update(v.now, domains)
+	}
+	var refused []float64
+	for _, s := range v.Shares() {
+		refused = append(refused, s.Refused)
+	}
+	return refused
+}
+
+// rounded formats shares with one decimal, as averages come close to their final value only.
+func rounded(shares []float64) string { return fmt.Sprintf("%.1f", shares) }
+
+func TestLeastUrgentIsRefusedFirst(t *testing.T) {
+	tests := []struct {
+		name         string
+		responseTime float64
+		expected     string
+	}{
+		{"free slots", 62.5, "[0.0 0.0 0.0]"},
+		{"a short queue", 100, "[0.0 0.0 0.0]"},
+		{"a longer queue", 150, "[0.0 0.0 0.5]"},
+		{"the least urgent fully", 200, "[0.0 0.0 1.0]"},
+		{"then the next", 250, "[0.0 0.5 1.0]"},
+		{"the most urgent never", 1000, "[0.0 1.0 1.0]"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(reports, orders, feeds)
+			is.Equal(rounded(c.hear(settlingTime, poolWith("east", tt.responseTime))), tt.expected)
+		})
+	}
+}
+
+func TestRoomInOneDomainOrTarget(t *testing.T) {
+	full := poolWith("east", 1000)
+	tests := []struct {
+		name      string
+		domains   []load.Pool
+		isRefused bool
+	}{
+		{"all domains full", []load.Pool{full, poolWith("west", 1000)}, true},
+		{"room in another domain", []load.Pool{full, poolWith("west", 70)}, false},
+		{"another domain without answers", []load.Pool{full, {Targets: 20, Slots: 40}}, true},
+		{"room in a domain with old news", []load.Pool{full, withAge(poolWith("west", 70), clock.Minute)}, true},
+		{"no targets", nil, false},
+		{"nothing finishes anywhere", []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 400}}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			c.hear(settlingTime, tt.domains...)
+			is.Equal(c.IsRefusing(), tt.isRefused)
+			is.True(!c.Refuse(orders.Priority, 0))
+			is.Equal(c.Refuse(feeds.Priority, 0.5), tt.isRefused)
+		})
+	}
+}
+
+// A pool whose requests take long also without load, as answers are long on their way, is not full.
+func TestLongResponseTimeWithoutLoadIsNoOverload(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	idle := load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 20, Finished: 160}}
+	c.hear(settlingTime, idle)
+	is.Equal(c.Room().ResponseTime, 125.0)
+	is.Equal(c.hear(settlingTime, poolWith("east", 140)), []float64{0, 0})
+	is.Equal(rounded(c.hear(settlingTime, poolWith("east", 1000))), "[0.0 1.0]")
+}
+
+// Without thresholds from the tables, or with one priority, nothing is refused.
+func TestPoolsThatDoNotAskForItRefuseNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		levels []admission.Level
+	}{
+		{"no routes", nil},
+		{"one priority", []admission.Level{orders, orders}},
+		{"no target latency", []admission.Level{{Priority: 1}, {Priority: 2}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(tt.levels...)
+			c.hear(settlingTime, poolWith("east", 1000))
+			is.True(!c.IsRefusing())
+			is.True(!c.Refuse(2, 0))
+		})
+	}
+}
+
+// A request whose answer would come after its callers have given up is refused at once, however urgent it is.
+func TestRequestsThatCannotBeAnsweredInTimeAreRefused(t *testing.T) {
+	is := is.New(t)
+	c := newVM(admission.Level{Priority: 1, TargetLatency: 400, Timeout: 2000}, admission.Level{Priority: 2, Timeout: 4000})
+	c.hear(settlingTime, poolWith("east", 2100))
+	is.True(c.Refuse(1, 0.999))
+	c.hear(settlingTime, poolWith("east", 1900))
+	is.True(!c.Refuse(1, 0))
+}
+
+// A VM without news of the others goes by the time that its own requests take, and serves at least half.
+func TestErrorOfALoneVMIsBounded(t *testing.T) {
+	own := load.Work{Busy: 3, Finished: 5} // of its own requests, which take 600 ms
+	tests := []struct {
+		name     string
+		work     load.Work
+		expected string
+	}{
+		{"its requests take long", own, "[0.0 0.5]"},
+		{"its requests are answered soon", load.Work{Busy: 0.3, Finished: 5}, "[0.0 0.0]"},
+		{"it forwards none", load.Work{}, "[0.0 0.0]"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			p := load.Pool{Targets: 20, Slots: 40, Work: tt.work, Age: 3 * clock.Second}
+			is.Equal(rounded(c.hear(settlingTime, p)), tt.expected)
+		})
+	}
+}
+
+// VMs that have had the same news for some seconds refuse the same share, whenever they started.
+func TestVMsWithTheSameNewsAgree(t *testing.T) {
+	is := is.New(t)
+	old, restarted := newVM(orders, feeds), newVM(orders, feeds)
+	old.hear(settlingTime, poolWith("east", 1000))
+	news := poolWith("east", 150)
+	is.True(old.hear(5*clock.Second, news)[1]-restarted.hear(5*clock.Second, news)[1] < 0.05)
+}
+
+func ExampleController() {
+	c := &admission.Controller{}
+	c.SetLevels([]admission.Level{orders, feeds})
+	c.Update(clock.Second, []load.Pool{poolWith("east", 200)})
+	for _, s := range c.Shares() {
+		fmt.Printf("priority %d: %.2f\n", s.Priority, s.Refused)
+	}
+	// Output:
+	// priority 1: 0.00
+	// priority 2: 0.50
+}
