Refuse openings by urgency where the settings ask for it

Change: with Parts.RefusesByUrgency, Engine.placeFlow asks the pool's admission.Controller; without it the rule of overload.go is as before. Only first copies are refused that did not wait in a process that stood still, so that "not run" is true. Status and explain show the shares, two log lines their begin and end, two metrics their amount. Test: the tests of overload.go run unchanged without the part.

--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -57,6 +57,7 @@
 	for _, m := range s.Drains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained since revision %d\n", m.Domain, m.Revision)
 	}
+	writeAdmissions(t, s.Admissions)
 	for _, c := range s.Siblings {
 		_, _ = fmt.Fprintf(t, "sibling %s\t%s, heard %d ms ago\n", c.Address, c.Domain, c.AgeMS)
 	}
@@ -71,6 +72,15 @@
 	return t.Flush()
 }
 
+// writeAdmissions writes the refused share of each priority of the pools.
+func writeAdmissions(w io.Writer, pools []inband.Admission) {
+	for _, a := range pools {
+		for _, s := range a.Shares {
+			_, _ = fmt.Fprintf(w, "refused %s priority %d\t%.2f, %d so far, response time %.0f ms, %.0f busy of %d slots, news %d ms old\n", a.Service, s.Priority, s.Refused, s.Count, a.ResponseTimeMS, a.Busy, a.Slots, a.NewsAgeMS)
+		}
+	}
+}
+
 func runFrontExplain(ctx context.Context, command *cli.Command) error {
 	key, err := parseFlowKey(command.Args())
 	if err != nil {
@@ -103,10 +113,11 @@
 
 func writeFrontExplanation(w io.Writer, explanation *inband.Explanation) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\n", explanation.Route, explanation.Target, explanation.State)
+	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\npriority\t%d\n", explanation.Route, explanation.Target, explanation.State, explanation.Priority)
 	for _, domain := range explanation.DrainedDomains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained\n", domain)
 	}
+	writeAdmissions(t, explanation.Admissions)
 	for _, c := range explanation.Candidates {
 		_, _ = fmt.Fprintf(t, "candidate %s\t%s, cost %.2f, %d flows, %d busy, suspect %v, cut %v, bad %.2f\n", c.ID, c.Domain, c.Cost, c.Flows, c.Busy, c.Suspect, c.Partitioned, c.FailureRate)
 	}
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -107,6 +107,7 @@
 	nextPruneAt         clock.Millis
 	overloadedPools     int  // as last logged
 	knowsLoad           bool // reports of other VMs count, as last logged
+	refusals            refusalLog
 	readyAt             clock.Millis
 	isStoreFailing      bool
 	isFetching          bool         // a view from a sibling
@@ -147,8 +148,9 @@
 	d.engine = inband.New(inband.Options{
 		Domain: settings.Domain, Policy: settings.policy(), MaxFlows: settings.MaxFlows,
 		FlowLifetime: clock.Millis(settings.FlowLifetimeSeconds) * clock.Second, Seed: rand.Uint64(),
-		SharesLoad:    d.parts.SharesLoad,
-		SlowStartRank: d.slowStartRank,
+		SharesLoad:       d.parts.SharesLoad,
+		SlowStartRank:    d.slowStartRank,
+		RefusesByUrgency: d.parts.RefusesByUrgency,
 	})
 	var err error
 	if d.sockets, err = bind(settings); err != nil {
@@ -237,6 +239,7 @@
 		}
 		if i%evaluationTicks == 0 {
 			d.evaluateTargets(now)
+			d.logRefusals(now)
 		}
 		if i%heartbeatTicks == 0 {
 			d.sendHeartbeat(now)
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -40,6 +40,8 @@
 	failingTargetsMetric  = Metric{"almondflow_front_bad_targets", gaugeType, "targets", "Failing targets, which new flows avoid because more of their requests fail than usual."}
 	shedRequestsMetric    = Metric{"almondflow_front_shed_requests", counterType, "requests", "Requests that full targets shed, which does not count against them."}
 	overloadedPoolsMetric = Metric{"almondflow_front_full_pools", gaugeType, "pools", "Pools whose targets have more work than they can finish in time."}
+	refusedOpeningsMetric = Metric{"almondflow_front_refused_openings", counterType, "openings", "Openings refused for lack of room, by priority (tag priority)."}
+	refusedShareMetric    = Metric{"almondflow_front_refused_share", gaugeType, "share", "Share of requests refused for lack of room, by priority (tag priority), of the pool that refuses most."}
 	tablesVersionMetric   = Metric{"almondflow_front_tables_version", gaugeType, "version", "Version of the tables in use."}
 	drainedDomainsMetric  = Metric{"almondflow_front_drained_domains", gaugeType, "domains", "Failure domains that the operator drains, whose targets get no new flows."}
 	readyAfterMetric      = Metric{"almondflow_front_ready_after", gaugeType, "milliseconds", "Time from the start of the process to its first view."}
@@ -61,7 +63,7 @@
 // AllMetrics returns the descriptions of all metrics of the daemon.
 func AllMetrics() []Metric {
 	return []Metric{
-		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, shedRequestsMetric, overloadedPoolsMetric, drainedDomainsMetric, tablesVersionMetric, readyAfterMetric,
+		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, shedRequestsMetric, overloadedPoolsMetric, refusedOpeningsMetric, refusedShareMetric, drainedDomainsMetric, tablesVersionMetric, readyAfterMetric,
 		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric,
 		loadSentMetric, loadBytesMetric, loadReceivedMetric, loadReportersMetric, loadAgeMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
 	}
@@ -94,12 +96,13 @@
 	packets         [inband.ReasonCount]tally.Counter
 	reportedCounts  [inband.ReasonCount]uint64 // packets counted at the last scrape
 	reportedDropped int64                      // lines dropped at the last scrape
+	reportedRefused map[int]int                // openings refused at the last scrape, by priority
 }
 
 func newMetrics() *metrics {
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{Reporter: tally.NullStatsReporter, OmitCardinalityMetrics: true}, 0) // there is no reporter; scrapes read snapshots
 	m := &metrics{
-		scope:        scope,
+		scope: scope, reportedRefused: map[int]int{},
 		storeCalls:   scope.Histogram(storeCallMetric.Name, storeCallBuckets),
 		viewAges:     scope.Histogram(viewAgeMetric.Name, viewAgeBuckets),
 		packetTimes:  scope.Histogram(packetTimeMetric.Name, packetTimeBuckets),
@@ -178,6 +181,7 @@
 	} {
 		m.scope.Gauge(g.metric.Name).Update(float64(g.value))
 	}
+	d.updateRefusalMetrics()
 }
 
 // writeSnapshot writes all metrics: counters and gauges, ordered by name and tags, and then
--- a/front/status.go
+++ b/front/status.go
@@ -22,7 +22,8 @@
 	Siblings   []siblings.Contact    `json:"siblings"`
 	Drains     []drain.Mark          `json:"drains,omitempty"` // failure domains that get no new flows
 	Targets    []inband.Health       `json:"targets"`
-	Pools      []load.Pool           `json:"pools,omitempty"` // if VMs share their load
+	Pools      []load.Pool           `json:"pools,omitempty"`      // if VMs share their load
+	Admissions []inband.Admission    `json:"admissions,omitempty"` // of pools whose less urgent openings may be refused
 }
 
 // serveStatus answers with the Status of the daemon.
@@ -34,6 +35,7 @@
 		Ready: d.catalog.IsComplete() && !d.isStopping, View: d.viewSummary(now),
 		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now),
 		Drains: d.catalog.Drains(), Pools: d.engine.LoadPools(), Targets: d.engine.Targets(),
+		Admissions: d.engine.Admissions(),
 	}
 	d.mu.Unlock()
 	d.writeJSON(w, status)
--- /dev/null
+++ b/inband/admission.go
@@ -0,0 +1,84 @@
+package inband
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/almondflow/almondflow/admission"
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+// openingCopiesTime is how long after a client's first opening the last copy of it may reach a VM.
+const openingCopiesTime = 1400 * clock.Millisecond
+
+// Admission is what an entry VM refuses at one pool, and why.
+type Admission struct {
+	Service        string            `json:"service"`
+	Shares         []admission.Share `json:"shares"` // the most urgent first
+	ResponseTimeMS float64           `json:"response_time_ms"`
+	Slots          int               `json:"slots"`
+	Busy           float64           `json:"busy"`
+	NewsAgeMS      clock.Millis      `json:"news_age_ms"` // of the other VMs' load
+}
+
+// isRefused reports whether an opening is refused for lack of room. The target best was chosen for it, for the
+// reason given.
+func (e *Engine) isRefused(now clock.Millis, reason Reason, route *Route, p *pool, best *Backend) bool {
+	if !e.options.RefusesByUrgency {
+		return e.isRefusedByOwnCount(now, route, p, best)
+	}
+	if p.admission.IsUpdateDue(now) {
+		p.admission.Update(now, e.usableDomains(now, p))
+	}
+	return e.isFirstCopy(now, reason) && p.admission.Refuse(route.Priority, e.random.Float64())
+}
+
+// isFirstCopy reports whether no VM can have forwarded another copy of an opening: it is the first, and did not
+// wait here while the process stood still or started.
+func (e *Engine) isFirstCopy(now clock.Millis, reason Reason) bool {
+	return reason == Placed && now-e.resumedAt >= openingCopiesTime
+}
+
+// usableDomains returns the work at the pool's targets in the domains that this VM reaches.
+func (e *Engine) usableDomains(now clock.Millis, p *pool) []load.Pool {
+	return slices.DeleteFunc(p.domains(), func(d load.Pool) bool {
+		return d.Targets == 0 || e.IsPartitioned(now, d.ID.Domain)
+	})
+}
+
+// setLevels tells the pools' admission of the routes to them.
+func (e *Engine) setLevels() {
+	if !e.options.RefusesByUrgency {
+		return
+	}
+	levels := map[*pool][]admission.Level{}
+	for _, route := range e.routes {
+		for _, share := range route.Shares {
+			p := e.poolOf(share.Service)
+			levels[p] = append(levels[p], admission.Level{Priority: route.Priority, TargetLatency: route.TargetLatencyMS, Timeout: route.TimeoutMS})
+		}
+	}
+	for _, p := range e.pools {
+		p.admission.SetLevels(levels[p])
+	}
+}
+
+// Admissions returns what is refused at the pools that routes of several priorities share, ordered by service.
+func (e *Engine) Admissions() []Admission {
+	var all []Admission
+	for service, p := range e.pools {
+		if shares := p.admission.Shares(); len(shares) > 1 {
+			all = append(all, newAdmission(service, shares, p.admission.Room()))
+		}
+	}
+	slices.SortFunc(all, func(a, b Admission) int { return cmp.Compare(a.Service, b.Service) })
+	return all
+}
+
+func newAdmission(service string, shares []admission.Share, room admission.Room) Admission {
+	return Admission{
+		Service: service, Shares: shares, ResponseTimeMS: room.ResponseTime,
+		Slots: room.Slots, Busy: room.Busy, NewsAgeMS: room.Age,
+	}
+}
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/almondflow/almondflow/admission"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 )
@@ -28,6 +29,7 @@
 	looksOverloaded bool         // it does now
 	overloadedSince clock.Millis // since when it does
 	topPriority     int          // priority of the most urgent route to this pool
+	admission       admission.Controller
 	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
 	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
 	confidenceAt    clock.Millis
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -23,6 +23,8 @@
 	// in slow start, and their number, which is zero while they are not known. Without it, slow starts have no
 	// limit.
 	SlowStartRank func(now clock.Millis, targetID string) (rank, vms int)
+	// RefusesByUrgency has package admission decide which openings are refused for lack of room.
+	RefusesByUrgency bool
 }
 
 // Engine decides what happens to each packet. It is not safe for concurrent use.
@@ -159,8 +161,7 @@
 	if b == nil {
 		return Verdict{Action: Reset, Reason: NoTarget, Seq: p.Seq}
 	}
-	e.updateOverload(now, pool, b)
-	if e.isRefused(route, pool) {
+	if e.isRefused(now, reason, route, pool, b) {
 		return Verdict{Action: Reset, Reason: Overloaded, Seq: p.Seq}
 	}
 	if b.evidence.isSuspect(now) {
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -29,7 +29,9 @@
 	State      string      `json:"state"`  // state of that flow
 	Candidates []Candidate `json:"candidates"`
 	// DrainedDomains holds the failure domains whose targets are no candidates because they are drained.
-	DrainedDomains []string `json:"drained_domains,omitempty"`
+	DrainedDomains []string    `json:"drained_domains,omitempty"`
+	Priority       int         `json:"priority"`             // of the route
+	Admissions     []Admission `json:"admissions,omitempty"` // of the route's pools, if openings to them may be refused
 }
 
 var phaseNames = [...]string{"opening", "open", "ended"}
@@ -47,6 +49,8 @@
 		return x
 	}
 	x.Route, x.DrainedDomains = route.Name, e.drainedDomainsOf(route)
+	x.Priority = route.Priority
+	x.Admissions = slices.DeleteFunc(e.Admissions(), func(a Admission) bool { return !route.leadsTo(a.Service) })
 	for _, share := range route.Shares {
 		if p := e.pools[share.Service]; p != nil {
 			x.Candidates = e.addCandidates(now, x.Candidates, p.local)
--- a/inband/overload.go
+++ b/inband/overload.go
@@ -33,9 +33,10 @@
 	}
 }
 
-// isRefused reports whether an opening is refused: the pool is overloaded and also serves a
-// more urgent route.
-func (e *Engine) isRefused(route *Route, p *pool) bool {
+// isRefusedByOwnCount reports whether an opening is refused as far as this VM's own requests show: the pool
+// is overloaded and also serves a more urgent route.
+func (e *Engine) isRefusedByOwnCount(now clock.Millis, route *Route, p *pool, best *Backend) bool {
+	e.updateOverload(now, p, best)
 	return p.isOverloaded && e.options.Policy.RefusesUnderOverload() && route.Priority > p.topPriority
 }
 
@@ -56,7 +57,7 @@
 func (e *Engine) OverloadedPools() int {
 	count := 0
 	for _, p := range e.pools {
-		if p.isOverloaded {
+		if p.isOverloaded || p.admission.IsRefusing() {
 			count++
 		}
 	}
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -41,6 +41,7 @@
 	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *responseSizes) bool { return routes[service] == nil })
 	e.setTopPriorities()
 	e.setSlowStartRates(tables.Services)
+	e.setLevels()
 }
 
 // UpdateTargets updates the given targets and leaves the others unchanged.
@@ -148,8 +149,10 @@
 			p.isOverloaded, p.looksOverloaded, p.overloadedSince = previous.isOverloaded, previous.looksOverloaded, previous.overloadedSince
 			p.stats = previous.stats
 			p.keepWork(previous)
+			p.admission = previous.admission
 		}
 	}
 	e.load.listWorking()
 	e.setTopPriorities()
+	e.setLevels()
 }
