--- a/experiment/client.go
+++ b/experiment/client.go
@@ -9,7 +9,7 @@
 
 // Parameters of clients.
 const (
-	latencyTarget         = 100 * clock.Millisecond
+	defaultTargetLatency  = 100 * clock.Millisecond
 	defaultDeadline       = 1000 * clock.Millisecond
 	openTimeout           = 1400 * clock.Millisecond // from the first opening until an unanswered attempt is given up
 	minRetransmitInterval = 200 * clock.Millisecond
@@ -45,11 +45,12 @@
 
 // request is a request of a client, with its retries.
 type request struct {
-	client  *client
-	sentAt  clock.Millis
-	retries int
-	isDone  bool
-	seq     uint32
+	client    *client
+	sentAt    clock.Millis
+	isPressed bool // it was sent under a load that the pattern adds
+	retries   int
+	isDone    bool
+	seq       uint32
 }
 
 // entryDomain returns the domain whose entry VMs receive the client's packets.
@@ -91,7 +92,7 @@
 
 // startRequest starts a request, which fails at its deadline.
 func (c *client) startRequest() {
-	r := &request{client: c, sentAt: c.sim.now}
+	r := &request{client: c, sentAt: c.sim.now, isPressed: c.sim.isPressed()}
 	c.request = r
 	c.sim.schedule(c.sim.size.Deadline, func() { c.finish(r, false) })
 	c.attempt(r)
@@ -281,5 +282,8 @@
 		c.abortFlow()
 	}
 	latency := c.sim.now - r.sentAt
-	c.sim.report.record(latency, !c.isRepeatable, isServed)
+	c.sim.report.record(outcome{
+		latency: latency, isServed: isServed, isInTime: isServed && latency <= c.sim.size.TargetLatency,
+		isHold: !c.isRepeatable, isPressed: r.isPressed,
+	})
 }
--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -29,6 +29,10 @@
 	LoseProbes          FaultKind = "lose_probes"   // connections to targets time out
 	LosePackets         FaultKind = "lose_packets"  // a share of all packets is lost
 	LoadBurst           FaultKind = "burst"         // clients send more requests
+	QueryBurst          FaultKind = "query_burst"   // clients send more queries, which are less urgent
+	DomainBurst         FaultKind = "domain_burst"  // clients of one domain send more requests
+	StoreDown           FaultKind = "store_down"    // VMs do not learn of changed targets
+	LoseMessages        FaultKind = "lose_messages" // a share of the messages between VMs is lost
 	ShiftClients        FaultKind = "shift"         // clients of one domain enter through another
 )
 
@@ -87,21 +91,25 @@
 // Size is the size and load of a simulated deployment. The counts of VMs, targets and feeds
 // and the rate of holds are per failure domain.
 type Size struct {
-	Domains        int
-	VMs            int
-	Targets        int
-	Feeds          int          // clients that send repeatable requests on one long-lived flow
-	FeedInterval   clock.Millis // mean time between requests of a feed
-	HoldsPerSecond float64      // rate of non-repeatable requests, each on its own flow
-	Bookings       int          // clients that send non-repeatable requests on one long-lived flow
-	SharedClients  bool         // holds are sent by the clients that have feeds
-	OneAddress     bool         // all clients of a domain have the same address, as behind address translation
-	NoProbes       bool         // targets refuse connections from the start
-	Synchronized   bool         // clients that keep their flow send their requests at nearly the same times
-	RotationLag    clock.Millis // how long the router keeps sending packets to a VM that stopped; 1 s if zero
-	Deadline       clock.Millis // when a client gives up a request; 1 s if zero
-	ProcessingTime clock.Millis // mean time that a target takes for a request
-	Duration       clock.Millis // length of the run in virtual time
+	Domains          int
+	VMs              int
+	Targets          int
+	Feeds            int          // clients that send repeatable requests on one long-lived flow
+	FeedInterval     clock.Millis // mean time between requests of a feed
+	HoldsPerSecond   float64      // rate of non-repeatable requests, each on its own flow
+	QueriesPerSecond float64      // rate of repeatable requests, each on its own flow
+	Bookings         int          // clients that send non-repeatable requests on one long-lived flow
+	SharedClients    bool         // holds are sent by the clients that have feeds
+	OneAddress       bool         // all clients of a domain have the same address, as behind address translation
+	NoProbes         bool         // targets refuse connections from the start
+	Synchronized     bool         // clients that keep their flow send their requests at nearly the same times
+	RotationLag      clock.Millis // how long the router keeps sending packets to a VM that stopped; 1 s if zero
+	Deadline         clock.Millis // when a client gives up a request; 1 s if zero
+	TargetLatency    clock.Millis // in which clients want the answer; 100 ms if zero
+	ProcessingTime   clock.Millis // mean time that a target takes for a request
+	SharesLoad       bool         // VMs tell each other what they have under way
+	RefusesByUrgency bool         // VMs refuse less urgent openings by that
+	Duration         clock.Millis // length of the run in virtual time
 }
 
 // DefaultSize returns a size similar to the users' smaller deployment.
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -10,7 +10,7 @@
 // request that is sent later waits there until its deadline.
 const leaveTime = clock.Second
 
-// lateCredit is the credit for a response after latencyTarget; one in time counts 1.
+// lateCredit is the credit for a response after the target latency; one in time counts 1.
 const lateCredit = 0.3
 
 // Report holds the results of a run.
@@ -32,31 +32,71 @@
 	Refused           int          `json:"refused"`                // openings reset for lack of a target or because of overload
 	LateFailures      int          `json:"late_failures"`          // repeatable requests that failed at a target lost long before
 	Shed              int          `json:"shed"`                   // requests rejected by a target with a full queue
-	Dropped           int          `json:"dropped"`                // packets that an entry VM dropped
-	DrainedOpenings   int          `json:"drained_openings"`       // flows that targets of a drained domain accepted, once all VMs knew
-	Imbalance         float64      `json:"imbalance"`              // requests of the busiest target over the mean
+	ShedBesideRoom    int          `json:"shed_beside_room"`       // those of them while another target had a free slot
+	Pressed           Pressed      `json:"pressed"`
+	Dropped           int          `json:"dropped"`          // packets that an entry VM dropped
+	DrainedOpenings   int          `json:"drained_openings"` // flows that targets of a drained domain accepted, once all VMs knew
+	Imbalance         float64      `json:"imbalance"`        // requests of the busiest target over the mean
 	latencies         []clock.Millis
 }
 
+// outcome is how a request ended.
+type outcome struct {
+	latency   clock.Millis
+	isServed  bool
+	isInTime  bool
+	isHold    bool
+	isPressed bool // it was sent under a load that the pattern adds
+}
+
 // record adds the outcome of a request.
-func (r *Report) record(latency clock.Millis, isHold, isServed bool) {
+func (r *Report) record(o outcome) {
 	r.Requests++
-	if isHold {
+	if o.isPressed {
+		r.Pressed.record(o)
+	}
+	if o.isHold {
 		r.Holds++
 	}
-	if isHold && isServed && latency <= latencyTarget {
+	if o.isHold && o.isInTime {
 		r.HoldsInTime++
 	}
 	switch {
-	case !isServed:
+	case !o.isServed:
 		r.Failed++
-	case latency <= latencyTarget:
+	case o.isInTime:
 		r.InTime++
 	default:
 		r.Late++
 	}
-	if isServed {
-		r.latencies = append(r.latencies, latency)
+	if o.isServed {
+		r.latencies = append(r.latencies, o.latency)
+	}
+}
+
+// Pressed holds the results of the requests that were sent under a load that the pattern adds.
+type Pressed struct {
+	Holds        int `json:"holds"`
+	HoldsServed  int `json:"holds_served"`
+	HoldsInTime  int `json:"holds_in_time"`
+	Others       int `json:"others"` // less urgent requests
+	OthersServed int `json:"others_served"`
+}
+
+func (p *Pressed) record(o outcome) {
+	if !o.isHold {
+		p.Others++
+		if o.isServed {
+			p.OthersServed++
+		}
+		return
+	}
+	p.Holds++
+	if o.isServed {
+		p.HoldsServed++
+	}
+	if o.isInTime {
+		p.HoldsInTime++
 	}
 }
 
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -42,6 +42,9 @@
 		if s.size.HoldsPerSecond > 0 {
 			s.scheduleHold(domain, s.size.Feeds+s.size.Bookings)
 		}
+		if s.size.QueriesPerSecond > 0 {
+			s.scheduleQuery(domain, firstQueryClient)
+		}
 	}
 }
 
@@ -72,7 +75,7 @@
 // scheduleHold schedules the holds of a domain as a Poisson process. Each comes from a new client or,
 // if clients are shared, from one that has a feed.
 func (s *simulation) scheduleHold(domain, number int) {
-	interval := clock.Millis(1000 * s.random.ExpFloat64() / (s.size.HoldsPerSecond * s.loadFactor))
+	interval := clock.Millis(1000 * s.random.ExpFloat64() / (s.size.HoldsPerSecond * s.loadFactor * s.domainFactor(domain)))
 	s.schedule(interval, func() {
 		c := &client{sim: s, domain: domain, number: number}
 		if s.size.SharedClients && s.size.Feeds > 0 {
@@ -85,6 +88,9 @@
 
 // inject starts a fault and schedules its end.
 func (s *simulation) inject(f Fault) {
+	if s.injectLoad(f) {
+		return
+	}
 	switch f.Kind {
 	case PartitionDomain:
 		s.endPartitions()
@@ -97,9 +103,6 @@
 	case LosePackets:
 		s.lossRate = f.Share
 		s.schedule(f.For, func() { s.lossRate = 0; s.healedAt = s.now })
-	case LoadBurst:
-		s.loadFactor = 1 + f.Share
-		s.schedule(f.For, func() { s.loadFactor = 1 })
 	case ShiftClients:
 		s.shiftedDomain = f.Domain
 		s.schedule(f.For, func() { s.shiftedDomain = none })
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -67,6 +67,10 @@
 	loadFactor        float64
 	drainedUntil      map[int]clock.Millis // domains that the operator drains
 	drainedSince      map[int]clock.Millis
+	queryFactor       float64         // on the rate of queries, besides loadFactor
+	domainFactors     map[int]float64 // on the rate of requests of a domain, besides loadFactor
+	messageLossRate   float64
+	isStoreDown       bool
 	shiftedDomain     int          // domain whose clients enter through the next domain, or none
 	partitionedAt     clock.Millis // when the domain was partitioned
 	healedAt          clock.Millis // when the last network fault ended
@@ -82,10 +86,11 @@
 		size: size, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*target{}, byTag: map[inband.Tag]*target{},
 		drainedUntil: map[int]clock.Millis{}, drainedSince: map[int]clock.Millis{},
 		clientOf: map[inband.Key]*client{}, deaf: map[netip.Addr]bool{}, mute: map[netip.Addr]bool{},
-		partitioned: none, oneWayPartitioned: none, shiftedDomain: none, loadFactor: 1, healedAt: -resetGracePeriod,
+		partitioned: none, oneWayPartitioned: none, shiftedDomain: none, loadFactor: 1, queryFactor: 1, domainFactors: map[int]float64{}, healedAt: -resetGracePeriod,
 	}
 	s.size.RotationLag = cmp.Or(size.RotationLag, defaultRotationLag)
 	s.size.Deadline = cmp.Or(size.Deadline, defaultDeadline)
+	s.size.TargetLatency = cmp.Or(size.TargetLatency, defaultTargetLatency)
 	for domain := range size.Domains {
 		for range size.Targets {
 			s.addTarget(domain)
@@ -141,7 +146,7 @@
 	for _, v := range s.vms {
 		lag := clock.Millis(s.random.Int64N(int64(maxViewLag)))
 		s.schedule(lag, func() {
-			if v.isUp && v.domain != s.partitioned {
+			if v.isUp && v.domain != s.partitioned && !s.isStoreDown {
 				v.updateView()
 			}
 		})
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
@@ -100,13 +101,24 @@
 			return
 		}
 		f.running = false
-		t.sim.report.Shed++
+		t.sim.countShed()
 		t.sim.schedule(clientLatency, func() { f.client.handleShed(f.key) })
 		return
 	}
 	t.process(f, tag)
 }
 
+// countShed counts a request that a target rejects.
+func (s *simulation) countShed() {
+	s.report.Shed++
+	hasRoom := func(t *target) bool {
+		return !t.isDown && t.fault == "" && t.listed.State == inband.Serving && t.inProgress < t.spec.Slots
+	}
+	if slices.ContainsFunc(s.targets, hasRoom) {
+		s.report.ShedBesideRoom++
+	}
+}
+
 // process occupies a slot for a random time and then completes the request.
 func (t *target) process(f *targetFlow, tag inband.Tag) {
 	t.inProgress++
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -46,6 +46,7 @@
 	v.engine = inband.New(inband.Options{
 		Domain: domainName(v.domain), Policy: s.policy, MaxFlows: 100000,
 		FlowLifetime: clock.Minute, Seed: s.random.Uint64(),
+		SharesLoad: s.size.SharesLoad, RefusesByUrgency: s.size.RefusesByUrgency,
 	})
 	v.engine.SetLocalVMs(s.size.VMs)
 	v.isUp, v.inRotation = true, true
@@ -116,10 +117,11 @@
 
 // updateView gives the engine the routes and the targets as listed.
 func (v *vm) updateView() {
-	tables := &inband.Tables{Version: 1, IdleMS: 15000, Routes: []inband.Route{
-		{Name: "feed", Address: routeAddresses[0], Repeatable: true, Priority: 2, Shares: []inband.Share{{Service: service, Weight: 1}}},
-		{Name: "hold", Address: routeAddresses[1], Priority: 1, Shares: []inband.Share{{Service: service, Weight: 1}}},
-	}}
+	route := inband.Route{Shares: []inband.Share{{Service: service, Weight: 1}}, TargetLatencyMS: v.sim.size.TargetLatency, TimeoutMS: v.sim.size.Deadline}
+	feed, hold := route, route
+	feed.Name, feed.Address, feed.Repeatable, feed.Priority = "feed", routeAddresses[0], true, 2
+	hold.Name, hold.Address, hold.Priority = "hold", routeAddresses[1], 1
+	tables := &inband.Tables{Version: 1, IdleMS: 15000, Routes: []inband.Route{feed, hold}}
 	var published []inband.Published
 	for _, t := range v.sim.targets {
 		listed := t.listed
