Exchange load reports in the model, and let clients end shed flows

Cause: named loads need the news of other VMs, and a rejected request is answered: its client acknowledges that and ends the flow. Test: go test ./experiment.

--- a/experiment/client.go
+++ b/experiment/client.go
@@ -231,10 +231,16 @@
 
 // handleShed ends the flow and retries the request, which the target reports as not run.
 func (c *client) handleShed(key inband.Key) {
-	if c.flow != nil && c.flow.key == key && c.request != nil {
-		c.flow.isEnded = true
-		c.retry(c.request)
+	f := c.flow
+	if f == nil || f.key != key || c.request == nil {
+		return
+	}
+	f.isEnded = true
+	if c.sim.size.EndsShedFlows {
+		f.ack += errorResponseLength
+		c.send(inband.Packet{Key: f.key, Flags: inband.Acknowledging | inband.Ending, Seq: f.nextSeq, Ack: f.ack, Tag: f.tag})
 	}
+	c.retry(c.request)
 }
 
 // retry sends the request on a new flow, or fails it after maxRetries.
--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -101,6 +101,7 @@
 	Bookings         int          // clients that send non-repeatable requests on one long-lived flow
 	SharedClients    bool         // holds are sent by the clients that have feeds
 	OneAddress       bool         // all clients of a domain have the same address, as behind address translation
+	EndsShedFlows    bool         // clients end the flow of a request that its target rejects; otherwise they leave it
 	NoProbes         bool         // targets refuse connections from the start
 	Synchronized     bool         // clients that keep their flow send their requests at nearly the same times
 	RotationLag      clock.Millis // how long the router keeps sending packets to a VM that stopped; 1 s if zero
--- a/experiment/pressure.go
+++ b/experiment/pressure.go
@@ -54,3 +54,20 @@
 	}
 	return true
 }
+
+// reportLoad tells the other VMs what this VM has under way.
+func (v *vm) reportLoad() {
+	s := v.sim
+	if !s.size.SharesLoad {
+		return
+	}
+	report := v.engine.TakeLoadReport(s.now)
+	for _, sibling := range s.vms {
+		if sibling == v || s.isLost(v.domain, sibling.domain) || s.random.Float64() < s.messageLossRate {
+			continue
+		}
+		s.schedule(latencyBetween(v.domain, sibling.domain), func() {
+			sibling.do(func() { sibling.engine.ReceiveLoad(s.now, v.peerAddress(), domainName(v.domain), report) })
+		})
+	}
+}
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -82,6 +82,7 @@
 			v.engine.Sweep(v.sim.now)
 			v.reportAndProbe()
 			v.reportOutcomes()
+			v.reportLoad()
 			v.startFirstContact()
 		})
 		v.tick(incarnation)
