Go by own answers before late news, and by ramps for each level

The news of the other VMs is 2 to 4 s old when it counts (a line for each update: 765 requests under way at 240 slots as late as 3 s after the load had ended), and a priority that nobody uses set the target latency. Ruled out: a gate that closes at the start of the ramp (no gain), this VM's requests under way over its finished ones (swings by half). Change: the mean of own response times of the last 300 ms counts with the news; each level has a ramp by the target latency of the more urgent ones that have callers; news of idle targets overrules.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -14,8 +14,12 @@
 	// directWeight is the weight of the pressure of the moment. The rest comes from its average: news is late,
 	// and a share that followed it alone would swing between all and nothing.
 	directWeight = 0.4
-	// averagingTime is the time constant of the average.
+	// averagingTime is the time constant of the average, and releaseTime that while no request has to wait long:
+	// then nothing is to be refused any more.
 	averagingTime = 2 * clock.Second
+	releaseTime   = 500 * clock.Millisecond
+	// activeTime is how long after its newest opening a level counts as one with callers.
+	activeTime = 5 * clock.Second
 	// maxOwnViewShare limits the share that is refused by a VM without news of the others.
 	maxOwnViewShare = 0.5
 	// triesPerRequest is how often clients that are refused at once try in all.
@@ -24,14 +28,21 @@
 
 // Controller decides which openings to one pool are refused. The zero value refuses none.
 type Controller struct {
-	levels    []Level // the most urgent first
-	shares    []Share // of the same levels
+	states    []state // of the levels, the most urgent first
+	answers   answers
 	room      Room
 	unloaded  float64 // response time without load, in milliseconds, or zero
-	average   float64 // of the pressure
 	updatedAt clock.Millis
 }
 
+// state is what a controller knows of a level.
+type state struct {
+	level   Level
+	seenAt  clock.Millis // when the newest opening of the level came, or zero
+	average float64      // share that the ramp asks for
+	share   Share
+}
+
 // Share is the share of the requests of one priority that are refused.
 type Share struct {
 	Priority int     `json:"priority"`
@@ -44,115 +55,146 @@
 // IsRefusing reports whether openings of the priority are refused.
 func (s Share) IsRefusing() bool { return s.Refused > 0 || s.Hopeless }
 
-// SetLevels replaces the levels by those of the pool's routes. Shares of priorities that remain are kept.
+// SetLevels replaces the levels by those of the pool's routes. What is known of priorities that remain is kept.
 func (c *Controller) SetLevels(routes []Level) {
 	var levels []Level
 	for _, l := range routes {
 		levels = addLevel(levels, l)
 	}
-	shares := make([]Share, len(levels))
+	states := make([]state, len(levels))
 	for i, l := range levels {
-		shares[i] = c.share(l.Priority)
+		if known := c.find(l.Priority); known != nil {
+			states[i] = *known
+		}
+		states[i].level, states[i].share.Priority = l, l.Priority
 	}
-	c.levels, c.shares = levels, shares
+	c.states = states
 }
 
-// share returns the share of a priority, which is zero if there is none.
-func (c *Controller) share(priority int) Share {
-	if i := c.index(priority); i >= 0 {
-		return c.shares[i]
+// find returns the state of a priority, or nil if no route has it.
+func (c *Controller) find(priority int) *state {
+	for i := range c.states {
+		if c.states[i].level.Priority == priority {
+			return &c.states[i]
+		}
 	}
-	return Share{Priority: priority}
+	return nil
 }
 
-func (c *Controller) index(priority int) int {
-	return slices.IndexFunc(c.shares, func(s Share) bool { return s.Priority == priority })
-}
-
-// IsUpdateDue reports whether the shares are to be updated. Nothing has to be for a pool that can refuse none.
+// IsUpdateDue reports whether the shares are to be updated. Nothing has to be for a pool without routes.
 func (c *Controller) IsUpdateDue(now clock.Millis) bool {
-	return len(c.levels) > 0 && (c.updatedAt == 0 || now-c.updatedAt >= UpdateInterval)
+	return len(c.states) > 0 && (c.updatedAt == 0 || now-c.updatedAt >= UpdateInterval)
 }
 
-// Update sets the shares by the work at the pool's targets. domains are those that may be used.
+// Observe records the response time of a request of this VM.
+func (c *Controller) Observe(responseTime clock.Millis) { c.answers.add(responseTime) }
+
+// Update sets the shares by the work of all VMs at the pool's targets, in the domains that may be used.
 func (c *Controller) Update(now clock.Millis, domains []load.Pool) {
-	weight := 1.0
-	if c.updatedAt != 0 {
-		weight = weightAfter(now - c.updatedAt)
+	elapsed := now - c.updatedAt
+	if c.updatedAt == 0 {
+		elapsed = math.MaxInt32 // nothing is known of before
 	}
 	c.updatedAt = now
-	c.room = roomOf(domains)
-	c.updateUnloaded(weight)
-	c.setShares(c.pressure(weight))
+	c.room = roomOf(&c.answers, domains)
+	c.answers.fade(elapsed)
+	c.updateUnloaded(weightAfter(elapsed, averagingTime), domains)
+	after := 0.0
+	for i, s := range slices.Backward(c.states) {
+		r := newRamp(c.targetLatencyBefore(now, i), c.unloaded, after)
+		c.updateShare(&c.states[i], r, elapsed)
+		if s.isActive(now) {
+			after = r.end
+		}
+	}
 }
 
-// updateUnloaded updates the response time without load while it can be seen. The weight is that of the latest
-// update in averages.
-func (c *Controller) updateUnloaded(weight float64) {
-	switch {
-	case !c.room.isLightlyLoaded() || c.room.ResponseTime == 0:
-	case c.unloaded == 0:
-		c.unloaded = c.room.ResponseTime
-	default:
-		c.unloaded += weight * (c.room.ResponseTime - c.unloaded)
+// targetLatencyBefore returns the shortest target latency of the levels before one, or zero. Levels without
+// callers need no protection.
+func (c *Controller) targetLatencyBefore(now clock.Millis, index int) clock.Millis {
+	target := clock.Millis(0)
+	for i := range c.states[:index] {
+		if c.states[i].isActive(now) {
+			target = shortest(target, c.states[i].level.TargetLatency)
+		}
 	}
+	return target
 }
 
-// pressure returns how many of the less urgent levels are to be refused.
-func (c *Controller) pressure(weight float64) float64 {
-	if len(c.levels) == 0 || c.levels[0].TargetLatency == 0 {
-		return 0
+// isActive reports whether callers of the level have come in lately.
+func (s *state) isActive(now clock.Millis) bool { return s.seenAt != 0 && now-s.seenAt < activeTime }
+
+// updateShare sets the share of a level by its ramp.
+func (c *Controller) updateShare(s *state, r ramp, elapsed clock.Millis) {
+	direct := r.share(c.room.ResponseTime)
+	timeConstant := averagingTime
+	if direct == 0 {
+		timeConstant = releaseTime
 	}
-	r := newRamp(c.levels[0].TargetLatency, c.unloaded, len(c.levels)-1)
-	direct := r.pressure(c.room.ResponseTime)
-	c.average += weight * (direct - c.average)
-	return r.room(c.room.ResponseTime) * (directWeight*direct + (1-directWeight)*c.average)
+	s.average += weightAfter(elapsed, timeConstant) * (direct - s.average)
+	s.share.Refused = c.limit() * (directWeight*direct + (1-directWeight)*s.average)
+	s.share.chance = math.Pow(s.share.Refused, 1.0/triesPerRequest)
+	s.share.Hopeless = s.level.Timeout > 0 && !c.room.IsOwnView() && c.room.ResponseTime > float64(s.level.Timeout)
 }
 
-// weightAfter returns the weight of a new value in an average after some time.
-func weightAfter(elapsed clock.Millis) float64 {
-	return 1 - math.Exp(-float64(elapsed)/float64(averagingTime))
+// limit returns the greatest share that may be refused.
+func (c *Controller) limit() float64 {
+	switch {
+	case c.room.isIdle():
+		return 0
+	case c.room.IsOwnView():
+		return maxOwnViewShare
+	default:
+		return 1
+	}
 }
 
-// setShares distributes the pressure over the levels: the least urgent is refused fully before the next one
-// begins, and the most urgent is served.
-func (c *Controller) setShares(pressure float64) {
-	limit := 1.0
-	if c.room.IsOwnView() {
-		limit = maxOwnViewShare
-	}
-	for i, l := range c.levels {
-		lessUrgent := float64(len(c.levels) - 1 - i)
-		s := &c.shares[i]
-		s.Refused = 0
-		if i > 0 {
-			s.Refused = limit * max(0, min(1, pressure-lessUrgent))
-		}
-		s.chance = math.Pow(s.Refused, 1.0/triesPerRequest)
-		s.Hopeless = l.Timeout > 0 && !c.room.IsOwnView() && c.room.ResponseTime > float64(l.Timeout)
+// updateUnloaded updates the response time without load while it can be seen. Own answers tell of a rising load
+// before the news does, so they do not count.
+func (c *Controller) updateUnloaded(weight float64, domains []load.Pool) {
+	responseTime := bestResponseTime(domains)
+	switch {
+	case !c.room.isLightlyLoaded() || responseTime == 0:
+	case c.unloaded == 0:
+		c.unloaded = responseTime
+	default:
+		c.unloaded += weight * (responseTime - c.unloaded)
 	}
 }
 
+// weightAfter returns the weight of a new value in an average after some time.
+func weightAfter(elapsed, timeConstant clock.Millis) float64 {
+	return 1 - math.Exp(-float64(elapsed)/float64(timeConstant))
+}
+
 // Refuse reports whether an opening of a priority is refused, and counts it. draw is a random number from 0 to 1:
 // each try is drawn anew, whoever it comes from, so a client that was refused has the same chance again.
-func (c *Controller) Refuse(priority int, draw float64) bool {
-	i := c.index(priority)
-	if i < 0 {
+func (c *Controller) Refuse(now clock.Millis, priority int, draw float64) bool {
+	s := c.find(priority)
+	if s == nil {
 		return false
 	}
-	s := &c.shares[i]
-	isRefused := s.Hopeless || draw < s.chance
+	s.seenAt = now
+	isRefused := s.share.Hopeless || draw < s.share.chance
 	if isRefused {
-		s.Count++
+		s.share.Count++
 	}
 	return isRefused
 }
 
 // Shares returns the refused share of each priority, the most urgent first.
-func (c *Controller) Shares() []Share { return slices.Clone(c.shares) }
+func (c *Controller) Shares() []Share {
+	shares := make([]Share, len(c.states))
+	for i := range c.states {
+		shares[i] = c.states[i].share
+	}
+	return shares
+}
 
 // Room returns what the latest update saw of the pool.
 func (c *Controller) Room() Room { return c.room }
 
 // IsRefusing reports whether openings of some priority are refused.
-func (c *Controller) IsRefusing() bool { return slices.ContainsFunc(c.shares, Share.IsRefusing) }
+func (c *Controller) IsRefusing() bool {
+	return slices.ContainsFunc(c.states, func(s state) bool { return s.share.IsRefusing() })
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -6,7 +6,11 @@
 )
 
 // maxNewsAge is the age of the news from other VMs from which a VM goes by its own requests alone.
-const maxNewsAge = 2 * clock.Second
+const maxNewsAge = 3 * clock.Second
+
+// newsWeight is the weight of the response time by the news of others, in own answers. Fewer of them differ by
+// chance; more of them tell earlier than the news does.
+const newsWeight = 3.0
 
 // Room is what a pool can take at one moment, as one VM sees it.
 type Room struct {
@@ -19,40 +23,48 @@
 // IsOwnView reports whether the news of other VMs is too old, so that only this VM's own requests count.
 func (r Room) IsOwnView() bool { return r.Age > maxNewsAge }
 
-// roomOf sums up the domains of a pool that have fresh news, or all of them if none has. The response time is
-// that of the best domain, as new flows go there. A domain where nothing finishes shows none: its targets may be
-// idle or dead.
-func roomOf(domains []load.Pool) Room {
-	var r Room
-	for i, d := range domains {
-		if i == 0 || d.Age < r.Age {
-			r.Age = d.Age
-		}
-	}
+// roomOf sums up the domains of a pool that have fresh news. The response time also goes by own answers.
+func roomOf(own *answers, domains []load.Pool) Room {
+	r := Room{Age: ageOf(domains)}
 	for _, d := range domains {
-		if d.Age > maxNewsAge && !r.IsOwnView() {
-			continue
-		}
-		r.Slots += d.Slots
-		r.Busy += d.Work.Busy
-		expected := responseTime(d, r.IsOwnView())
-		if expected > 0 && (r.ResponseTime == 0 || expected < r.ResponseTime) {
-			r.ResponseTime = expected
+		if d.Age <= maxNewsAge {
+			r.Slots += d.Slots
+			r.Busy += d.Work.Busy
 		}
 	}
+	r.ResponseTime = own.blend(bestResponseTime(domains))
 	return r
 }
 
-// responseTime returns the expected response time in a domain. From its own requests alone a VM cannot tell
-// how many slots are occupied, but how long these requests take, by Little's law.
-func responseTime(d load.Pool, isOwnView bool) float64 {
-	if !isOwnView {
-		return d.ResponseTime()
+// ageOf returns the age of the newest news.
+func ageOf(domains []load.Pool) clock.Millis {
+	age := clock.Millis(0)
+	for i, d := range domains {
+		if i == 0 || d.Age < age {
+			age = d.Age
+		}
 	}
-	if d.Work.Finished <= 0 {
-		return 0
+	return age
+}
+
+// bestResponseTime returns the expected response time in the best domain that has fresh news, as new flows go
+// there, or zero. A domain where nothing finishes shows none: its targets may be idle or dead.
+func bestResponseTime(domains []load.Pool) float64 {
+	best := 0.0
+	for _, d := range domains {
+		expected := d.ResponseTime()
+		if d.Age <= maxNewsAge && expected > 0 && (best == 0 || expected < best) {
+			best = expected
+		}
 	}
-	return float64(clock.Second) * d.Work.Busy / d.Work.Finished
+	return best
+}
+
+// isIdle reports whether fresh news shows that most slots are free: then long response times of this VM's own
+// requests have another cause.
+func (r Room) isIdle() bool {
+	const busyPart = 0.25
+	return !r.IsOwnView() && r.Busy <= busyPart*float64(r.Slots)
 }
 
 // isLightlyLoaded reports whether at most half of the slots are occupied, so that hardly any request waits.
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -31,7 +31,7 @@
 	if p.admission.IsUpdateDue(now) {
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
-	return e.isFirstCopy(now, reason) && p.admission.Refuse(route.Priority, e.random.Float64())
+	return e.isFirstCopy(now, reason) && p.admission.Refuse(now, route.Priority, e.random.Float64())
 }
 
 // isFirstCopy reports whether no VM can have forwarded another copy of an opening: it is the first, and did not
