--- a/admission/controller.go
+++ b/admission/controller.go
@@ -28,11 +28,12 @@
 
 // Controller decides which openings to one pool are refused. The zero value refuses none.
 type Controller struct {
-	states    []state // of the levels, the most urgent first
-	answers   answers
-	room      Room
-	unloaded  float64 // response time without load, in milliseconds, or zero
-	updatedAt clock.Millis
+	states        []state      // of the levels, the most urgent first
+	targetLatency clock.Millis // the shortest one of all levels
+	answers       answers
+	room          Room
+	unloaded      float64 // response time without load, in milliseconds, or zero
+	updatedAt     clock.Millis
 }
 
 // state is what a controller knows of a level.
@@ -62,7 +63,9 @@
 		levels = addLevel(levels, l)
 	}
 	states := make([]state, len(levels))
+	c.targetLatency = 0
 	for i, l := range levels {
+		c.targetLatency = shortest(c.targetLatency, l.TargetLatency)
 		if known := c.find(l.Priority); known != nil {
 			states[i] = *known
 		}
@@ -89,6 +92,10 @@
 // Observe records the response time of a request of this VM.
 func (c *Controller) Observe(responseTime clock.Millis) { c.answers.add(responseTime) }
 
+// ObserveShed records that a target was too full for a request of this VM. It counts as one that is not
+// answered in time.
+func (c *Controller) ObserveShed() { c.answers.add(c.targetLatency) }
+
 // Update sets the shares by the work of all VMs at the pool's targets, in the domains that may be used.
 func (c *Controller) Update(now clock.Millis, domains []load.Pool) {
 	elapsed := now - c.updatedAt
--- a/experiment/pressure.go
+++ b/experiment/pressure.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
 )
 
 // firstQueryClient is above the numbers of the clients that send other requests.
@@ -55,19 +56,44 @@
 	return true
 }
 
-// reportLoad tells the other VMs what this VM has under way.
+// Ticks between two reports of load, and the number of VMs that get each, as in the daemon.
+const (
+	localReportTicks  = 2
+	remoteReportTicks = 4
+	reportRecipients  = 3
+)
+
+// reportLoad tells some other VMs what this VM, and now and then what its failure domain has under way.
 func (v *vm) reportLoad() {
 	s := v.sim
 	if !s.size.SharesLoad {
 		return
 	}
-	report := v.engine.TakeLoadReport(s.now)
-	for _, sibling := range s.vms {
-		if sibling == v || s.isLost(v.domain, sibling.domain) || s.random.Float64() < s.messageLossRate {
-			continue
+	v.ticks++
+	if v.ticks%localReportTicks == 0 {
+		report := v.engine.TakeLoadReport(s.now)
+		for range reportRecipients {
+			v.sendLoad(s.randomVM(v.domain), report)
 		}
-		s.schedule(latencyBetween(v.domain, sibling.domain), func() {
-			sibling.do(func() { sibling.engine.ReceiveLoad(s.now, v.peerAddress(), domainName(v.domain), report) })
-		})
 	}
+	if v.ticks%remoteReportTicks == 0 && s.size.Domains > 1 {
+		other := (v.domain + 1 + s.random.IntN(s.size.Domains-1)) % s.size.Domains
+		v.sendLoad(s.randomVM(other), v.engine.TakeDomainReport(s.now))
+	}
+}
+
+// randomVM returns one of the VMs of a domain.
+func (s *simulation) randomVM(domain int) *vm {
+	return s.vms[domain*s.size.VMs+s.random.IntN(s.size.VMs)]
+}
+
+// sendLoad sends a report of load to another VM.
+func (v *vm) sendLoad(sibling *vm, report load.Report) {
+	s := v.sim
+	if sibling == v || s.isLost(v.domain, sibling.domain) || s.random.Float64() < s.messageLossRate {
+		return
+	}
+	s.schedule(latencyBetween(v.domain, sibling.domain), func() {
+		sibling.do(func() { sibling.engine.ReceiveLoad(s.now, v.peerAddress(), domainName(v.domain), report) })
+	})
 }
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -36,6 +36,7 @@
 	reportedAt  clock.Millis
 	startedAt   clock.Millis
 	stoppedAt   clock.Millis
+	ticks       int
 	incarnation int // counts starts, so that timers of an earlier one end
 }
 
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -24,6 +24,7 @@
 	openedAt      clock.Millis
 	seenAt        clock.Millis
 	sentAt        clock.Millis // when the newest data, or the opening, was first forwarded
+	responseTime  clock.Millis // from the newest request until an answer was acknowledged
 	forwardedFrom uint32       // start of the contiguous data before nextSeq that this VM forwarded
 	nextSeq       uint32       // sequence number after the newest data that this VM forwarded, or of the opening
 	ack           uint32       // client's newest acknowledgment number
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -51,7 +51,7 @@
 	}
 	if f.isBusy && f.phase == open {
 		b.latency.add(now, now-f.sentAt)
-		b.pool.admission.Observe(now - f.sentAt)
+		f.responseTime = now - f.sentAt
 	}
 	if l := e.linkTo(b); l != nil {
 		l.recordAnswer(f.sentAt)
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -72,6 +72,7 @@
 		e.recordShortResponse(now, f)
 		return
 	}
+	f.backend.pool.admission.Observe(f.responseTime)
 	e.recordOutcome(now, f, true)
 }
 
@@ -97,6 +98,7 @@
 // a failure.
 func (e *Engine) recordShed(f *flow) {
 	f.hasOutcome = true
+	f.backend.pool.admission.ObserveShed()
 	e.shedRequests++
 }
 
