Let the moment weigh more in refusals, and lengthen the ramp

Cause: with own answers the delay is some 0.3 s, so the average only slowed the begin and the end of refusals. Change: weight of the moment 0.7 instead of 0.4, average over 1 s instead of 2, ramp over half of the target latency.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -13,10 +13,10 @@
 	UpdateInterval = 100 * clock.Millisecond
 	// directWeight is the weight of the pressure of the moment. The rest comes from its average: news is late,
 	// and a share that followed it alone would swing between all and nothing.
-	directWeight = 0.4
+	directWeight = 0.7
 	// averagingTime is the time constant of the average, and releaseTime that while no request has to wait long:
 	// then nothing is to be refused any more.
-	averagingTime = 2 * clock.Second
+	averagingTime = clock.Second
 	releaseTime   = 500 * clock.Millisecond
 	// activeTime is how long after its newest opening a level counts as one with callers.
 	activeTime = 5 * clock.Second
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -6,7 +6,7 @@
 // spread widely around their mean, so the mean must stay well below the target latency.
 const (
 	rampStart  = 0.25
-	rampLength = 0.375
+	rampLength = 0.5
 	// maxRampStart bounds the start if the pool's response time is high without load.
 	maxRampStart = 0.5
 	// unloadedFactor is how much longer than without load requests take before any is refused.
