--- a/admission/room.go
+++ b/admission/room.go
@@ -5,7 +5,7 @@
 	"github.com/almondflow/almondflow/load"
 )
 
-// maxNewsAge is the age of the news from other VMs from which a VM goes by its own requests alone.
+// maxNewsAge is the age up to which news of other VMs is fresh.
 const maxNewsAge = 3 * clock.Second
 
 // newsWeight is the weight of the response time by the news of others, in own answers. Fewer of them differ by
@@ -15,13 +15,13 @@
 // Room is what a pool can take at one moment, as one VM sees it.
 type Room struct {
 	ResponseTime float64      // of one more request, in milliseconds; zero if nothing shows it
-	Slots        int          // of the targets in all domains that may be used
+	Slots        int          // of the targets in all domains that may be used and have fresh news
 	Busy         float64      // requests under way there
 	Age          clock.Millis // of the news of the domain with the newest
 }
 
-// IsOwnView reports whether the news of other VMs is too old, so that only this VM's own requests count.
-func (r Room) IsOwnView() bool { return r.Age > maxNewsAge }
+// IsOwnView reports whether there is no fresh news of other VMs, so that only this VM's own requests count.
+func (r Room) IsOwnView() bool { return r.Slots == 0 }
 
 // roomOf sums up the domains of a pool that have fresh news. The response time also goes by own answers.
 func roomOf(own *answers, domains []load.Pool) Room {
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -40,8 +40,11 @@
 	return reason == Placed && now-e.resumedAt >= openingCopiesTime
 }
 
-// usableDomains returns the work at the pool's targets in the domains that this VM reaches.
+// usableDomains returns the work at the pool's targets in the domains that this VM reaches, if VMs tell each other.
 func (e *Engine) usableDomains(now clock.Millis, p *pool) []load.Pool {
+	if !e.options.SharesLoad {
+		return nil
+	}
 	return slices.DeleteFunc(p.domains(), func(d load.Pool) bool {
 		return d.Targets == 0 || e.IsPartitioned(now, d.ID.Domain)
 	})
--- /dev/null
+++ b/inband/admission_test.go
@@ -0,0 +1,106 @@
+package inband_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// slowAnswer is far longer than callers want to wait.
+const slowAnswer = 500 * clock.Millisecond
+
+// newFullEngine returns an engine whose requests take long, and the time. Holds are more urgent than feeds.
+func newFullEngine(refusesByUrgency bool) (*inband.Engine, clock.Millis) {
+	e := inband.New(inband.Options{
+		Domain: "a", Policy: inband.Local{}, MaxFlows: 1000, FlowLifetime: clock.Minute, Seed: 1, RefusesByUrgency: refusesByUrgency,
+	})
+	t := prioritizedTables()
+	for i := range t.Routes {
+		t.Routes[i].TargetLatencyMS = 100
+	}
+	e.ReplaceView(t, published(target("i-1", "a")))
+	return e, answerLate(e, sweepUntil(e, 0, 2*clock.Second))
+}
+
+// sweepUntil sweeps as often as a process that does not stand still, and returns the end.
+func sweepUntil(e *inband.Engine, now, end clock.Millis) clock.Millis {
+	for ; now < end; now += clock.Second / 4 {
+		e.Sweep(now)
+	}
+	return end
+}
+
+// answerLate has holds answered after slowAnswer and returns when.
+func answerLate(e *inband.Engine, now clock.Millis) clock.Millis {
+	const flows = 10
+	tag := inband.TagOf("i-1")
+	for client := range flows {
+		e.Handle(now, opening(client, holdAddress, 0))
+		e.Handle(now, data(client, holdAddress, tag, 101, 500))
+	}
+	now = sweepUntil(e, now, now+slowAnswer)
+	for client := range flows {
+		p := data(client, holdAddress, tag, 151, 1500)
+		p.Flags, p.DataLength = inband.Acknowledging|inband.Ending, 0
+		e.Handle(now, p)
+	}
+	return now
+}
+
+// countRefused counts the openings that are refused of a hundred new flows.
+func countRefused(e *inband.Engine, now clock.Millis, p func(client int) *inband.Packet) int {
+	refused := 0
+	for client := range 100 {
+		if e.Handle(now, p(100+client)).Reason == inband.Overloaded {
+			refused++
+		}
+	}
+	return refused
+}
+
+func TestOpeningsAreRefusedByUrgency(t *testing.T) {
+	feed := func(client int) *inband.Packet { return opening(client, feedAddress, 0) }
+	tests := []struct {
+		name      string
+		isPartOn  bool
+		packet    func(client int) *inband.Packet
+		isRefused bool
+	}{
+		{"less urgent", true, feed, true},
+		{"urgent", true, func(client int) *inband.Packet { return opening(client, holdAddress, 0) }, false},
+		{"a copy, whose earlier one another VM may have forwarded", true, func(client int) *inband.Packet { return opening(client, feedAddress, 1) }, false},
+		{"without the part", false, feed, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e, now := newFullEngine(tt.isPartOn)
+			is.Equal(countRefused(e, now, tt.packet) > 0, tt.isRefused)
+		})
+	}
+}
+
+// What waited while the process stood still may have been forwarded as a copy by another VM meanwhile.
+func TestOpeningsThatWaitedInThisProcessAreNotRefused(t *testing.T) {
+	is := is.New(t)
+	e, now := newFullEngine(true)
+	now = answerLate(e, now+3*clock.Second)
+	is.Equal(countRefused(e, now, func(client int) *inband.Packet { return opening(client, feedAddress, 0) }), 0)
+}
+
+func TestExplainShowsWhatIsRefused(t *testing.T) {
+	is := is.New(t)
+	e, now := newFullEngine(true)
+	refused := countRefused(e, now, func(client int) *inband.Packet { return opening(client, feedAddress, 0) })
+	x := e.Explain(now, key(1, feedAddress))
+	is.Equal(x.Priority, 2)
+	is.Equal(len(x.Admissions), 1)
+	is.Equal(x.Admissions[0].Service, "core")
+	is.Equal(x.Admissions[0].Shares[0].Refused, 0.0) // holds
+	is.Equal(x.Admissions[0].Shares[1].Count, refused)
+	is.True(x.Admissions[0].Shares[1].Refused > 0.3)
+	is.Equal(e.OverloadedPools(), 1)
+}
