Refuse openings from the start of a process on

Cause: a process that had just started refused nothing for 1.4 s, as one that stood still. Openings that wait while a process starts do so for 180 ms at most (front/pending.go), and no client sends a copy before 200 ms.

--- a/inband/admission.go
+++ b/inband/admission.go
@@ -35,9 +35,10 @@
 }
 
 // isFirstCopy reports whether no VM can have forwarded another copy of an opening: it is the first, and did not
-// wait here while the process stood still or started.
+// wait here while the process stood still. While a process starts, openings wait for less time than their clients
+// take to send a copy.
 func (e *Engine) isFirstCopy(now clock.Millis, reason Reason) bool {
-	return reason == Placed && now-e.resumedAt >= openingCopiesTime
+	return reason == Placed && (!e.hasStoodStill || now-e.resumedAt >= openingCopiesTime)
 }
 
 // usableDomains returns the work at the pool's targets in the domains that this VM reaches, if VMs tell each other.
