Begin refusals at a third of the target latency and end the ramp sooner

Cause: the steady response time depended on how much is refused: with half of the targets' room missing it was 210 ms of 400, and 8% of the urgent requests were late. Change: the ramp is from a third of the target latency on, a quarter of it long.

--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -5,8 +5,8 @@
 // The ramp begins and ends at these fractions of the target latency of more urgent callers. Response times
 // spread widely around their mean, so the mean must stay well below the target latency.
 const (
-	rampStart  = 0.25
-	rampLength = 0.5
+	rampStart  = 1.0 / 3
+	rampLength = 0.25
 	// maxRampStart bounds the start if the pool's response time is high without load.
 	maxRampStart = 0.5
 	// unloadedFactor is how much longer than without load requests take before any is refused.
