--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,213 @@
+package admission
+
+import (
+	"math"
+	"slices"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+const (
+	// UpdateInterval is the time between two updates of the shares.
+	UpdateInterval = 100 * clock.Millisecond
+	// directWeight is the weight of the pressure of the moment. The rest comes from its average: news is late,
+	// and a share that followed it alone would swing between all and nothing.
+	directWeight = 0.7
+	// averagingTime is the time constant of the average, and releaseTime that while no request has to wait long:
+	// then nothing is to be refused any more.
+	averagingTime = clock.Second
+	releaseTime   = 500 * clock.Millisecond
+	// activeTime is how long after its newest opening a level counts as one with callers.
+	activeTime = 5 * clock.Second
+	// maxOwnViewShare limits the share that is refused by a VM without news of the others.
+	maxOwnViewShare = 0.5
+	// triesPerRequest is how often clients that are refused at once try in all.
+	triesPerRequest = 3
+)
+
+// Controller decides which openings to one pool are refused. The zero value refuses none.
+type Controller struct {
+	states        []state      // of the levels, the most urgent first
+	targetLatency clock.Millis // the shortest one of all levels
+	answers       answers
+	room          Room
+	unloaded      float64 // response time without load, in milliseconds, or zero
+	updatedAt     clock.Millis
+}
+
+// state is what a controller knows of a level.
+type state struct {
+	level   Level
+	seenAt  clock.Millis // when the newest opening of the level came, or zero
+	average float64      // share that the ramp asks for
+	share   Share
+}
+
+// Share is the share of the requests of one priority that are refused.
+type Share struct {
+	Priority int     `json:"priority"`
+	Refused  float64 `json:"refused"`  // share of requests, 0 to 1
+	Hopeless bool    `json:"hopeless"` // every opening is refused, as the answer would come after the timeout
+	Count    int     `json:"count"`    // openings refused so far
+	chance   float64 // that one opening is refused: a request fails only if all its tries are refused
+}
+
+// IsRefusing reports whether openings of the priority are refused.
+func (s Share) IsRefusing() bool { return s.Refused > 0 || s.Hopeless }
+
+// SetLevels replaces the levels by those of the pool's routes. What is known of priorities that remain is kept.
+func (c *Controller) SetLevels(routes []Level) {
+	var levels []Level
+	for _, l := range routes {
+		levels = addLevel(levels, l)
+	}
+	states := make([]state, len(levels))
+	c.targetLatency = 0
+	for i, l := range levels {
+		c.targetLatency = shortest(c.targetLatency, l.TargetLatency)
+		if known := c.find(l.Priority); known != nil {
+			states[i] = *known
+		}
+		states[i].level, states[i].share.Priority = l, l.Priority
+	}
+	c.states = states
+}
+
+// find returns the state of a priority, or nil if no route has it.
+func (c *Controller) find(priority int) *state {
+	for i := range c.states {
+		if c.states[i].level.Priority == priority {
+			return &c.states[i]
+		}
+	}
+	return nil
+}
+
+// IsUpdateDue reports whether the shares are to be updated. Nothing has to be for a pool without routes.
+func (c *Controller) IsUpdateDue(now clock.Millis) bool {
+	return len(c.states) > 0 && (c.updatedAt == 0 || now-c.updatedAt >= UpdateInterval)
+}
+
+// Observe records the response time of a request of this VM.
+func (c *Controller) Observe(responseTime clock.Millis) {
+	reference := c.unloaded
+	if reference == 0 {
+		reference = rampStart * float64(c.targetLatency)
+	}
+	c.answers.add(float64(responseTime), reference)
+}
+
+// ObserveShed records that a target was too full for a request of this VM. It counts as one that is not
+// answered in time.
+func (c *Controller) ObserveShed() { c.answers.add(float64(c.targetLatency), 0) }
+
+// Update sets the shares by the work of all VMs at the pool's targets, in the domains that may be used.
+func (c *Controller) Update(now clock.Millis, domains []load.Pool) {
+	elapsed := now - c.updatedAt
+	if c.updatedAt == 0 {
+		elapsed = math.MaxInt32 // nothing is known of before
+	}
+	c.updatedAt = now
+	c.room = roomOf(&c.answers, domains)
+	c.answers.fade(elapsed)
+	c.updateUnloaded(weightAfter(elapsed, averagingTime), domains)
+	after := 0.0
+	for i, s := range slices.Backward(c.states) {
+		r := newRamp(c.targetLatencyBefore(now, i), c.unloaded, after)
+		c.updateShare(&c.states[i], r, elapsed)
+		if s.isActive(now) {
+			after = r.end
+		}
+	}
+}
+
+// targetLatencyBefore returns the shortest target latency of the levels before one, or zero. Levels without
+// callers need no protection.
+func (c *Controller) targetLatencyBefore(now clock.Millis, index int) clock.Millis {
+	target := clock.Millis(0)
+	for i := range c.states[:index] {
+		if c.states[i].isActive(now) {
+			target = shortest(target, c.states[i].level.TargetLatency)
+		}
+	}
+	return target
+}
+
+// isActive reports whether callers of the level have come in lately.
+func (s *state) isActive(now clock.Millis) bool { return s.seenAt != 0 && now-s.seenAt < activeTime }
+
+// updateShare sets the share of a level by its ramp.
+func (c *Controller) updateShare(s *state, r ramp, elapsed clock.Millis) {
+	direct := r.share(c.room.ResponseTime)
+	timeConstant := averagingTime
+	if direct == 0 {
+		timeConstant = releaseTime
+	}
+	s.average += weightAfter(elapsed, timeConstant) * (direct - s.average)
+	s.share.Refused = c.limit() * (directWeight*direct + (1-directWeight)*s.average)
+	s.share.chance = math.Pow(s.share.Refused, 1.0/triesPerRequest)
+	s.share.Hopeless = s.level.Timeout > 0 && !c.room.IsOwnView() && c.room.ResponseTime > float64(s.level.Timeout)
+}
+
+// limit returns the greatest share that may be refused.
+func (c *Controller) limit() float64 {
+	switch {
+	case c.room.isIdle():
+		return 0
+	case c.room.IsOwnView():
+		return maxOwnViewShare
+	default:
+		return 1
+	}
+}
+
+// updateUnloaded updates the response time without load while it can be seen. Own answers tell of a rising load
+// before the news does, so they do not count.
+func (c *Controller) updateUnloaded(weight float64, domains []load.Pool) {
+	responseTime := bestResponseTime(domains)
+	switch {
+	case !c.room.isLightlyLoaded() || responseTime == 0:
+	case c.unloaded == 0:
+		c.unloaded = responseTime
+	default:
+		c.unloaded += weight * (responseTime - c.unloaded)
+	}
+}
+
+// weightAfter returns the weight of a new value in an average after some time.
+func weightAfter(elapsed, timeConstant clock.Millis) float64 {
+	return 1 - math.Exp(-float64(elapsed)/float64(timeConstant))
+}
+
+// Refuse reports whether an opening of a priority is refused, and counts it. draw is a random number from 0 to 1:
+// each try is drawn anew, whoever it comes from, so a client that was refused has the same chance again.
+func (c *Controller) Refuse(now clock.Millis, priority int, draw float64) bool {
+	s := c.find(priority)
+	if s == nil {
+		return false
+	}
+	s.seenAt = now
+	isRefused := s.share.Hopeless || draw < s.share.chance
+	if isRefused {
+		s.share.Count++
+	}
+	return isRefused
+}
+
+// Shares returns the refused share of each priority, the most urgent first.
+func (c *Controller) Shares() []Share {
+	shares := make([]Share, len(c.states))
+	for i := range c.states {
+		shares[i] = c.states[i].share
+	}
+	return shares
+}
+
+// Room returns what the latest update saw of the pool.
+func (c *Controller) Room() Room { return c.room }
+
+// IsRefusing reports whether openings of some priority are refused.
+func (c *Controller) IsRefusing() bool {
+	return slices.ContainsFunc(c.states, func(s state) bool { return s.share.IsRefusing() })
+}
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -23,6 +23,8 @@
 	// in slow start, and their number, which is zero while they are not known. Without it, slow starts have no
 	// limit.
 	SlowStartRank func(now clock.Millis, targetID string) (rank, vms int)
+	// RefusesByUrgency has package admission decide which openings are refused for lack of room.
+	RefusesByUrgency bool
 }
 
 // Engine decides what happens to each packet. It is not safe for concurrent use.
@@ -43,6 +45,7 @@
 	hasNewSuspicions bool         // a target timed out since the last TakeSuspicions
 	activeAt         clock.Millis // when a packet or a sweep was last handled
 	resumedAt        clock.Millis // when the process last went on after it had stood still
+	hasStoodStill    bool         // it did since its start
 	links            map[string]*link
 	watchlist        watchlist
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
@@ -79,6 +82,7 @@
 func (e *Engine) recordActivity(now clock.Millis) {
 	if now-e.activeAt >= maxInactivity {
 		e.resumedAt = now
+		e.hasStoodStill = e.hasStoodStill || e.activeAt > 0
 	}
 	e.activeAt = max(e.activeAt, now)
 }
@@ -182,8 +186,7 @@
 	if b == nil {
 		return Verdict{Action: Reset, Reason: NoTarget, Seq: p.Seq}
 	}
-	e.updateOverload(now, pool, b)
-	if e.isRefused(route, pool) {
+	if e.isRefused(now, reason, route, pool, b) {
 		return Verdict{Action: Reset, Reason: Overloaded, Seq: p.Seq}
 	}
 	if b.evidence.isSuspect(now) {
