--- a/inband/loadinvariants_test.go
+++ b/inband/loadinvariants_test.go
@@ -36,7 +36,7 @@
 			},
 			"drain":  func(t *rapid.T) { e.SetDrainedDomains(rapid.SampledFrom([][]string{nil, {"east"}}).Draw(t, "domains")) },
 			"remove": func(t *rapid.T) { e.ReplaceView(nil, targets[:rapid.IntRange(1, 4).Draw(t, "count")]) },
-			"restart": func(t *rapid.T) {
+			"restart": func(*rapid.T) {
 				target := *targets[0].Target
 				target.StartedAtMS = int64(now)
 				e.UpdateTargets([]Published{{Target: &target}})
