Let the news of pools use the room that a report has left

Cause: a report to another domain holds news of pools only, but they got half of the room, so 22 of 60 pools were told. Change: news gets what sums and targets do not need. Test: TestUnusedRoomHoldsSumsOfPools, seen to fail.

--- a/load/encode.go
+++ b/load/encode.go
@@ -19,9 +19,9 @@
 const maxUnits = 1 << 30
 
 // Encode encodes a report in at most the given number of bytes. Sums of pools take three quarters of the room
-// at most, and the targets with the least work are told in sum only if they do not fit.
+// at most, unless the rest needs less than a quarter, and the targets with the least work are told in sum only if they do not fit.
 func Encode(r *Report, maxBytes int) []byte {
-	data := appendLimited(make([]byte, 0, maxBytes), r.Pools, maxBytes/2, appendPoolNews)
+	data := appendLimited(make([]byte, 0, maxBytes), r.Pools, newsRoom(r, maxBytes), appendPoolNews)
 	whole := appendLimited(data, r.Remote, maxBytes/4, appendPoolWork)
 	whole, told := appendTargets(whole, r.Targets, maxBytes)
 	if told == len(r.Targets) {
@@ -34,6 +34,13 @@
 	return data
 }
 
+// newsRoom returns the room for the news of pools: half of it, or what the rest leaves.
+func newsRoom(r *Report, maxBytes int) int {
+	rest := appendLimited(make([]byte, 0, maxBytes), r.Remote, maxBytes/4, appendPoolWork)
+	rest, _ = appendTargets(rest, r.Targets, maxBytes)
+	return max(maxBytes/2, maxBytes-len(rest))
+}
+
 // appendTargets appends as many targets as fit and returns their number.
 func appendTargets(data []byte, targets []TargetWork, maxBytes int) ([]byte, int) {
 	for i := range targets {
--- a/load/encode_test.go
+++ b/load/encode_test.go
@@ -151,3 +151,15 @@
 	_, err = load.Decode(load.Encode(report, maxBytes))
 	is.NoErr(err)
 }
+
+func TestUnusedRoomHoldsSumsOfPools(t *testing.T) {
+	is := is.New(t)
+	half, err := load.Decode(load.Encode(busyReport(300, 60), maxBytes))
+	is.NoErr(err)
+	report := busyReport(0, 60)
+	report.Remote = nil
+	whole, err := load.Decode(load.Encode(report, maxBytes))
+	is.NoErr(err)
+	is.True(len(whole.Pools) >= 2*len(half.Pools)-1)
+	is.Equal(whole.Pools, report.Pools[:len(whole.Pools)])
+}
