Keep the newest news of load when there is much

Cause: with 512 sums known, others were refused until those were 8 s old. Change: a newer sum takes the place of the oldest one. Test: TestNewerNewsTakesThePlaceOfTheOldest, seen to fail: the newest that was kept was number 511 of 599.

--- a/load/heard_test.go
+++ b/load/heard_test.go
@@ -79,3 +79,17 @@
 	}
 	is.Equal(len(news.All(0)), 512)
 }
+
+func TestNewerNewsTakesThePlaceOfTheOldest(t *testing.T) {
+	is := is.New(t)
+	news := load.NewNews()
+	for i := range 600 {
+		news.Add(1000, &load.PoolNews{Pool: uint32(i), Age: clock.Millis(1000 - i)})
+	}
+	all := news.All(1000)
+	is.Equal(len(all), 512)
+	is.Equal(all[0].Pool, uint32(599))
+	is.Equal(all[511].Pool, uint32(600-512))
+	news.Add(1000, &load.PoolNews{Pool: 7, Age: 2000})
+	is.Equal(news.All(1000), all)
+}
--- a/load/news.go
+++ b/load/news.go
@@ -34,17 +34,36 @@
 // NewNews returns an empty set of news.
 func NewNews() *News { return &News{entries: map[newsKey]newsEntry{}} }
 
-// Add keeps a sum if it is newer than the one that is known.
+// Add keeps a sum if it is newer than the one that is known. If there are many, it takes the place of the oldest.
 func (n *News) Add(now clock.Millis, p *PoolNews) {
 	key := newsKey{p.Pool, p.Source}
 	known, ok := n.entries[key]
 	measuredAt := now - p.Age
-	if p.Age >= NewsLifetime || ok && known.measuredAt >= measuredAt || !ok && len(n.entries) >= maxNews {
+	if p.Age >= NewsLifetime || ok && known.measuredAt >= measuredAt {
 		return
 	}
+	if !ok && len(n.entries) >= maxNews {
+		oldest := n.oldest()
+		if n.entries[oldest].measuredAt >= measuredAt {
+			return
+		}
+		delete(n.entries, oldest)
+	}
 	n.entries[key] = newsEntry{p.Work, measuredAt}
 }
 
+// oldest returns the key of the oldest sum.
+func (n *News) oldest() newsKey {
+	var oldest newsKey
+	for key, entry := range n.entries {
+		known, ok := n.entries[oldest]
+		if !ok || cmp.Or(cmp.Compare(entry.measuredAt, known.measuredAt), cmp.Compare(key.pool, oldest.pool), cmp.Compare(key.source, oldest.source)) < 0 {
+			oldest = key
+		}
+	}
+	return oldest
+}
+
 // Prune removes the sums that count for nothing.
 func (n *News) Prune(now clock.Millis) {
 	maps.DeleteFunc(n.entries, func(_ newsKey, entry newsEntry) bool { return now-entry.measuredAt >= NewsLifetime })
