Tell starts of targets apart by a hash of all digits

Cause: the low byte of a start time in milliseconds has 32 values if starts are at whole seconds, so one restart in 32 was not told from the start before. Change: the byte is taken of a hash. Test: TestStartsAWholeSecondApartDiffer, seen to fail.

--- a/inband/loadfailures_test.go
+++ b/inband/loadfailures_test.go
@@ -222,3 +222,13 @@
 	e.ReceiveLoad(100, fleetAddress, "west", load.Report{Pools: []load.PoolNews{known}})
 	is.Equal(e.TakeLoadReport(100).Pools, []load.PoolNews{known})
 }
+
+// TestStartsAWholeSecondApartDiffer counts the numbers that tell 256 starts apart, each at a whole second.
+func TestStartsAWholeSecondApartDiffer(t *testing.T) {
+	is := is.New(t)
+	numbers := map[uint8]bool{}
+	for i := range 256 {
+		numbers[startBits(&Target{StartedAtMS: 1000 * int64(i)})] = true
+	}
+	is.True(len(numbers) > 128)
+}
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -131,8 +131,12 @@
 	return b.domainPool.isListed && b.acceptsNewFlows(now)
 }
 
-// startBits returns the low bits of a target's start time, which tell its restarts apart.
-func startBits(t *Target) uint8 { return uint8(t.StartedAtMS) } //nolint:gosec // the rest is left out
+// startBits returns eight bits that tell the restarts of a target apart. Its start times may be whole seconds, so
+// the bits depend on all digits.
+func startBits(t *Target) uint8 {
+	const multiplier = 0x9e3779b97f4a7c15                  // 2^64 divided by the golden ratio (Fibonacci hashing)
+	return uint8(uint64(t.StartedAtMS) * multiplier >> 56) //nolint:gosec // a negative time does no harm
+}
 
 // addNews adds what the VMs of another failure domain have under way at a pool.
 func (s *loadState) addNews(p *load.PoolNews) {
--- a/load/report.go
+++ b/load/report.go
@@ -12,7 +12,7 @@
 // TargetWork is the work of one VM at one target.
 type TargetWork struct {
 	Tag   uint32 // of the target, as packets carry it
-	Start uint8  // low bits of the target's start time, which tell its restarts apart
+	Start uint8  // bits of a hash of the target's start time, which tell its restarts apart
 	Work  Work
 	Pool  uint32 // hash of the pool's ID, or zero if the work is no part of its sum; not encoded
 }
