Drop the report of a VM that shuts down

Cause: its report counted on, for up to the lifetime of a report, and others in its place were shrunk. Change: its message that it leaves drops it. Test: TestReportOfAVMThatLeavesIsDropped, seen to fail.

--- a/front/load_test.go
+++ b/front/load_test.go
@@ -175,3 +175,13 @@
 		})
 	}
 }
+
+func TestReportOfAVMThatLeavesIsDropped(t *testing.T) {
+	is := is.New(t)
+	d, fake := newSharingDaemon(t, true)
+	empty := load.Encode(&load.Report{}, maxLoadBytes)
+	d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: empty})
+	is.Equal(d.engine.LoadReporters(fake.Now()), 1)
+	d.receive(context.Background(), &siblings.Message{Kind: siblings.Leave, From: otherVM})
+	is.Equal(d.engine.LoadReporters(fake.Now()), 0)
+}
--- a/front/messages.go
+++ b/front/messages.go
@@ -186,6 +186,7 @@
 func (d *Daemon) updateMembers(now clock.Millis, m *siblings.Message) {
 	if m.Kind == siblings.Leave {
 		d.members.Remove(m.From.Address)
+		d.engine.ForgetLoadOf(m.From.Address)
 		return
 	}
 	if d.members.MarkAlive(now, m.From) {
--- a/inband/load.go
+++ b/inband/load.go
@@ -153,6 +153,9 @@
 	e.load.quiet = load.Sample{Others: e.localVMs - 1}.ByTarget(load.Work{}, 1)
 }
 
+// ForgetLoadOf forgets what a VM reported that has shut down.
+func (e *Engine) ForgetLoadOf(vm netip.AddrPort) { e.load.heard.Remove(vm) }
+
 // HasMeasuredLoad reports whether this VM has measured its work since it started or last stood still. Before, a
 // report would tell others that it has none.
 func (e *Engine) HasMeasuredLoad() bool { return e.load.hasMeasured && e.load.resumedAt == e.resumedAt }
--- a/load/heard.go
+++ b/load/heard.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"net/netip"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
 )
@@ -50,6 +51,11 @@
 	h.reports[oldest] = added
 }
 
+// Remove removes the report of a VM.
+func (h *Heard) Remove(from netip.AddrPort) {
+	h.reports = slices.DeleteFunc(h.reports, func(r heardReport) bool { return r.from == from })
+}
+
 // Forget forgets all reports.
 func (h *Heard) Forget() { h.reports = nil }
 
