Choose targets by expected waits in package spread

Nothing decides where new flows go when demand or targets are uneven: Local knows one VM's own counts and a constant distance. Package spread holds that decision: a target's expected response time from the work of all VMs, with its speed by the utilization law, and the share of flows that leaves a failure domain.

Ruled out by the fake world of the tests, fifty VMs with news 250 ms old: the lowest expected wait of all or of some random targets. So a target is drawn with a probability in proportion to what it finishes, and own counts spread what one VM has. A share in proportion to the difference of domains swings, as the queue answers faster than the news; the share therefore adds up the difference over time.

Test: named loads, bounds on what targets shed; each bound that concerns uneven load is shown to fail with own counts (isLocalOK), the herd tests with the lowest cost.

--- /dev/null
+++ b/spread/loads_test.go
@@ -0,0 +1,202 @@
+package spread_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/spread"
+)
+
+// capacity is the number of requests per second that the targets of one domain finish.
+const capacity = hostsPerDomain * slots * 1000 / serviceTime
+
+// sharedLoad chooses by package spread.
+type sharedLoad struct{ takesCheapest bool }
+
+func (p sharedLoad) choose(w *world, v int) int {
+	m := w.vms[v]
+	leaves := w.random.Float64() < m.spill.Share()
+	return w.cheapest(func(i int) float64 {
+		h := w.hosts[i]
+		t := spread.Target{Work: w.believed(v, i), Slots: slots, MaxConnections: h.maxFlows}
+		draw := w.random.ExpFloat64()
+		if p.takesCheapest {
+			draw = 1
+		}
+		cost := spread.Cost(t.ResponseTime(m.usual), vmsPerDomain*h.busyOf[v], draw)
+		if t.IsFull() || leaves == (h.domain == m.domain) {
+			cost += 1e6
+		}
+		return cost
+	})
+}
+
+// ownCounts chooses as inband.Local does, by the VM's own counts alone.
+type ownCounts struct{}
+
+func (ownCounts) choose(w *world, v int) int {
+	const remoteWeight = 10.0
+	return w.cheapest(func(i int) float64 {
+		cost := vmsPerDomain * w.hosts[i].busyOf[v]
+		if w.hosts[i].domain != w.vms[v].domain {
+			cost += remoteWeight
+		}
+		return cost
+	})
+}
+
+// cheapest returns the cheapest target, one of them at random.
+func (w *world) cheapest(cost func(int) float64) int {
+	best, lowest := -1, 0.0
+	for _, i := range w.random.Perm(len(w.hosts)) {
+		if c := cost(i); best < 0 || c < lowest {
+			best, lowest = i, c
+		}
+	}
+	return best
+}
+
+// slowDown makes a quarter of the targets five times slower.
+func (w *world) slowDown() {
+	for i := 0; i < len(w.hosts); i += 4 {
+		w.hosts[i].slowdown = 5
+	}
+}
+
+// pauseQuarter makes a quarter of the VMs stand still. They report nothing, and the others get their clients.
+func (w *world) pauseQuarter() {
+	for v := 0; v < len(w.vms); v += 4 {
+		w.vms[v].isPaused = true
+	}
+}
+
+// fillQuarter lets a quarter of the targets hold idle flows, as many as they may.
+func (w *world) fillQuarter() {
+	for i := 0; i < len(w.hosts); i += 4 {
+		w.hosts[i].maxFlows, w.hosts[i].idle = 100, 100
+	}
+}
+
+// play puts a load on a world that was calm before, and counts what comes after a time of adjustment.
+func play(p policy, load [domains]float64, disturb func(*world)) *world {
+	const calmTime, adjustTime, countedTime = clock.Second, 2 * clock.Second, 6 * clock.Second
+	w := newWorld(p, [domains]float64{0.3 * capacity, 0.3 * capacity})
+	w.run(calmTime)
+	disturb(w)
+	w.rates = [domains]float64{load[0] * capacity, load[1] * capacity}
+	w.run(adjustTime)
+	w.forget()
+	w.run(countedTime)
+	return w
+}
+
+func undisturbed(*world) {}
+
+// Bounds on what callers get while the targets of all domains together have room.
+const (
+	maxShed      = 0.05 // share of the requests of a pressing domain's callers that targets shed
+	maxShedOther = 0.01 // the same of another domain's callers, or if no domain presses
+)
+
+// TestLoads guards callers against targets that shed requests while others have free slots.
+func TestLoads(t *testing.T) {
+	tests := []struct {
+		name      string
+		load      [domains]float64 // requests in relation to the capacity of a domain, while no target is slow
+		disturb   func(*world)
+		maxShed   float64
+		isLocalOK bool // own counts alone hold the bounds
+	}{
+		{"nothing uneven", [domains]float64{0.6, 0.6}, undisturbed, maxShedOther, true},
+		{"one domain presses", [domains]float64{1.3, 0.4}, undisturbed, maxShed, false},
+		{"one domain presses hard", [domains]float64{1.5, 0.3}, undisturbed, maxShed, false},
+		{"unequal targets", [domains]float64{0.5, 0.5}, (*world).slowDown, maxShedOther, false},
+		{"one domain presses on unequal targets", [domains]float64{0.95, 0.4}, (*world).slowDown, maxShed, false},
+		{"one domain presses while VMs stand still", [domains]float64{1.3, 0.4}, (*world).pauseQuarter, maxShed, false},
+		{"one domain presses while half of the news is lost", [domains]float64{1.3, 0.4}, func(w *world) { w.newsLoss = 0.5 }, maxShed, false},
+		{"unequal targets while half of the news is lost", [domains]float64{0.5, 0.5}, func(w *world) {
+			w.newsLoss = 0.5
+			w.slowDown()
+		}, maxShedOther, false},
+		{"no news", [domains]float64{0.7, 0.7}, func(w *world) { w.newsLoss = 1 }, maxShedOther, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			isHeld := func(w *world) bool { return w.shedShare(0) <= tt.maxShed && w.shedShare(1) <= maxShedOther }
+			is.True(isHeld(play(sharedLoad{}, tt.load, tt.disturb)))
+			is.Equal(isHeld(play(ownCounts{}, tt.load, tt.disturb)), tt.isLocalOK)
+		})
+	}
+}
+
+// TestSlowTargetsGetWhatTheyFinish guards against slow targets that get as much as the others, and against
+// ones that get nothing though they have room. Their share stays within a factor of 2 of what they can finish.
+func TestSlowTargetsGetWhatTheyFinish(t *testing.T) {
+	const slowQuarter, factor = 0.25 * 0.2, 2.0
+	fair := slowQuarter / (slowQuarter + 0.75)
+	isSlow := func(i int) bool { return i%4 == 0 }
+	for _, load := range []float64{0.4, 0.5, 0.7} {
+		is := is.New(t)
+		loads := [domains]float64{load, load}
+		share := play(sharedLoad{}, loads, (*world).slowDown).shareOf(isSlow)
+		is.True(share <= factor*fair)
+		is.True(share >= fair/factor)
+	}
+	is.New(t).True(play(ownCounts{}, [domains]float64{0.4, 0.4}, (*world).slowDown).shareOf(isSlow) > factor*fair)
+}
+
+// TestEvenLoadStaysAtHome guards against flows that cross domains though they need not.
+func TestEvenLoadStaysAtHome(t *testing.T) {
+	is := is.New(t)
+	is.Equal(play(sharedLoad{}, [domains]float64{0.6, 0.6}, undisturbed).crossed, 0)
+	w := play(sharedLoad{}, [domains]float64{1.3, 0.4}, undisturbed)
+	is.True(w.crossed > 0)
+	w.rates = [domains]float64{0.6 * capacity, 0.6 * capacity}
+	w.run(3 * clock.Second)
+	w.forget()
+	w.run(clock.Second)
+	is.Equal(w.crossed, 0) // it ends with the pressure
+}
+
+// TestSpillDoesNotSwing guards against a share that alternates between all and nothing, because the news of
+// its effect is late. In each half second, the flows that leave are at most 1.5 times as many as are missing.
+func TestSpillDoesNotSwing(t *testing.T) {
+	const surplus, interval = 0.3, 500 * clock.Millisecond
+	w := play(sharedLoad{}, [domains]float64{1 + surplus, 0.4}, undisturbed)
+	for range 10 {
+		w.crossed = 0
+		w.run(interval)
+		is.New(t).True(float64(w.crossed) <= 1.5*surplus*capacity/2)
+	}
+}
+
+// TestSameNewsSpreadsFlows guards against VMs that all choose the target that looks best to all of them.
+func TestSameNewsSpreadsFlows(t *testing.T) {
+	is := is.New(t)
+	load := [domains]float64{0.6, 0.6}
+	is.True(play(sharedLoad{}, load, undisturbed).shedShare(0) <= maxShedOther)
+	is.True(play(sharedLoad{takesCheapest: true}, load, undisturbed).shedShare(0) > maxShedOther)
+}
+
+// TestStaleReport guards against a target that all VMs take for idle, because of one report that is old.
+func TestStaleReport(t *testing.T) {
+	is := is.New(t)
+	isStale := func(i int) bool { return i == 0 }
+	share := func(p policy) float64 {
+		return play(p, [domains]float64{0.6, 0.6}, func(w *world) { w.isStale = isStale }).shareOf(isStale)
+	}
+	const limit = 1.5 / (domains * hostsPerDomain)
+	is.True(share(sharedLoad{}) <= limit)
+	is.True(share(sharedLoad{takesCheapest: true}) > limit)
+}
+
+// TestFullTargets guards against flows to targets that hold as many as they may while others have room.
+func TestFullTargets(t *testing.T) {
+	is := is.New(t)
+	load := [domains]float64{0.5, 0.5}
+	is.Equal(play(sharedLoad{}, load, (*world).fillQuarter).rejected, 0)
+	is.True(play(ownCounts{}, load, (*world).fillQuarter).rejected > 0)
+}
--- /dev/null
+++ b/spread/target_test.go
@@ -0,0 +1,115 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+	"github.com/almondflow/almondflow/spread"
+)
+
+func ExampleTarget_ResponseTime() {
+	const usual = 50 // milliseconds
+	idle := spread.Target{Work: load.Work{Busy: 0.2, Finished: 4}, Slots: 2}
+	busy := spread.Target{Work: load.Work{Busy: 5, Finished: 40}, Slots: 2}
+	slow := spread.Target{Work: load.Work{Busy: 2, Finished: 4}, Slots: 2}
+	for _, t := range []spread.Target{idle, busy, slow} {
+		fmt.Printf("%.1f\n", t.ResponseTime(usual))
+	}
+	// Output:
+	// 1.0
+	// 3.0
+	// 5.4
+}
+
+func TestSlowdown(t *testing.T) {
+	tests := []struct {
+		name     string
+		work     load.Work
+		usual    float64 // milliseconds
+		min, max float64
+	}{
+		{"nothing is known", load.Work{}, 0, 1, 1},
+		{"the usual time is unknown", load.Work{Busy: 2, Finished: 1}, 0, 1, 1},
+		{"no request yet", load.Work{}, 50, 1, 1},
+		{"one request that has not finished", load.Work{Busy: 1}, 50, 1, 5},
+		{"refuses its requests at once", load.Work{Busy: 0.1, Finished: 200}, 50, 1, 1},
+		{"a queue, at the usual pace", load.Work{Busy: 10, Finished: 40}, 50, 1, 1},
+		{"five times slower", load.Work{Busy: 2, Finished: 8}, 50, 2.5, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			slowdown := spread.Target{Work: tt.work, Slots: 2}.Slowdown(tt.usual)
+			is.True(slowdown >= tt.min)
+			is.True(slowdown <= tt.max)
+		})
+	}
+}
+
+func TestIsFull(t *testing.T) {
+	is := is.New(t)
+	work := load.Work{Flows: 100}
+	is.True(!spread.Target{Work: work}.IsFull()) // no limit
+	is.True(!spread.Target{Work: work, MaxConnections: 101}.IsFull())
+	is.True(spread.Target{Work: work, MaxConnections: 100}.IsFull())
+}
+
+func TestMargin(t *testing.T) {
+	tests := []struct {
+		name          string
+		targetLatency clock.Millis
+		expected      float64
+	}{
+		{"no target latency", 0, 50},
+		{"callers in a hurry", 100, 25},
+		{"patient callers", 1000, 50},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(spread.Margin(tt.targetLatency, 50), tt.expected)
+		})
+	}
+}
+
+func TestSpill(t *testing.T) {
+	idle := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
+	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
+	silent := load.Pool{Targets: 10, Slots: 20}
+	tests := []struct {
+		name        string
+		own, others load.Pool
+		isSpilling  bool
+	}{
+		{"nothing presses", idle, idle, false},
+		{"the own domain is full", full, idle, true},
+		{"all domains are full", full, full, false},
+		{"another domain is full", idle, full, false},
+		{"full, and no news of the others", full, silent, true},
+		{"full, and no other domain", full, load.Pool{}, false},
+		{"nothing is known", silent, silent, false},
+		{"no target in the own domain", load.Pool{}, idle, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var s spread.Spill
+			for now := clock.Millis(0); now < 4*clock.Second; now += 250 {
+				s.Update(now, tt.own, tt.others, spread.Margin(0, tt.own.Work.ServiceTime(tt.own.Slots)))
+			}
+			is.Equal(s.Share() > 0, tt.isSpilling)
+		})
+	}
+}
+
+// A VM that stood still must not act on the time that passed meanwhile.
+func TestSpillAfterAPause(t *testing.T) {
+	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
+	idle := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
+	var s spread.Spill
+	s.Update(clock.Minute, full, idle, 50)
+	is.New(t).True(s.Share() <= 0.25)
+}
