Place new flows by shared load where the settings ask for it

Cause: with one domain's clients pressing and a quarter of the targets five times slower, the pressing domain's callers are served worse than the others; Local knows one VM's own counts only.

Change: policy Shared, chosen for "policy": "local" when Parts.SharesLoad is on. Full targets (MaxConnections) are a last resort before suspected ones. Explain shows response_ms; three metrics, and the line pool_spills when a service begins or ceases to spill.

Ruled out: leaving out own latency and counts in the choice of the domain.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -145,7 +145,7 @@
 	d.pauseDetector.detector = clock.NewPauseDetector(d.clock)
 	d.log = newLogger(d.logWriter)
 	d.engine = inband.New(inband.Options{
-		Domain: settings.Domain, Policy: settings.policy(), MaxFlows: settings.MaxFlows,
+		Domain: settings.Domain, Policy: settings.policy(d.parts), MaxFlows: settings.MaxFlows,
 		FlowLifetime: clock.Millis(settings.FlowLifetimeSeconds) * clock.Second, Seed: rand.Uint64(),
 		SharesLoad:    d.parts.SharesLoad,
 		SlowStartRank: d.slowStartRank,
--- a/front/fuzz_test.go
+++ b/front/fuzz_test.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return
 		}
-		if s.check() != nil || s.policy() == nil || s.viewBytesPerSecond() < 0 {
+		if s.check() != nil || s.policy(Parts{}) == nil || s.viewBytesPerSecond() < 0 {
 			t.Fatalf("accepted settings are invalid: %+v", s)
 		}
 		_ = s.capacity()
--- a/front/health.go
+++ b/front/health.go
@@ -75,22 +75,31 @@
 	d.sendResets(ended, lines)
 }
 
-// evaluateTargets logs which targets started or stopped failing, and reports request outcomes to
-// siblings.
+// evaluateTargets logs which targets started or stopped failing and which pools began or ceased to spill,
+// and reports request outcomes to siblings.
 func (d *Daemon) evaluateTargets(now clock.Millis) {
 	d.mu.Lock()
 	changes := d.engine.TakeStatusChanges(now)
+	spills := d.engine.TakeSpillChanges()
 	message := siblings.Message{Kind: siblings.Suspect, Outcomes: d.engine.TakeOutcomes(now)}
 	recipients := addressesOf(d.members.SampleLocal(now, maxLocalRecipients))
 	d.mu.Unlock()
 	for _, c := range changes {
 		d.log.Info("target_judged", "at_ms", now, "target", c.ID, "bad", c.IsFailing, "bad_share", c.FailureRate)
 	}
+	d.logSpills(now, spills)
 	if len(message.Outcomes) > 0 {
 		d.send(message, recipients)
 	}
 }
 
+func (d *Daemon) logSpills(now clock.Millis, changes []inband.Spilling) {
+	for _, s := range changes {
+		d.log.Info("pool_spills", "at_ms", now, "service", s.Service, "spills", s.IsSpilling, "share", s.Share,
+			"response_ms", s.ResponseTime, "service_ms", s.ServiceTime)
+	}
+}
+
 // probeDomains records probes of failure domains and returns the VMs to probe. The caller holds
 // the lock.
 func (d *Daemon) probeDomains(now clock.Millis) []netip.AddrPort {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -55,6 +55,9 @@
 	viewAgeMetric         = Metric{"almondflow_front_view_age", histogramType, "milliseconds", "Age of the view, sampled four times a second."}
 	probesMetric          = Metric{"almondflow_front_target_probes", counterType, "probes", "TCP connections to targets, by what they showed (tag outcome)."}
 	probeTimeMetric       = Metric{"almondflow_front_probe_time", histogramType, "milliseconds", "Time until a probe of a target had an outcome."}
+	remoteOpeningsMetric  = Metric{"almondflow_front_remote_openings", counterType, "flows", "New flows that were sent to targets of other failure domains."}
+	responseTimeMetric    = Metric{"almondflow_front_expected_response", gaugeType, "milliseconds", "Time in which a new request is expected to be answered in the own failure domain (tag service)."}
+	spillShareMetric      = Metric{"almondflow_front_spill_share", gaugeType, "fraction", "Share of a service's new flows that is sent to other failure domains because requests wait longer in the own one (tag service)."}
 	packetTimeMetric      = Metric{"almondflow_front_packet_time", histogramType, "microseconds", "Time from reading a packet to sending it on, sampled for one packet in 64."}
 )
 
@@ -63,7 +66,8 @@
 	return []Metric{
 		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, shedRequestsMetric, overloadedPoolsMetric, drainedDomainsMetric, tablesVersionMetric, readyAfterMetric,
 		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric,
-		loadSentMetric, loadBytesMetric, loadReceivedMetric, loadReportersMetric, loadAgeMetric, probesMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
+		loadSentMetric, loadBytesMetric, loadReceivedMetric, loadReportersMetric, loadAgeMetric, probesMetric,
+		remoteOpeningsMetric, responseTimeMetric, spillShareMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
 	}
 }
 
@@ -94,6 +98,8 @@
 	packets         [inband.ReasonCount]tally.Counter
 	reportedCounts  [inband.ReasonCount]uint64 // packets counted at the last scrape
 	reportedDropped int64                      // lines dropped at the last scrape
+	remoteOpenings  tally.Counter
+	reportedRemote  int // openings counted at the last scrape
 }
 
 func newMetrics() *metrics {
@@ -109,7 +115,7 @@
 		loadBytes:    scope.Counter(loadBytesMetric.Name),
 		loadReceived: scope.Counter(loadReceivedMetric.Name),
 		shedRequests: scope.Counter(shedRequestsMetric.Name),
-		controlBytes: scope.Counter(controlBytesMetric.Name),
+		controlBytes: scope.Counter(controlBytesMetric.Name), remoteOpenings: scope.Counter(remoteOpeningsMetric.Name),
 		droppedLines: scope.Counter(droppedLinesMetric.Name), unsentMessages: scope.Counter(unsentMessagesMetric.Name),
 	}
 	for reason := range m.packets {
@@ -161,6 +167,13 @@
 	m.droppedLines.Inc(dropped - m.reportedDropped)
 	m.reportedDropped = dropped
 	m.shedRequests.Inc(d.engine.TakeShedRequests())
+	m.remoteOpenings.Inc(int64(d.engine.RemoteOpenings() - m.reportedRemote))
+	m.reportedRemote = d.engine.RemoteOpenings()
+	for _, s := range d.engine.Spillings() {
+		tagged := m.scope.Tagged(map[string]string{"service": s.Service})
+		tagged.Gauge(responseTimeMetric.Name).Update(s.ResponseTime)
+		tagged.Gauge(spillShareMetric.Name).Update(s.Share)
+	}
 	version, _ := d.currentVersions()
 	for _, g := range []struct {
 		metric Metric
--- a/front/settings.go
+++ b/front/settings.go
@@ -112,9 +112,14 @@
 	return int(share * bytesInMegabit * s.LinkMbps)
 }
 
-func (s *Settings) policy() inband.Policy {
-	if s.Policy == policyNaive {
+// policy returns the policy that the settings name. With shared load, "local" places new flows by it.
+func (s *Settings) policy(parts Parts) inband.Policy {
+	switch {
+	case s.Policy == policyNaive:
 		return inband.Naive{}
+	case parts.SharesLoad:
+		return inband.Shared{}
+	default:
+		return inband.Local{}
 	}
-	return inband.Local{}
 }
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -27,10 +27,11 @@
 	isOverloaded    bool         // set once overload has lasted for overloadTime
 	looksOverloaded bool         // it does now
 	overloadedSince clock.Millis // since when it does
-	topPriority     int          // priority of the most urgent route to this pool
 	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
 	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
 	confidenceAt    clock.Millis
+	poolLimits
+	spillState
 }
 
 func (p *pool) add(b *Backend, domain string) {
@@ -65,6 +66,9 @@
 // chooseTarget returns the target for a new flow to a pool, or nil if no target accepts it. The
 // target avoid, which may be nil, is only a last resort.
 func (e *Engine) chooseTarget(now clock.Millis, p *pool, avoid *Backend) *Backend {
+	if e.options.Policy.SharesLoad() {
+		return e.chooseByDomain(now, p, avoid)
+	}
 	var s selection
 	if len(p.local)+len(p.remote) > maxFullScan {
 		e.considerSample(now, &s, p.local, localSamples, avoid)
@@ -96,12 +100,26 @@
 
 func (e *Engine) consider(now clock.Millis, s *selection, b, avoid *Backend) {
 	if b.acceptsNewFlows(now) && e.hasSlowStartRoom(now, b) {
-		s.consider(b, e.cost(now, b, b == avoid), e.random)
+		s.consider(b, e.cost(now, b, b == avoid, e.draw()), e.random)
+	}
+}
+
+// draw returns the random part of a cost.
+func (e *Engine) draw() float64 {
+	if !e.options.Policy.SharesLoad() {
+		return 1
 	}
+	return e.random.ExpFloat64()
 }
 
-func (e *Engine) cost(now clock.Millis, b *Backend, isAvoided bool) float64 {
-	cost := e.options.Policy.Cost(now, Location{Domain: e.options.Domain, VMs: e.localVMs}, b)
+func (e *Engine) cost(now clock.Millis, b *Backend, isAvoided bool, draw float64) float64 {
+	from := Location{Domain: e.options.Domain, VMs: e.localVMs, Draw: draw}
+	return e.options.Policy.Cost(now, from, b) + e.faultPenalty(now, b, isAvoided)
+}
+
+// faultPenalty returns the cost of signs that a target cannot serve a new flow.
+func (e *Engine) faultPenalty(now clock.Millis, b *Backend, isAvoided bool) float64 {
+	cost := 0.0
 	if isAvoided || e.options.Policy.AvoidsSuspects() && b.evidence.isSuspect(now) && !b.evidence.isRetryDue(now) {
 		cost += suspectWeight
 	}
@@ -111,6 +129,9 @@
 	if e.options.Policy.AvoidsSuspects() {
 		cost += failureWeight * b.excessFailureRate(now)
 	}
+	if e.options.Policy.SharesLoad() && b.spreadTarget().IsFull() {
+		cost += fullWeight
+	}
 	return cost
 }
 
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -35,6 +35,7 @@
 	byTag            map[Tag]*Backend
 	byID             map[string]*Backend
 	pools            map[string]*pool
+	maxConnections   map[string]int  // flows that one target holds, by service; zero is no limit
 	drained          map[string]bool // failure domains whose targets get no new flows
 	local            []*Backend      // targets of the own failure domain
 	contactIndex     int             // in local, of the last target that FirstContact checked
@@ -49,6 +50,7 @@
 	load             *loadState
 	slowStartRates   map[string]float64 // new flows per second of a target in slow start, by service
 	shedRequests     int64              // requests that full targets shed since the last TakeShedRequests
+	remoteOpenings   int                // new flows sent to targets of other failure domains
 	localVMs         int                // entry VMs in the own failure domain, including this one
 }
 
@@ -167,6 +169,9 @@
 		b.evidence.scheduleRetry(now, e.jitter())
 	}
 	e.recordSlowStart(now, b)
+	if b.target.Domain != e.options.Domain {
+		e.remoteOpenings++
+	}
 	if e.flows.len() < e.options.MaxFlows {
 		f := e.flows.add(p.Key)
 		f.backend = b
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -20,6 +20,8 @@
 	FailureRate float64 `json:"bad_share"` // fraction of its recent requests that failed
 	// Work is what all VMs are believed to have there; nil if VMs do not share their load.
 	Work *load.Work `json:"work,omitempty"`
+	// ResponseMS is the expected time until one more request is answered; zero if VMs do not share their load.
+	ResponseMS float64 `json:"response_ms,omitempty"`
 }
 
 // Explanation describes where a flow goes and why.
@@ -68,7 +70,7 @@
 
 func (e *Engine) candidate(now clock.Millis, b *Backend) Candidate {
 	c := Candidate{
-		ID: b.target.ID, Domain: b.target.Domain, Cost: e.cost(now, b, false), Flows: b.flows, Busy: b.busy,
+		ID: b.target.ID, Domain: b.target.Domain, Cost: e.cost(now, b, false, 1), Flows: b.flows, Busy: b.busy,
 		Suspect: b.evidence.isSuspect(now), Partitioned: e.IsPartitioned(now, b.target.Domain),
 		FailureRate: b.stats.failureRate(now),
 	}
@@ -76,5 +78,8 @@
 		work := b.work()
 		c.Work = &work
 	}
+	if e.options.Policy.SharesLoad() {
+		c.ResponseMS = b.responseTime() * b.pool.serviceTime
+	}
 	return c
 }
--- a/inband/overload.go
+++ b/inband/overload.go
@@ -39,19 +39,6 @@
 	return p.isOverloaded && e.options.Policy.RefusesUnderOverload() && route.Priority > p.topPriority
 }
 
-// setTopPriorities sets each pool's topPriority from the routes.
-func (e *Engine) setTopPriorities() {
-	isSet := map[*pool]bool{}
-	for _, route := range e.routes {
-		for _, share := range route.Shares {
-			p := e.poolOf(share.Service)
-			if !isSet[p] || route.Priority < p.topPriority {
-				p.topPriority, isSet[p] = route.Priority, true
-			}
-		}
-	}
-}
-
 // OverloadedPools returns the number of overloaded pools.
 func (e *Engine) OverloadedPools() int {
 	count := 0
--- a/inband/policy.go
+++ b/inband/policy.go
@@ -16,12 +16,17 @@
 	// RefusesUnderOverload reports whether less urgent flows are refused while a pool is
 	// overloaded.
 	RefusesUnderOverload() bool
+	// SharesLoad reports whether targets are chosen by the load that the entry VMs share.
+	SharesLoad() bool
 }
 
 // Location is the position of an entry VM.
 type Location struct {
 	Domain string // failure domain
 	VMs    int    // entry VMs in the domain, assumed to load its targets equally
+	// Draw is a random number with mean 1, drawn for each target, so that VMs with the same news choose
+	// different targets.
+	Draw float64
 }
 
 // Naive is the baseline policy: it balances by this VM's own flow counts only.
@@ -39,6 +44,9 @@
 // RefusesUnderOverload returns false.
 func (Naive) RefusesUnderOverload() bool { return false }
 
+// SharesLoad returns false.
+func (Naive) SharesLoad() bool { return false }
+
 // Weights of the Local policy, in waiting requests.
 const (
 	idleWeight          = 0.05 // an idle flow
@@ -61,17 +69,34 @@
 // on the target is multiplied by the number of VMs, as the domain's other VMs are assumed to add
 // the same.
 func (Local) Cost(now clock.Millis, from Location, b *Backend) float64 {
-	cost := float64(from.VMs) * (float64(b.busy) + idleWeight*float64(b.flows-b.busy))
+	cost := b.ownLoad(from.VMs)
 	if b.target.Domain != from.Domain {
 		cost += remoteWeight
 	}
+	return cost + b.startPenalty(now) + b.latencyPenalty(now)
+}
+
+// ownLoad returns the load that this VM puts on the target, multiplied by the number of VMs, in waiting
+// requests.
+func (b *Backend) ownLoad(vms int) float64 {
+	return float64(vms) * (float64(b.busy) + idleWeight*float64(b.flows-b.busy))
+}
+
+// latencyPenalty returns the cost of the latency of the target that this VM sees.
+func (b *Backend) latencyPenalty(now clock.Millis) float64 {
+	return excessLatencyWeight * max(0, b.latency.value(now)-overloadLatency)
+}
+
+// startPenalty returns the cost of a target in slow start or with an expired store entry.
+func (b *Backend) startPenalty(now clock.Millis) float64 {
+	cost := 0.0
 	if now < b.slowStartUntil {
 		cost += slowStartWeight
 	}
 	if now < b.fallbackUntil {
 		cost += expiredWeight
 	}
-	return cost + excessLatencyWeight*max(0, b.latency.value(now)-overloadLatency)
+	return cost
 }
 
 // AvoidsSuspects returns true.
@@ -82,3 +107,6 @@
 
 // RefusesUnderOverload returns true.
 func (Local) RefusesUnderOverload() bool { return true }
+
+// SharesLoad returns false.
+func (Local) SharesLoad() bool { return false }
--- a/inband/queries.go
+++ b/inband/queries.go
@@ -27,6 +27,9 @@
 // Flows returns the number of tracked flows.
 func (e *Engine) Flows() int { return e.flows.len() }
 
+// RemoteOpenings returns the number of new flows that were sent to targets of other failure domains.
+func (e *Engine) RemoteOpenings() int { return e.remoteOpenings }
+
 // Targets returns the observed health of all targets, ordered by id.
 func (e *Engine) Targets() []Health {
 	all := make([]Health, 0, len(e.byID))
--- /dev/null
+++ b/inband/shared.go
@@ -0,0 +1,31 @@
+package inband
+
+import (
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/spread"
+)
+
+// Shared chooses targets by the load that the entry VMs share. New flows stay in the VM's own failure domain
+// but for the share that a spread.Spill sends to the others. Without news of other VMs it assumes, like
+// Local, that they put the same load on the targets as this one.
+type Shared struct{ Local }
+
+// Cost combines the expected response time, this VM's own flows and latency, distance, slow start and expiry.
+func (Shared) Cost(now clock.Millis, from Location, b *Backend) float64 {
+	cost := spread.Cost(b.responseTime(), b.ownLoad(from.VMs), from.Draw)
+	if b.target.Domain != from.Domain {
+		cost += remoteWeight
+	}
+	return cost + b.startPenalty(now) + b.latencyPenalty(now)
+}
+
+// SharesLoad returns true.
+func (Shared) SharesLoad() bool { return true }
+
+// spreadTarget returns what this VM believes of the target.
+func (b *Backend) spreadTarget() spread.Target {
+	return spread.Target{Work: b.work(), Slots: b.target.Slots, MaxConnections: b.pool.maxConnections}
+}
+
+// responseTime returns the expected time until one more request is answered, in the pool's usual service times.
+func (b *Backend) responseTime() float64 { return b.spreadTarget().ResponseTime(b.pool.serviceTime) }
--- /dev/null
+++ b/inband/spill.go
@@ -0,0 +1,135 @@
+package inband
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+	"github.com/almondflow/almondflow/spread"
+)
+
+// fullWeight is the cost of a target that holds as many flows as it may. It is below suspectWeight, because
+// such a target at least refuses a flow at once.
+const fullWeight = 1e5
+
+// minSpillShare is the share of new flows sent to other failure domains from which a pool counts as spilling.
+// It ceases when it sends none, so that a share near the limit changes nothing.
+const minSpillShare = 0.02
+
+// spillState is what a pool's load has come to, as of the last Sweep.
+type spillState struct {
+	spill        spread.Spill
+	serviceTime  float64 // usual, in milliseconds; zero while nothing finishes
+	responseTime float64 // expected in the VM's own failure domain, in milliseconds; zero while nothing finishes
+	isSpilling   bool    // as of the last TakeSpillChanges
+}
+
+// Spilling is how a pool's new flows are spread over failure domains.
+type Spilling struct {
+	Service      string
+	Share        float64 // of new flows, sent to other failure domains
+	ServiceTime  float64 // usual, in milliseconds; zero while unknown
+	ResponseTime float64 // expected in the VM's own failure domain, in milliseconds; zero while unknown
+	IsSpilling   bool
+}
+
+// chooseByDomain returns the target for a new flow. The flow stays in the VM's own failure domain unless the
+// pool spills, or what speaks against the best target there weighs more than the way to another domain. That
+// needs no news: it may be what this VM itself has under way there.
+func (e *Engine) chooseByDomain(now clock.Millis, p *pool, avoid *Backend) *Backend {
+	first, second, maxCost := p.local, p.remote, remoteWeight
+	if share := p.spill.Share(); share > 0 && e.random.Float64() < share {
+		first, second, maxCost = p.remote, p.local, 2*remoteWeight // the way is part of the cost
+	}
+	best := e.cheapest(now, first, avoid)
+	if best == nil {
+		return e.cheapest(now, second, avoid)
+	}
+	cost := e.cost(now, best, best == avoid, 0)
+	if cost < maxCost {
+		return best
+	}
+	other := e.cheapest(now, second, avoid)
+	if other != nil && e.cost(now, other, other == avoid, 0) < cost {
+		return other
+	}
+	return best
+}
+
+// cheapest returns the best of some targets, or nil if none accepts flows. Of many, it takes a sample, unless
+// all of the sample have faults.
+func (e *Engine) cheapest(now clock.Millis, targets []*Backend, avoid *Backend) *Backend {
+	var s selection
+	if len(targets) > maxFullScan {
+		e.considerSample(now, &s, targets, localSamples, avoid)
+		if s.best != nil && s.cost < fullWeight {
+			return s.best
+		}
+	}
+	e.considerAll(now, &s, targets, avoid)
+	return s.best
+}
+
+// updateSpills compares the load of failure domains anew.
+func (e *Engine) updateSpills(now clock.Millis) {
+	if !e.options.Policy.SharesLoad() {
+		return
+	}
+	for _, p := range e.pools {
+		own, others := e.compareDomains(now, p)
+		p.responseTime = own.ResponseTime()
+		p.serviceTime = own.Work.ServiceTime(own.Slots)
+		p.spill.Update(now, own, others, spread.Margin(p.targetLatency, p.serviceTime))
+	}
+}
+
+// compareDomains returns the load of a pool in the VM's own failure domain, and in the others that it reaches.
+func (e *Engine) compareDomains(now clock.Millis, p *pool) (own, others load.Pool) {
+	for _, d := range p.domains() {
+		switch {
+		case d.ID.Domain == e.options.Domain:
+			own = d
+		case !e.IsPartitioned(now, d.ID.Domain):
+			others.Targets += d.Targets
+			others.Slots += d.Slots
+			others.Work = others.Work.Add(d.Work)
+		}
+	}
+	return own, others
+}
+
+// Spillings returns how new flows are spread over failure domains, ordered by service. It returns none if the
+// policy does not use shared load.
+func (e *Engine) Spillings() []Spilling {
+	if !e.options.Policy.SharesLoad() {
+		return nil
+	}
+	all := make([]Spilling, 0, len(e.pools))
+	for service, p := range e.pools {
+		all = append(all, p.spilling(service))
+	}
+	slices.SortFunc(all, func(a, b Spilling) int { return strings.Compare(a.Service, b.Service) })
+	return all
+}
+
+// TakeSpillChanges returns the pools that began or ceased to spill since the last call, ordered by service.
+func (e *Engine) TakeSpillChanges() []Spilling {
+	var all []Spilling
+	for service, p := range e.pools {
+		share := p.spill.Share()
+		hasChanged := !p.isSpilling && share >= minSpillShare || p.isSpilling && share == 0
+		if hasChanged {
+			p.isSpilling = !p.isSpilling
+			all = append(all, p.spilling(service))
+		}
+	}
+	slices.SortFunc(all, func(a, b Spilling) int { return strings.Compare(a.Service, b.Service) })
+	return all
+}
+
+func (p *pool) spilling(service string) Spilling {
+	return Spilling{
+		Service: service, Share: p.spill.Share(), ServiceTime: p.serviceTime, ResponseTime: p.responseTime, IsSpilling: p.isSpilling,
+	}
+}
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -55,6 +55,7 @@
 		e.removeFlow(f)
 	}
 	e.updateLoad(now)
+	e.updateSpills(now)
 }
 
 func (e *Engine) isExpired(now clock.Millis, f *flow) bool {
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -39,7 +39,8 @@
 	}
 	e.routes = routes
 	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *responseSizes) bool { return routes[service] == nil })
-	e.setTopPriorities()
+	e.setMaxConnections(tables.Services)
+	e.setPoolLimits()
 	e.setSlowStartRates(tables.Services)
 }
 
@@ -147,9 +148,10 @@
 		if previous := previousPools[service]; previous != nil {
 			p.isOverloaded, p.looksOverloaded, p.overloadedSince = previous.isOverloaded, previous.looksOverloaded, previous.overloadedSince
 			p.stats = previous.stats
+			p.spillState = previous.spillState
 			p.keepWork(previous)
 		}
 	}
 	e.load.listWorking()
-	e.setTopPriorities()
+	e.setPoolLimits()
 }
