Do not take failure domains without news for idle ones

The work of a domain of which nothing was heard faded to zero, and an idle domain draws flows: with both domains pressing, a VM sent all new flows away once the news had stopped. Spill's own test called that case 'no news', though Spill sees only sums; it is renamed, with the same inputs and result.

A domain counts in the comparison while it told of any of its pools in the last 4 s, for as long as its sums count in full. Pools that it does not tell of have little work, so an idle pool of a domain that reports is still one. If no domain is left, the others are taken to be loaded like the own one, so the share declines. A domain whose VMs have no work at all sends no news; flows still reach it by own counts.

Test: TestSharedSpillsNoMoreWithoutNews; the case of two pressing domains was seen to fail before.

--- a/inband/load.go
+++ b/inband/load.go
@@ -17,13 +17,14 @@
 	heard      load.Heard
 	news       *load.News
 	pools      []*domainPool
-	byHash     map[uint32]*domainPool // the same, by the hash of the ID
-	working    []*domainPool          // those that have work
-	uncounted  []*domainPool          // those whose targets changed
-	countIndex int                    // in pools, of the one that was counted last
-	quiet      load.Estimate          // of pools without work
-	age        clock.Millis           // of the reports heard, as of the last update
-	ownDomain  uint32                 // hash of the name
+	byHash     map[uint32]*domainPool  // the same, by the hash of the ID
+	working    []*domainPool           // those that have work
+	uncounted  []*domainPool           // those whose targets changed
+	countIndex int                     // in pools, of the one that was counted last
+	quiet      load.Estimate           // of pools without work
+	age        clock.Millis            // of the reports heard, as of the last update
+	newsAges   map[uint32]clock.Millis // of the newest news of other failure domains, by the hash of the name
+	ownDomain  uint32                  // hash of the name
 	domain     string
 	windowAt   clock.Millis // when the window of the meters began
 	resumedAt  clock.Millis // as of the last update
@@ -32,7 +33,7 @@
 func newLoadState(options *Options) *loadState {
 	s := &loadState{
 		isShared: options.SharesLoad, news: load.NewNews(), age: load.ReportLifetime,
-		domain: options.Domain, ownDomain: load.HashDomain(options.Domain),
+		newsAges: map[uint32]clock.Millis{}, domain: options.Domain, ownDomain: load.HashDomain(options.Domain),
 	}
 	s.removePools()
 	return s
@@ -94,6 +95,13 @@
 	}
 }
 
+// hasFreshNews reports whether the VMs of another failure domain told of their work lately. Pools that they do
+// not tell of have little work.
+func (s *loadState) hasFreshNews(domain string) bool {
+	age, ok := s.newsAges[load.HashDomain(domain)]
+	return ok && age <= load.FreshNewsTime
+}
+
 // summary returns the work of all VMs at a pool's targets in one failure domain.
 func (s *loadState) summary(d *domainPool) load.Pool {
 	p := load.Pool{ID: d.id, Targets: d.targets, Slots: d.slots, Age: load.NewsLifetime}
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -23,6 +23,7 @@
 	s.countSome(now)
 	s.addOwn()
 	e.addHeard(now)
+	clear(s.newsAges)
 	for _, p := range s.news.All(now) {
 		s.addNews(&p)
 	}
@@ -113,6 +114,9 @@
 
 // addNews adds what the VMs of another failure domain have under way at a pool.
 func (s *loadState) addNews(p *load.PoolNews) {
+	if _, hasNewer := s.newsAges[p.Source]; !hasNewer {
+		s.newsAges[p.Source] = p.Age // they come with the newest first
+	}
 	d := s.byHash[p.Pool]
 	if d == nil {
 		return
--- a/inband/shared_test.go
+++ b/inband/shared_test.go
@@ -43,6 +43,7 @@
 	work    load.Work            // at targets of its domain
 	workAt  map[string]load.Work // at single targets
 	others  load.Work            // at the pool in domain b, of the VMs there
+	noNews  bool                 // of domain b
 }
 
 func (r *reporter) report(e *inband.Engine, now clock.Millis) {
@@ -58,6 +59,9 @@
 		report.Targets = append(report.Targets, load.TargetWork{Tag: uint32(inband.TagOf(t.ID)), Work: work})
 	}
 	e.ReceiveLoad(now, sibling, "a", report)
+	if r.noNews {
+		return
+	}
 	pool := load.PoolID{Service: "core", Domain: "b"}
 	news := load.PoolNews{Pool: pool.Hash(), Source: load.HashDomain("b"), Work: r.others}
 	e.ReceiveLoad(now, siblingOfB, "b", load.Report{Pools: []load.PoolNews{news}})
@@ -159,6 +163,32 @@
 	}
 }
 
+// Domains of which nothing is heard are not taken for idle ones: both press, or the other one is idle, and then
+// the news of it stops.
+func TestSharedSpillsNoMoreWithoutNews(t *testing.T) {
+	const newsEnds, end = 5 * clock.Second, 20 * clock.Second
+	calm, pressing := load.Work{Busy: 0.5, Finished: 10}, load.Work{Busy: 9, Finished: 40}
+	tests := []struct {
+		name   string
+		others load.Work // at all targets of the other domain
+	}{
+		{"both domains press", pressing.Scale(10)},
+		{"one domain presses", calm.Scale(10)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			targets := largePool(20, "ab")
+			e := newSharedEngine(targets)
+			r := &reporter{targets: targets, work: pressing, others: tt.others}
+			place(e, r, 0, newsEnds)
+			r.noNews = true
+			place(e, r, newsEnds, end)
+			is.Equal(e.Spillings()[0].Share, 0.0)
+		})
+	}
+}
+
 // Without news, flows stay at home and are spread as evenly as Local spreads them.
 func TestSharedWithoutNews(t *testing.T) {
 	is := is.New(t)
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -85,17 +85,26 @@
 }
 
 // compareDomains returns the load of a pool in the VM's own failure domain, and in the others that it reaches.
+// If none of them has told of its load lately, the others are taken to be loaded like the own one.
 func (e *Engine) compareDomains(now clock.Millis, p *pool) (own, others load.Pool) {
+	reachable := 0
 	for _, d := range p.domains() {
 		switch {
 		case d.ID.Domain == e.options.Domain:
 			own = d
-		case !e.IsPartitioned(now, d.ID.Domain):
+		case e.IsPartitioned(now, d.ID.Domain):
+		case !e.load.hasFreshNews(d.ID.Domain):
+			reachable += d.Targets
+		default:
+			reachable += d.Targets
 			others.Targets += d.Targets
 			others.Slots += d.Slots
 			others.Work = others.Work.Add(d.Work)
 		}
 	}
+	if reachable > 0 && others.Targets == 0 {
+		return own, own
+	}
 	return own, others
 }
 
--- a/load/news.go
+++ b/load/news.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// freshNewsTime is how long the sum of another failure domain counts in full. It is told less often
+	// FreshNewsTime is how long the sum of another failure domain counts in full. It is told less often
 	// than what happens in the own domain.
-	freshNewsTime = 4 * clock.Second
+	FreshNewsTime = 4 * clock.Second
 	// NewsLifetime is the age at which it counts for nothing.
 	NewsLifetime = 8 * clock.Second
 	// maxNews limits the sums that are kept.
@@ -67,6 +67,6 @@
 
 // Counted returns the part of the work that counts at the age of the news.
 func (p *PoolNews) Counted() Work {
-	weight := float64(NewsLifetime-p.Age) / float64(NewsLifetime-freshNewsTime)
+	weight := float64(NewsLifetime-p.Age) / float64(NewsLifetime-FreshNewsTime)
 	return p.Work.Scale(min(1, max(0, weight)))
 }
--- a/spread/target_test.go
+++ b/spread/target_test.go
@@ -88,7 +88,7 @@
 		{"the own domain is full", full, idle, true},
 		{"all domains are full", full, full, false},
 		{"another domain is full", idle, full, false},
-		{"full, and no news of the others", full, silent, true},
+		{"full, and the others have no work", full, silent, true},
 		{"full, and no other domain", full, load.Pool{}, false},
 		{"nothing is known", silent, silent, false},
 		{"no target in the own domain", load.Pool{}, idle, false},
