Keep the spilled share while no request finishes

When all targets of the own domain hang, nothing finishes, so the margin and the wait were zero and the share fell to zero at once: flows came back to the hanging targets. In the other direction, a domain whose targets hang had no wait and drew flows.

While requests are under way but none finishes, the share, the service time and the response time stay; if that holds for the other domains, the share declines.

Tests: TestSpillHoldsWhileNothingFinishes, TestSharedSpillsWhileTargetsHang and the case 'full, and the others hang' of TestSpill; all three were seen to fail before.

--- a/inband/shared_test.go
+++ b/inband/shared_test.go
@@ -189,6 +189,25 @@
 	}
 }
 
+// What is known of a domain stays while its targets hang, so that flows do not come back to it.
+func TestSharedSpillsWhileTargetsHang(t *testing.T) {
+	is := is.New(t)
+	targets := largePool(20, "ab")
+	e := newSharedEngine(targets)
+	r := &reporter{targets: targets, work: load.Work{Busy: 9, Finished: 40}, others: load.Work{Busy: 5, Finished: 100}}
+	place(e, r, 0, 5*clock.Second)
+	before := e.Spillings()[0]
+	is.True(before.Share > 0)
+	r.work = load.Work{Busy: 9}
+	for now := 5 * clock.Second; now < 9*clock.Second; now += 250 {
+		r.report(e, now)
+		e.Sweep(now)
+	}
+	after := e.Spillings()[0]
+	is.True(after.Share >= before.Share)
+	is.True(after.ServiceTime >= before.ServiceTime)
+}
+
 // Without news, flows stay at home and are spread as evenly as Local spreads them.
 func TestSharedWithoutNews(t *testing.T) {
 	is := is.New(t)
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -20,8 +20,8 @@
 // spillState is what a pool's load has come to, as of the last Sweep.
 type spillState struct {
 	spill        spread.Spill
-	serviceTime  float64 // usual, in milliseconds; zero while nothing finishes
-	responseTime float64 // expected in the VM's own failure domain, in milliseconds; zero while nothing finishes
+	serviceTime  float64 // usual, in milliseconds; while nothing finishes it stays, zero if nothing is under way
+	responseTime float64 // expected in the VM's own failure domain, in milliseconds; the same holds
 	isSpilling   bool    // as of the last TakeSpillChanges
 }
 
@@ -78,8 +78,10 @@
 	}
 	for _, p := range e.pools {
 		own, others := e.compareDomains(now, p)
-		p.responseTime = own.ResponseTime()
-		p.serviceTime = own.Work.ServiceTime(own.Slots)
+		if !own.Work.IsStalled() {
+			p.responseTime = own.ResponseTime()
+			p.serviceTime = own.Work.ServiceTime(own.Slots)
+		}
 		p.spill.Update(now, own, others, spread.Margin(p.targetLatency, p.serviceTime))
 	}
 }
--- a/load/work.go
+++ b/load/work.go
@@ -23,6 +23,9 @@
 	return Work{Busy: w.Busy * factor, Finished: w.Finished * factor, Flows: w.Flows * factor}
 }
 
+// IsStalled reports whether requests are under way, but none finishes.
+func (w Work) IsStalled() bool { return w.Busy > 0 && w.Finished <= 0 }
+
 // ServiceTime returns the mean time in milliseconds that one of the slots is occupied by a request, by
 // the utilization law, or zero while no request finishes. Times on the way to the client count as
 // well while slots are free.
--- a/spread/spill.go
+++ b/spread/spill.go
@@ -18,7 +18,7 @@
 
 // Spill controls which share of the new flows to a pool leaves this VM's failure domain. The share grows
 // while requests are expected to wait longer here than elsewhere, by more than a margin, and declines
-// while they are not. The zero value keeps all flows.
+// while they are not. While no request finishes in the own domain it stays. The zero value keeps all flows.
 type Spill struct {
 	share     float64
 	updatedAt clock.Millis
@@ -29,11 +29,21 @@
 func (s *Spill) Update(now clock.Millis, own, others load.Pool, margin float64) {
 	seconds := float64(min(now-s.updatedAt, maxStep)) / float64(clock.Second)
 	s.updatedAt = now
-	if margin <= 0 || others.Targets == 0 {
+	if others.Targets == 0 {
+		s.share = 0
+		return
+	}
+	if own.Work.IsStalled() {
+		return // how long requests wait is unknown
+	}
+	if margin <= 0 {
 		s.share = 0
 		return
 	}
 	change := (excess(own, others) - margin) / margin
+	if others.Work.IsStalled() {
+		change = -1
+	}
 	s.share += sharePerSecond * seconds * max(-1, min(1, change))
 	s.share = max(0, min(1, s.share))
 }
--- a/spread/target_test.go
+++ b/spread/target_test.go
@@ -79,6 +79,7 @@
 	idle := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
 	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
 	silent := load.Pool{Targets: 10, Slots: 20}
+	stalled := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100}}
 	tests := []struct {
 		name        string
 		own, others load.Pool
@@ -89,6 +90,7 @@
 		{"all domains are full", full, full, false},
 		{"another domain is full", idle, full, false},
 		{"full, and the others have no work", full, silent, true},
+		{"full, and the others hang", full, stalled, false},
 		{"full, and no other domain", full, load.Pool{}, false},
 		{"nothing is known", silent, silent, false},
 		{"no target in the own domain", load.Pool{}, idle, false},
@@ -105,6 +107,24 @@
 	}
 }
 
+// TestSpillHoldsWhileNothingFinishes guards against flows that come back to a domain because its targets hang.
+func TestSpillHoldsWhileNothingFinishes(t *testing.T) {
+	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
+	idle := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
+	stalled := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100}}
+	is := is.New(t)
+	var s spread.Spill
+	for now := clock.Millis(0); now < 2*clock.Second; now += 250 {
+		s.Update(now, full, idle, 50)
+	}
+	share := s.Share()
+	is.True(share > 0)
+	s.Update(2*clock.Second, stalled, idle, 0)
+	is.Equal(s.Share(), share)
+	s.Update(3*clock.Second, load.Pool{Targets: 10, Slots: 20}, idle, 0)
+	is.Equal(s.Share(), 0.0) // nothing is under way
+}
+
 // A VM that stood still must not act on the time that passed meanwhile.
 func TestSpillAfterAPause(t *testing.T) {
 	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
