Count latency against targets only above the callers' target latency

In Shared, latency above 80 ms cost as much as it does in Local, and above 130 ms more than the way to another domain: flows left an idle domain whose requests take long by nature, and spilled flows came back for the same reason.

Shared accepts the pool's target latency, and at least what Local accepts. Local is unchanged (TestLocalChoosesAsBefore).

--- a/inband/policy.go
+++ b/inband/policy.go
@@ -53,7 +53,7 @@
 	remoteWeight        = 10.0 // a target in another failure domain
 	slowStartWeight     = 1.0  // a target in slow start
 	expiredWeight       = 4.0  // a fallback target, whose store entry has expired
-	excessLatencyWeight = 0.2  // each millisecond of latency above overloadLatency
+	excessLatencyWeight = 0.2  // each millisecond of latency above what is accepted
 	suspectWeight       = 1e6  // a suspected target, used only as a last resort
 	failureWeight       = 60.0 // a target that fails all requests in a pool where few fail
 )
@@ -73,7 +73,7 @@
 	if b.target.Domain != from.Domain {
 		cost += remoteWeight
 	}
-	return cost + b.startPenalty(now) + b.latencyPenalty(now)
+	return cost + b.startPenalty(now) + b.latencyPenalty(now, overloadLatency)
 }
 
 // ownLoad returns the load that this VM puts on the target, multiplied by the number of VMs, in waiting
@@ -82,9 +82,10 @@
 	return float64(vms) * (float64(b.busy) + idleWeight*float64(b.flows-b.busy))
 }
 
-// latencyPenalty returns the cost of the latency of the target that this VM sees.
-func (b *Backend) latencyPenalty(now clock.Millis) float64 {
-	return excessLatencyWeight * max(0, b.latency.value(now)-overloadLatency)
+// latencyPenalty returns the cost of the latency of the target that this VM sees, as far as it is above what
+// is accepted, in milliseconds.
+func (b *Backend) latencyPenalty(now clock.Millis, accepted float64) float64 {
+	return excessLatencyWeight * max(0, b.latency.value(now)-accepted)
 }
 
 // startPenalty returns the cost of a target in slow start or with an expired store entry.
--- a/inband/shared.go
+++ b/inband/shared.go
@@ -16,9 +16,13 @@
 	if b.target.Domain != from.Domain {
 		cost += remoteWeight
 	}
-	return cost + b.startPenalty(now) + b.latencyPenalty(now)
+	return cost + b.startPenalty(now) + b.latencyPenalty(now, b.pool.acceptedLatency())
 }
 
+// acceptedLatency returns the latency in milliseconds up to which it does not speak against a target. Requests
+// that take long by nature are no reason to leave the failure domain, if callers accept it.
+func (p *pool) acceptedLatency() float64 { return max(overloadLatency, float64(p.targetLatency)) }
+
 // SharesLoad returns true.
 func (Shared) SharesLoad() bool { return true }
 
--- a/inband/shared_test.go
+++ b/inband/shared_test.go
@@ -208,6 +208,36 @@
 	is.True(after.ServiceTime >= before.ServiceTime)
 }
 
+// Flows stay in an idle domain though its requests take long, as long as that is within the callers' target
+// latency: 400 requests of 150 ms occupy a third of the slots.
+func TestSharedStaysWithinTheTargetLatency(t *testing.T) {
+	const requests, interval, serviceTime = 400, 25, clock.Millis(150)
+	is := is.New(t)
+	targets := largePool(20, "ab")
+	e := newSharedEngine(targets)
+	patient := tables(2)
+	patient.Routes[0].TargetLatencyMS = 2000
+	e.ReplaceView(patient, published(targets...))
+	var underWay []*inband.Packet
+	for i := range requests {
+		now := clock.Millis(i) * interval
+		if now%250 == 0 {
+			e.Sweep(now)
+		}
+		p := numberedOpening(i)
+		verdict := e.Handle(now, p)
+		p.Flags, p.Seq, p.Ack, p.Tag, p.DataLength = inband.Acknowledging, 101, 500, verdict.Tag(), 50
+		e.Handle(now, p)
+		underWay = append(underWay, p)
+		if len(underWay) > int(serviceTime/interval) {
+			p, underWay = underWay[0], underWay[1:]
+			p.Flags, p.Seq, p.Ack, p.DataLength = inband.Acknowledging|inband.Ending, 151, 1000, 0
+			e.Handle(now, p)
+		}
+	}
+	is.Equal(e.RemoteOpenings(), 0)
+}
+
 // Without news, flows stay at home and are spread as evenly as Local spreads them.
 func TestSharedWithoutNews(t *testing.T) {
 	is := is.New(t)
