Sample pools of more than 32 targets where VMs share their load

A candidate takes twice as long in Shared as in Local: it needs the estimated work, and a draw. The limit on flows asked for the estimate a second time.

The limit is part of Shared's cost now, so that each candidate's work is estimated once, and pools of more than 32 targets are sampled by 16 candidates; costs are drawn at random anyway.

--- a/inband/choose.go
+++ b/inband/choose.go
@@ -16,6 +16,10 @@
 	// the best of all, and VMs that sample do not all choose the same target.
 	localSamples  = 32
 	remoteSamples = 8
+	// maxSharedScan and sharedSamples take the place of the others where VMs share their load. Each candidate
+	// takes longer then, and costs are drawn at random anyway, so that a smaller sample serves.
+	maxSharedScan = 32
+	sharedSamples = 16
 )
 
 // pool holds the targets of a service.
@@ -129,9 +133,6 @@
 	if e.options.Policy.AvoidsSuspects() {
 		cost += failureWeight * b.excessFailureRate(now)
 	}
-	if e.options.Policy.SharesLoad() && b.spreadTarget().IsFull() {
-		cost += fullWeight
-	}
 	return cost
 }
 
--- a/inband/shared.go
+++ b/inband/shared.go
@@ -10,9 +10,14 @@
 // Local, that they put the same load on the targets as this one.
 type Shared struct{ Local }
 
-// Cost combines the expected response time, this VM's own flows and latency, distance, slow start and expiry.
+// Cost combines the expected response time, this VM's own flows and latency, the limit on flows, distance,
+// slow start and expiry.
 func (Shared) Cost(now clock.Millis, from Location, b *Backend) float64 {
-	cost := spread.Cost(b.responseTime(), b.ownLoad(from.VMs), from.Draw)
+	t := b.spreadTarget()
+	cost := spread.Cost(t.ResponseTime(b.pool.serviceTime), b.ownLoad(from.VMs), from.Draw)
+	if t.IsFull() {
+		cost += fullWeight
+	}
 	if b.target.Domain != from.Domain {
 		cost += remoteWeight
 	}
--- a/inband/shared_test.go
+++ b/inband/shared_test.go
@@ -71,8 +71,12 @@
 
 // newSharedEngine returns an engine of one of two VMs in domain a.
 func newSharedEngine(targets []*inband.Target) *inband.Engine {
+	return newEngineOf(inband.Shared{}, targets)
+}
+
+func newEngineOf(policy inband.Policy, targets []*inband.Target) *inband.Engine {
 	e := inband.New(inband.Options{
-		Domain: "a", Policy: inband.Shared{}, MaxFlows: 10000, FlowLifetime: clock.Minute, Seed: 1, SharesLoad: true,
+		Domain: "a", Policy: policy, MaxFlows: 10000, FlowLifetime: clock.Minute, Seed: 1, SharesLoad: true,
 	})
 	e.SetLocalVMs(2)
 	t := tables(1)
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -61,8 +61,8 @@
 // all of the sample have faults.
 func (e *Engine) cheapest(now clock.Millis, targets []*Backend, avoid *Backend) *Backend {
 	var s selection
-	if len(targets) > maxFullScan {
-		e.considerSample(now, &s, targets, localSamples, avoid)
+	if len(targets) > maxSharedScan {
+		e.considerSample(now, &s, targets, sharedSamples, avoid)
 		if s.best != nil && s.cost < fullWeight {
 			return s.best
 		}
