Take a second sample instead of all targets when a pool is full

A sample was accepted only below the cost of a full target. So an opening took longest when all targets were full, which is when there are most of them, and also when much waiting work cost more than that.

A sample of full targets is followed by a second one; the rest is considered only if all have faults. If few targets of a large pool have room, flows may now go to full ones, which refuse them: with room at a quarter of the targets, two samples miss it once in 10,000 times.

Tests: TestSharedConsidersTwoSamplesOfFullTargets, seen to fail before at 40, 250 and 3000 targets; TestSharedFindsTargetsWithRoom.

--- a/inband/sharedcost_test.go
+++ b/inband/sharedcost_test.go
@@ -39,6 +39,49 @@
 	}
 }
 
+// TestSharedConsidersTwoSamplesOfFullTargets guards the packet path while there are most openings: when all
+// targets are full.
+func TestSharedConsidersTwoSamplesOfFullTargets(t *testing.T) {
+	const sample, openings = 16, 100
+	for _, count := range []int{40, 250, 3000} {
+		t.Run(fmt.Sprintf("targets=%d", count), func(t *testing.T) {
+			is := is.New(t)
+			considered := 0
+			targets := largePool(count, "a")
+			e := newEngineOf(countingPolicy{considered: &considered}, targets)
+			r := &reporter{targets: targets, work: load.Work{Busy: 1, Finished: 20, Flows: 1000}}
+			r.report(e, 0)
+			e.Sweep(0)
+			for flow := range openings {
+				is.Equal(e.Handle(0, numberedOpening(flow)).Reason, inband.Placed)
+			}
+			is.True(considered <= openings*(2*sample+1))
+		})
+	}
+}
+
+// A second sample finds most of the targets that have room, if they are a quarter of the pool.
+func TestSharedFindsTargetsWithRoom(t *testing.T) {
+	const openings = 1000
+	is := is.New(t)
+	targets := largePool(400, "a")
+	e := newEngineOf(inband.Shared{}, targets)
+	full := load.Work{Busy: 1, Finished: 20, Flows: 1000}
+	r := &reporter{targets: targets, work: full, workAt: map[string]load.Work{}}
+	for i := 0; i < len(targets); i += 4 {
+		r.workAt[targets[i].ID] = load.Work{Busy: 1, Finished: 20}
+	}
+	r.report(e, 0)
+	e.Sweep(0)
+	missed := 0
+	for flow := range openings {
+		if r.workAt[e.Handle(0, numberedOpening(flow)).Backend.Target().ID] == (load.Work{}) {
+			missed++
+		}
+	}
+	is.True(missed <= openings/100)
+}
+
 // BenchmarkChooseInOneDomain measures openings while all targets are in the VM's own failure domain.
 func BenchmarkChooseInOneDomain(b *testing.B) {
 	for _, policy := range []inband.Policy{inband.Local{}, inband.Shared{}} {
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -9,8 +9,8 @@
 	"github.com/almondflow/almondflow/spread"
 )
 
-// fullWeight is the cost of a target that holds as many flows as it may. It is below suspectWeight, because
-// such a target at least refuses a flow at once.
+// fullWeight is the cost of a target that holds as many flows as it may. It is above what usual load costs, and below
+// suspectWeight, because a full target refuses a flow at once and a suspected one may not answer.
 const fullWeight = 1e5
 
 // minSpillShare is the share of new flows sent to other failure domains from which a pool counts as spilling.
@@ -57,13 +57,16 @@
 	return best
 }
 
-// cheapest returns the best of some targets, or nil if none accepts flows. Of many, it takes a sample, unless
-// all of the sample have faults.
+// cheapest returns the best of some targets, or nil if none accepts flows. Of many, it takes a sample, and
+// another one if all of the first are full, unless all have faults.
 func (e *Engine) cheapest(now clock.Millis, targets []*Backend, avoid *Backend) *Backend {
 	var s selection
 	if len(targets) > maxSharedScan {
 		e.considerSample(now, &s, targets, sharedSamples, avoid)
-		if s.best != nil && s.cost < fullWeight {
+		if s.best != nil && s.best.spreadTarget().IsFull() {
+			e.considerSample(now, &s, targets, sharedSamples, avoid)
+		}
+		if s.best != nil && s.cost < suspectWeight {
 			return s.best
 		}
 	}
