Compare failure domains only for pools with work

The engine keeps a list of the pools that have work in its own domain, had it lately, or spill; only these are compared, without a slice, and only these can begin or cease to spill.

Test: TestSweepOfServicesWithoutWork, seen to fail before (500 allocations, 1 with one service).

--- a/inband/choose.go
+++ b/inband/choose.go
@@ -24,6 +24,7 @@
 
 // pool holds the targets of a service.
 type pool struct {
+	service         string
 	local           []*Backend // in the VM's own failure domain
 	remote          []*Backend
 	domainPools     []*domainPool // the same targets, by failure domain
--- a/inband/domainpool.go
+++ b/inband/domainpool.go
@@ -8,6 +8,7 @@
 // domainPool holds the targets of a pool in one failure domain.
 type domainPool struct {
 	id        load.PoolID
+	pool      *pool
 	backends  []*Backend
 	isLocal   bool // in this VM's own failure domain
 	isListed  bool // in loadState.pools
@@ -35,7 +36,7 @@
 			return d
 		}
 	}
-	d := &domainPool{id: id}
+	d := &domainPool{id: id, pool: p}
 	p.domainPools = append(p.domainPools, d)
 	return d
 }
--- a/inband/sharedcost_test.go
+++ b/inband/sharedcost_test.go
@@ -102,3 +102,41 @@
 		}
 	}
 }
+
+// newEngineOfServices returns an engine that knows many services in four failure domains. None has work.
+func newEngineOfServices(services int) *inband.Engine {
+	var targets []*inband.Target
+	for i := range services {
+		for _, domain := range []string{"a", "b", "c", "d"} {
+			t := target(fmt.Sprintf("i-%d-%s", i, domain), domain)
+			t.Service = fmt.Sprintf("s%d", i)
+			targets = append(targets, t)
+		}
+	}
+	return newEngineOf(inband.Shared{}, targets)
+}
+
+// TestSweepOfServicesWithoutWork guards the periodic work against one that grows with all services.
+func TestSweepOfServicesWithoutWork(t *testing.T) {
+	const sweeps = 10
+	allocations := func(services int) float64 {
+		e := newEngineOfServices(services)
+		now := clock.Millis(0)
+		return testing.AllocsPerRun(sweeps, func() {
+			now += 250
+			e.Sweep(now)
+		})
+	}
+	is.New(t).Equal(allocations(500), allocations(1))
+}
+
+// BenchmarkSweepShared sweeps a VM that knows many services without work.
+func BenchmarkSweepShared(b *testing.B) {
+	e := newEngineOfServices(500)
+	now := clock.Millis(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 250
+		e.Sweep(now)
+	}
+}
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -23,6 +23,7 @@
 	serviceTime  float64 // usual, in milliseconds; while nothing finishes it stays, zero if nothing is under way
 	responseTime float64 // expected in the VM's own failure domain, in milliseconds; the same holds
 	isSpilling   bool    // as of the last TakeSpillChanges
+	isCompared   bool    // in Engine.compared
 }
 
 // Spilling is how a pool's new flows are spread over failure domains.
@@ -74,18 +75,43 @@
 	return s.best
 }
 
-// updateSpills compares the load of failure domains anew.
+// updateSpills compares the load of failure domains anew, of pools that have work in the own one or had it
+// lately.
 func (e *Engine) updateSpills(now clock.Millis) {
 	if !e.options.Policy.SharesLoad() {
 		return
 	}
+	for _, d := range e.load.working {
+		if d.isLocal && !d.pool.isCompared {
+			d.pool.isCompared = true
+			e.compared = append(e.compared, d.pool)
+		}
+	}
+	e.compared = slices.DeleteFunc(e.compared, func(p *pool) bool {
+		own := e.updateSpill(now, p)
+		p.isCompared = own.Work != load.Work{} || p.isSpilling
+		return !p.isCompared
+	})
+}
+
+// updateSpill compares the load of failure domains for one pool, and returns that in the own one.
+func (e *Engine) updateSpill(now clock.Millis, p *pool) load.Pool {
+	own, others := e.compareDomains(now, p)
+	if !own.Work.IsStalled() {
+		p.responseTime = own.ResponseTime()
+		p.serviceTime = own.Work.ServiceTime(own.Slots)
+	}
+	p.spill.Update(now, own, others, spread.Margin(p.targetLatency, p.serviceTime))
+	return own
+}
+
+// listCompared lists the pools to compare after they were added anew.
+func (e *Engine) listCompared() {
+	e.compared = nil
 	for _, p := range e.pools {
-		own, others := e.compareDomains(now, p)
-		if !own.Work.IsStalled() {
-			p.responseTime = own.ResponseTime()
-			p.serviceTime = own.Work.ServiceTime(own.Slots)
+		if p.isCompared {
+			e.compared = append(e.compared, p)
 		}
-		p.spill.Update(now, own, others, spread.Margin(p.targetLatency, p.serviceTime))
 	}
 }
 
@@ -93,18 +119,17 @@
 // If none of them has told of its load lately, the others are taken to be loaded like the own one.
 func (e *Engine) compareDomains(now clock.Millis, p *pool) (own, others load.Pool) {
 	reachable := 0
-	for _, d := range p.domains() {
-		switch {
-		case d.ID.Domain == e.options.Domain:
-			own = d
-		case e.IsPartitioned(now, d.ID.Domain):
-		case !e.load.hasFreshNews(d.ID.Domain):
-			reachable += d.Targets
-		default:
-			reachable += d.Targets
-			others.Targets += d.Targets
-			others.Slots += d.Slots
-			others.Work = others.Work.Add(d.Work)
+	for _, d := range p.domainPools {
+		if d.isLocal {
+			own = p.load.summary(d)
+			continue
+		}
+		if e.IsPartitioned(now, d.id.Domain) {
+			continue
+		}
+		reachable += d.targets
+		if e.load.hasFreshNews(d.id.Domain) {
+			others = combine(others, p.load.summary(d))
 		}
 	}
 	if reachable > 0 && others.Targets == 0 {
@@ -113,6 +138,11 @@
 	return own, others
 }
 
+// combine returns the load of two pools together.
+func combine(a, b load.Pool) load.Pool {
+	return load.Pool{Targets: a.Targets + b.Targets, Slots: a.Slots + b.Slots, Work: a.Work.Add(b.Work)}
+}
+
 // Spillings returns how new flows are spread over failure domains, ordered by service. It returns none if the
 // policy does not use shared load.
 func (e *Engine) Spillings() []Spilling {
@@ -120,8 +150,8 @@
 		return nil
 	}
 	all := make([]Spilling, 0, len(e.pools))
-	for service, p := range e.pools {
-		all = append(all, p.spilling(service))
+	for _, p := range e.pools {
+		all = append(all, p.spilling())
 	}
 	slices.SortFunc(all, func(a, b Spilling) int { return strings.Compare(a.Service, b.Service) })
 	return all
@@ -130,20 +160,20 @@
 // TakeSpillChanges returns the pools that began or ceased to spill since the last call, ordered by service.
 func (e *Engine) TakeSpillChanges() []Spilling {
 	var all []Spilling
-	for service, p := range e.pools {
+	for _, p := range e.compared {
 		share := p.spill.Share()
 		hasChanged := !p.isSpilling && share >= minSpillShare || p.isSpilling && share == 0
 		if hasChanged {
 			p.isSpilling = !p.isSpilling
-			all = append(all, p.spilling(service))
+			all = append(all, p.spilling())
 		}
 	}
 	slices.SortFunc(all, func(a, b Spilling) int { return strings.Compare(a.Service, b.Service) })
 	return all
 }
 
-func (p *pool) spilling(service string) Spilling {
+func (p *pool) spilling() Spilling {
 	return Spilling{
-		Service: service, Share: p.spill.Share(), ServiceTime: p.serviceTime, ResponseTime: p.responseTime, IsSpilling: p.isSpilling,
+		Service: p.service, Share: p.spill.Share(), ServiceTime: p.serviceTime, ResponseTime: p.responseTime, IsSpilling: p.isSpilling,
 	}
 }
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -92,7 +92,7 @@
 
 func (e *Engine) poolOf(service string) *pool {
 	if e.pools[service] == nil {
-		e.pools[service] = &pool{load: e.load}
+		e.pools[service] = &pool{service: service, load: e.load}
 	}
 	return e.pools[service]
 }
@@ -153,5 +153,6 @@
 		}
 	}
 	e.load.listWorking()
+	e.listCompared()
 	e.setPoolLimits()
 }
