Count latency above twice the usual service time, not the target latency

With the target latency as the limit, what a VM sees itself no longer made flows leave a domain whose requests wait, if callers are patient.

The limit is twice the usual service time, at least 80 ms as in Local. So requests that take long by nature stay, and those that wait leave.

--- a/inband/shared.go
+++ b/inband/shared.go
@@ -24,9 +24,13 @@
 	return cost + b.startPenalty(now) + b.latencyPenalty(now, b.pool.acceptedLatency())
 }
 
+// maxServiceTimes is how many usual service times an answer may take before its latency speaks against the
+// target: then a request waits longer than it is processed.
+const maxServiceTimes = 2
+
 // acceptedLatency returns the latency in milliseconds up to which it does not speak against a target. Requests
-// that take long by nature are no reason to leave the failure domain, if callers accept it.
-func (p *pool) acceptedLatency() float64 { return max(overloadLatency, float64(p.targetLatency)) }
+// that take long by nature are no reason to leave the failure domain, but waits are.
+func (p *pool) acceptedLatency() float64 { return max(overloadLatency, maxServiceTimes*p.serviceTime) }
 
 // SharesLoad returns true.
 func (Shared) SharesLoad() bool { return true }
