Pass the random part of a cost apart from the location

Location held a random number that is drawn for each target and says nothing of a position. Policies get it as a parameter of their own; decisions are unchanged (TestLocalChoosesAsBefore).

--- a/inband/choose.go
+++ b/inband/choose.go
@@ -118,8 +118,8 @@
 }
 
 func (e *Engine) cost(now clock.Millis, b *Backend, isAvoided bool, draw float64) float64 {
-	from := Location{Domain: e.options.Domain, VMs: e.localVMs, Draw: draw}
-	return e.options.Policy.Cost(now, from, b) + e.faultPenalty(now, b, isAvoided)
+	from := Location{Domain: e.options.Domain, VMs: e.localVMs}
+	return e.options.Policy.Cost(now, from, b, draw) + e.faultPenalty(now, b, isAvoided)
 }
 
 // faultPenalty returns the cost of signs that a target cannot serve a new flow.
--- a/inband/policy.go
+++ b/inband/policy.go
@@ -5,8 +5,9 @@
 // Policy controls the choice of targets for new flows.
 type Policy interface {
 	// Cost returns the cost of placing a new flow from an entry VM at a location on a target.
-	// The target with the lowest cost is chosen.
-	Cost(now clock.Millis, from Location, b *Backend) float64
+	// The target with the lowest cost is chosen. The draw is a random number with mean 1, drawn for each
+	// target, for policies by which VMs with the same news choose different targets.
+	Cost(now clock.Millis, from Location, b *Backend, draw float64) float64
 	// AvoidsSuspects reports whether new flows avoid targets that are unresponsive, fail
 	// requests or appear to be partitioned from this VM.
 	AvoidsSuspects() bool
@@ -24,16 +25,13 @@
 type Location struct {
 	Domain string // failure domain
 	VMs    int    // entry VMs in the domain, assumed to load its targets equally
-	// Draw is a random number with mean 1, drawn for each target, so that VMs with the same news choose
-	// different targets.
-	Draw float64
 }
 
 // Naive is the baseline policy: it balances by this VM's own flow counts only.
 type Naive struct{}
 
 // Cost returns the number of open flows.
-func (Naive) Cost(_ clock.Millis, _ Location, b *Backend) float64 { return float64(b.flows) }
+func (Naive) Cost(_ clock.Millis, _ Location, b *Backend, _ float64) float64 { return float64(b.flows) }
 
 // AvoidsSuspects returns false.
 func (Naive) AvoidsSuspects() bool { return false }
@@ -68,7 +66,7 @@
 // Cost combines load, distance, slow start, expiry and excess latency. The load that this VM puts
 // on the target is multiplied by the number of VMs, as the domain's other VMs are assumed to add
 // the same.
-func (Local) Cost(now clock.Millis, from Location, b *Backend) float64 {
+func (Local) Cost(now clock.Millis, from Location, b *Backend, _ float64) float64 {
 	cost := b.ownLoad(from.VMs)
 	if b.target.Domain != from.Domain {
 		cost += remoteWeight
--- a/inband/shared.go
+++ b/inband/shared.go
@@ -12,9 +12,9 @@
 
 // Cost combines the expected response time, this VM's own flows and latency, the limit on flows, distance,
 // slow start and expiry.
-func (Shared) Cost(now clock.Millis, from Location, b *Backend) float64 {
+func (Shared) Cost(now clock.Millis, from Location, b *Backend, draw float64) float64 {
 	t := b.spreadTarget()
-	cost := spread.Cost(t.ResponseTime(b.pool.serviceTime), b.ownLoad(from.VMs), from.Draw)
+	cost := spread.Cost(t.ResponseTime(b.pool.serviceTime), b.ownLoad(from.VMs), draw)
 	if t.IsFull() {
 		cost += fullWeight
 	}
--- a/inband/sharedcost_test.go
+++ b/inband/sharedcost_test.go
@@ -17,9 +17,9 @@
 	considered *int
 }
 
-func (p countingPolicy) Cost(now clock.Millis, from inband.Location, b *inband.Backend) float64 {
+func (p countingPolicy) Cost(now clock.Millis, from inband.Location, b *inband.Backend, draw float64) float64 {
 	*p.considered++
-	return p.Shared.Cost(now, from, b)
+	return p.Shared.Cost(now, from, b, draw)
 }
 
 // TestSharedConsidersASample guards the packet path: the time for an opening must not grow with the pool. It
