--- a/inband/domainpool.go
+++ b/inband/domainpool.go
@@ -9,6 +9,7 @@
 type domainPool struct {
 	id        load.PoolID
 	hash      uint32 // of the id
+	pool      *pool
 	backends  []*Backend
 	isLocal   bool // in this VM's own failure domain
 	isListed  bool // in loadState.pools
@@ -37,7 +38,7 @@
 			return d
 		}
 	}
-	d := &domainPool{id: id, hash: id.Hash()}
+	d := &domainPool{id: id, hash: id.Hash(), pool: p}
 	p.domainPools = append(p.domainPools, d)
 	return d
 }
--- a/inband/drained_test.go
+++ b/inband/drained_test.go
@@ -125,9 +125,9 @@
 	count *int
 }
 
-func (c costCounter) Cost(now clock.Millis, from inband.Location, b *inband.Backend) float64 {
+func (c costCounter) Cost(now clock.Millis, from inband.Location, b *inband.Backend, draw float64) float64 {
 	*c.count++
-	return c.Local.Cost(now, from, b)
+	return c.Local.Cost(now, from, b, draw)
 }
 
 // A drain makes no opening to a large pool look at more targets than without it.
--- a/inband/loadupdate.go
+++ b/inband/loadupdate.go
@@ -23,6 +23,7 @@
 	s.countSome(now)
 	s.addOwn(now)
 	e.addHeard(now)
+	clear(s.newsAges)
 	for _, p := range s.news.All(now) {
 		s.addNews(&p)
 	}
@@ -140,6 +141,9 @@
 
 // addNews adds what the VMs of another failure domain have under way at a pool.
 func (s *loadState) addNews(p *load.PoolNews) {
+	if _, hasNewer := s.newsAges[p.Source]; !hasNewer {
+		s.newsAges[p.Source] = p.Age // they come with the newest first
+	}
 	d := s.byHash[p.Pool]
 	if d == nil {
 		return
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -67,6 +67,7 @@
 		e.removeFlow(f)
 	}
 	e.updateLoad(now)
+	e.updateSpills(now)
 }
 
 // callerTimeout returns the time after which a caller that sends nothing is taken to have given up its request.
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -39,7 +39,8 @@
 	}
 	e.routes = routes
 	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *responseSizes) bool { return routes[service] == nil })
-	e.setTopPriorities()
+	e.setMaxConnections(tables.Services)
+	e.setPoolLimits()
 	e.setSlowStartRates(tables.Services)
 	e.setLevels()
 }
@@ -92,7 +93,7 @@
 
 func (e *Engine) poolOf(service string) *pool {
 	if e.pools[service] == nil {
-		e.pools[service] = &pool{load: e.load}
+		e.pools[service] = &pool{service: service, load: e.load}
 	}
 	return e.pools[service]
 }
@@ -149,11 +150,13 @@
 		if previous := previousPools[service]; previous != nil {
 			p.isOverloaded, p.looksOverloaded, p.overloadedSince = previous.isOverloaded, previous.looksOverloaded, previous.overloadedSince
 			p.stats = previous.stats
+			p.spillState = previous.spillState
 			p.keepWork(previous)
 			p.admission = previous.admission
 		}
 	}
 	e.load.listWorking()
-	e.setTopPriorities()
+	e.listCompared()
+	e.setPoolLimits()
 	e.setLevels()
 }
