Refuse urgent openings as hopeless only while no slot is free

Cause: the expected response time divides by the requests finished a second. After targets had hung, next to nothing finished while one vanished client still counted as under way, so that answers seemed to come after the timeout; and as nothing was admitted, nothing showed that the targets had recovered. Change: no opening is hopeless while a domain with fresh news has a free slot, and one hopeless opening a second passes at each VM. One for each update (0.1 s) was ruled out: with many VMs these alone would fill a small pool.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -20,6 +20,9 @@
 	releaseTime   = 500 * clock.Millisecond
 	// activeTime is how long after its newest opening a level counts as one with callers.
 	activeTime = 5 * clock.Second
+	// renewalInterval is the time between two hopeless openings that are not refused for that: their answers show
+	// when targets have recovered. It is below maxNewsAge, and long enough that those of many VMs are few.
+	renewalInterval = clock.Second
 	// maxOwnViewShare limits the share that is refused by a VM without news of the others.
 	maxOwnViewShare = 0.5
 	// triesPerRequest is how often clients that are refused at once try in all.
@@ -34,6 +37,7 @@
 	room          Room
 	unloaded      float64 // response time without load, in milliseconds, or zero
 	updatedAt     clock.Millis
+	renewedAt     clock.Millis // when a hopeless opening was last not refused for that
 }
 
 // state is what a controller knows of a level.
@@ -48,7 +52,7 @@
 type Share struct {
 	Priority int     `json:"priority"`
 	Refused  float64 `json:"refused"`  // share of requests, 0 to 1
-	Hopeless bool    `json:"hopeless"` // every opening is refused, as the answer would come after the timeout
+	Hopeless bool    `json:"hopeless"` // all but one opening a second are refused, as answers would come after the timeout
 	Count    int     `json:"count"`    // openings refused so far
 	chance   float64 // that one opening is refused: a request fails only if all its tries are refused
 }
@@ -147,7 +151,7 @@
 	s.average += weightAfter(elapsed, timeConstant) * (direct - s.average)
 	s.share.Refused = c.limit() * (directWeight*direct + (1-directWeight)*s.average)
 	s.share.chance = math.Pow(s.share.Refused, 1.0/triesPerRequest)
-	s.share.Hopeless = s.level.Timeout > 0 && !c.room.IsOwnView() && c.room.ResponseTime > float64(s.level.Timeout)
+	s.share.Hopeless = c.room.isHopeless(s.level.Timeout)
 }
 
 // limit returns the greatest share that may be refused.
@@ -188,13 +192,19 @@
 		return false
 	}
 	s.seenAt = now
-	isRefused := s.share.Hopeless || draw < s.share.chance
-	if isRefused {
+	isRefused := draw < s.share.chance || s.share.Hopeless && !c.mayRenew(now)
+	switch {
+	case isRefused:
 		s.share.Count++
+	case s.share.Hopeless:
+		c.renewedAt = now
 	}
 	return isRefused
 }
 
+// mayRenew reports whether a hopeless opening may show whether answers still take as long.
+func (c *Controller) mayRenew(now clock.Millis) bool { return now-c.renewedAt >= renewalInterval }
+
 // Shares returns the refused share of each priority, the most urgent first.
 func (c *Controller) Shares() []Share {
 	shares := make([]Share, len(c.states))
--- a/admission/room.go
+++ b/admission/room.go
@@ -18,6 +18,7 @@
 	Slots        int          // of the targets in all domains that may be used and have fresh news
 	Busy         float64      // requests under way there
 	Age          clock.Millis // of the news of the domain with the newest
+	hasFreeSlots bool         // in a domain with fresh news
 }
 
 // IsOwnView reports whether there is no fresh news of other VMs, so that only this VM's own requests count.
@@ -30,6 +31,7 @@
 		if d.Age <= maxNewsAge {
 			r.Slots += d.Slots
 			r.Busy += d.Work.Busy
+			r.hasFreeSlots = r.hasFreeSlots || d.Work.Busy < float64(d.Slots)
 		}
 	}
 	r.ResponseTime = own.blend(bestResponseTime(domains))
@@ -60,6 +62,12 @@
 	return best
 }
 
+// isHopeless reports whether one more request would be answered after a timeout, if there is one. While a slot is
+// free it need not wait: the response time is long then because little finishes, as after targets have hung.
+func (r Room) isHopeless(timeout clock.Millis) bool {
+	return timeout > 0 && !r.IsOwnView() && !r.hasFreeSlots && r.ResponseTime > float64(timeout)
+}
+
 // isIdle reports whether fresh news shows that most slots are free: then long response times of this VM's own
 // requests have another cause.
 func (r Room) isIdle() bool {
