Learn the response time without load from enough answers only

Cause: one vanished client and 0.05 requests finished a second made 20 s of it, so refusals began at half of the target latency instead of a third, and own answers counted next to nothing as coming sooner than usual. Change: domains that finish fewer than ten requests a second show none, and own answers count fully from half of the target latency on, however long requests take without load. Test: TestFewAnswersDoNotRaiseTheTimeWithoutLoad and TestAnswersInTimeCountFully, seen to fail before (shares 0.0 instead of 0.5; no response time instead of 200 ms).

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -23,6 +24,9 @@
 	// renewalInterval is the time between two hopeless openings that are not refused for that: their answers show
 	// when targets have recovered. It is below maxNewsAge, and long enough that those of many VMs are few.
 	renewalInterval = clock.Second
+	// minFinished is the number of requests a second that a domain has to finish until it shows a response time
+	// without load. A client that vanished with a request under way then adds 100 ms at the most.
+	minFinished = 10.0
 	// maxOwnViewShare limits the share that is refused by a VM without news of the others.
 	maxOwnViewShare = 0.5
 	// triesPerRequest is how often clients that are refused at once try in all.
@@ -95,11 +99,16 @@
 
 // Observe records the response time of a request of this VM.
 func (c *Controller) Observe(responseTime clock.Millis) {
-	reference := c.unloaded
-	if reference == 0 {
-		reference = rampStart * float64(c.targetLatency)
+	c.answers.add(float64(responseTime), c.usualTime())
+}
+
+// usualTime returns the response time from which answers count fully.
+func (c *Controller) usualTime() float64 {
+	target := float64(c.targetLatency)
+	if c.unloaded == 0 || target == 0 {
+		return cmp.Or(c.unloaded, rampStart*target)
 	}
-	c.answers.add(float64(responseTime), reference)
+	return min(c.unloaded, maxRampStart*target)
 }
 
 // ObserveShed records that a target was too full for a request of this VM. It counts as one that is not
@@ -169,7 +178,7 @@
 // updateUnloaded updates the response time without load while it can be seen. Own answers tell of a rising load
 // before the news does, so they do not count.
 func (c *Controller) updateUnloaded(weight float64, domains []load.Pool) {
-	responseTime := bestResponseTime(domains)
+	responseTime := bestResponseTime(domains, minFinished)
 	switch {
 	case !c.room.isLightlyLoaded() || responseTime == 0:
 	case c.unloaded == 0:
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -125,6 +125,24 @@
 	is.Equal(rounded(c.hear(settlingTime, poolWith("east", 1000))), "[0.0 1.0]")
 }
 
+// A low rate of answers shows no response time: one vanished client would make it look long.
+func TestFewAnswersDoNotRaiseTheTimeWithoutLoad(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	c.hear(settlingTime, load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 1, Finished: 0.05}})
+	is.Equal(rounded(c.hear(settlingTime, poolWith("east", 183))), "[0.0 0.5]")
+}
+
+// However long requests take without load, answers within half of the target latency count fully.
+func TestAnswersInTimeCountFully(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	c.hear(settlingTime, load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 20, Finished: 20}})
+	c.Observe(200)
+	c.Update(c.now, nil)
+	is.Equal(c.Room().ResponseTime, 200.0)
+}
+
 // Without thresholds from the tables, or with one priority, nothing is refused.
 func TestPoolsThatDoNotAskForItRefuseNothing(t *testing.T) {
 	tests := []struct {
--- a/admission/room.go
+++ b/admission/room.go
@@ -34,7 +34,7 @@
 			r.hasFreeSlots = r.hasFreeSlots || d.Work.Busy < float64(d.Slots)
 		}
 	}
-	r.ResponseTime = own.blend(bestResponseTime(domains))
+	r.ResponseTime = own.blend(bestResponseTime(domains, 0))
 	return r
 }
 
@@ -50,12 +50,14 @@
 }
 
 // bestResponseTime returns the expected response time in the best domain that has fresh news, as new flows go
-// there, or zero. A domain where nothing finishes shows none: its targets may be idle or dead.
-func bestResponseTime(domains []load.Pool) float64 {
+// there, or zero. A domain where nothing finishes shows none: its targets may be idle or dead. Neither does one that
+// finishes fewer than minRate requests a second.
+func bestResponseTime(domains []load.Pool, minRate float64) float64 {
 	best := 0.0
 	for _, d := range domains {
 		expected := d.ResponseTime()
-		if d.Age <= maxNewsAge && expected > 0 && (best == 0 || expected < best) {
+		isKnown := d.Age <= maxNewsAge && d.Work.Finished >= minRate && expected > 0
+		if isKnown && (best == 0 || expected < best) {
 			best = expected
 		}
 	}
