Refuse nothing for 1.4 s after a start

Cause: openings that waited here while the process started may have been forwarded as copies by other VMs, so "not run" would be untrue of them. The 180 ms that they may wait run from when they are queued, not from when the socket took them: sockets are bound before anything reads, and how long a start takes is not bounded. Change: the guard after a stand-still holds after a start, too. Openings that may not be refused show that there are callers, so that refusals need not wait for them afterwards. Test: TestOpeningsAfterAStartAreNotRefused, seen to fail before; its last case failed also without the second change.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -193,6 +193,13 @@
 	return 1 - math.Exp(-float64(elapsed)/float64(timeConstant))
 }
 
+// Notice records an opening of a priority that may not be refused: its callers count as well.
+func (c *Controller) Notice(now clock.Millis, priority int) {
+	if s := c.find(priority); s != nil {
+		s.seenAt = now
+	}
+}
+
 // Refuse reports whether an opening of a priority is refused, and counts it. draw is a random number from 0 to 1:
 // each try is drawn anew, whoever it comes from, so a client that was refused has the same chance again.
 func (c *Controller) Refuse(now clock.Millis, priority int, draw float64) bool {
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -31,14 +31,18 @@
 	if p.admission.IsUpdateDue(now) {
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
-	return e.isFirstCopy(now, reason) && p.admission.Refuse(now, route.Priority, e.random.Float64())
+	if !e.isFirstCopy(now, reason) {
+		p.admission.Notice(now, route.Priority)
+		return false
+	}
+	return p.admission.Refuse(now, route.Priority, e.random.Float64())
 }
 
 // isFirstCopy reports whether no VM can have forwarded another copy of an opening: it is the first, and did not
-// wait here while the process stood still. While a process starts, openings wait for less time than their clients
-// take to send a copy.
+// wait here while the process stood still or started. Sockets take packets before anything reads them, so how long
+// an opening waited then is not known.
 func (e *Engine) isFirstCopy(now clock.Millis, reason Reason) bool {
-	return reason == Placed && (!e.hasStoodStill || now-e.resumedAt >= openingCopiesTime)
+	return reason == Placed && now-e.resumedAt >= openingCopiesTime
 }
 
 // usableDomains returns the work at the pool's targets in the domains that this VM reaches, if VMs tell each other.
--- a/inband/admission_test.go
+++ b/inband/admission_test.go
@@ -12,8 +12,15 @@
 // slowAnswer is far longer than callers want to wait.
 const slowAnswer = 500 * clock.Millisecond
 
-// newFullEngine returns an engine whose requests take long, and the time. Holds are more urgent than feeds.
+// newFullEngine returns an engine whose requests take long, and the time. It has run for longer than openings of
+// its start may come again.
 func newFullEngine(refusesByUrgency bool) (*inband.Engine, clock.Millis) {
+	e := newUrgencyEngine(refusesByUrgency)
+	return e, answerLate(e, sweepUntil(e, clock.Minute, clock.Minute+2*clock.Second))
+}
+
+// newUrgencyEngine returns an engine that has not run yet. Holds are more urgent than feeds.
+func newUrgencyEngine(refusesByUrgency bool) *inband.Engine {
 	e := inband.New(inband.Options{
 		Domain: "a", Policy: inband.Local{}, MaxFlows: 1000, FlowLifetime: clock.Minute, Seed: 1, RefusesByUrgency: refusesByUrgency,
 	})
@@ -22,7 +29,7 @@
 		t.Routes[i].TargetLatencyMS = 100
 	}
 	e.ReplaceView(t, published(target("i-1", "a")))
-	return e, answerLate(e, sweepUntil(e, 0, 2*clock.Second))
+	return e
 }
 
 // sweepUntil sweeps as often as a process that does not stand still, and returns the end.
@@ -91,6 +98,27 @@
 	is.Equal(countRefused(e, now, func(client int) *inband.Packet { return opening(client, feedAddress, 0) }), 0)
 }
 
+// What came while the process started may have waited for longer than clients take to send a copy.
+func TestOpeningsAfterAStartAreNotRefused(t *testing.T) {
+	tests := []struct {
+		name      string
+		age       clock.Millis // of the process
+		isRefused bool
+	}{
+		{"it has just started", clock.Second / 2, false},
+		{"copies may still come", clock.Second, false},
+		{"all copies have come", 1500 * clock.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newUrgencyEngine(true)
+			now := answerLate(e, sweepUntil(e, clock.Minute, clock.Minute+tt.age-slowAnswer))
+			is.Equal(countRefused(e, now, func(client int) *inband.Packet { return opening(client, feedAddress, 0) }) > 0, tt.isRefused)
+		})
+	}
+}
+
 func TestExplainShowsWhatIsRefused(t *testing.T) {
 	is := is.New(t)
 	e, now := newFullEngine(true)
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -45,7 +45,6 @@
 	hasNewSuspicions bool         // a target timed out since the last TakeSuspicions
 	activeAt         clock.Millis // when a packet or a sweep was last handled
 	resumedAt        clock.Millis // when the process last went on after it had stood still
-	hasStoodStill    bool         // it did since its start
 	links            map[string]*link
 	watchlist        watchlist
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
@@ -82,7 +81,6 @@
 func (e *Engine) recordActivity(now clock.Millis) {
 	if now-e.activeAt >= maxInactivity {
 		e.resumedAt = now
-		e.hasStoodStill = e.hasStoodStill || e.activeAt > 0
 	}
 	e.activeAt = max(e.activeAt, now)
 }
