Show refusals at pools whose routes have one priority

Cause: hopeless openings are refused there, too, but the list for status, log and metrics left out pools with one level. Change: such a pool is listed from its first refusal on. All pools with one level were ruled out: that list has a line for each service and is made at each tick. It does not leave the list again, as its count would fall. Test: TestPoolsWithOneLevelAreListedOnceTheyRefuse, seen to fail before.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -46,10 +46,11 @@
 
 // state is what a controller knows of a level.
 type state struct {
-	level   Level
-	seenAt  clock.Millis // when the newest opening of the level came, or zero
-	average float64      // share that the ramp asks for
-	share   Share
+	level      Level
+	seenAt     clock.Millis // when the newest opening of the level came, or zero
+	average    float64      // share that the ramp asks for
+	share      Share
+	wasRefused bool // openings of the level were refused, now or before
 }
 
 // Share is the share of the requests of one priority that are refused.
@@ -161,6 +162,7 @@
 	s.share.Refused = c.limit() * (directWeight*direct + (1-directWeight)*s.average)
 	s.share.chance = math.Pow(s.share.Refused, 1.0/triesPerRequest)
 	s.share.Hopeless = c.room.isHopeless(s.level.Timeout)
+	s.wasRefused = s.wasRefused || s.share.IsRefusing()
 }
 
 // limit returns the greatest share that may be refused.
@@ -237,3 +239,8 @@
 func (c *Controller) IsRefusing() bool {
 	return slices.ContainsFunc(c.states, func(s state) bool { return s.share.IsRefusing() })
 }
+
+// HasRefused reports whether openings of some priority are or were refused.
+func (c *Controller) HasRefused() bool {
+	return slices.ContainsFunc(c.states, func(s state) bool { return s.wasRefused })
+}
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -72,11 +72,13 @@
 	}
 }
 
-// Admissions returns what is refused at the pools that routes of several priorities share, ordered by service.
+// Admissions returns what is refused at the pools that routes of several priorities share, ordered by service. The
+// only level of other pools is refused if it is hopeless; they are listed from then on.
 func (e *Engine) Admissions() []Admission {
 	var all []Admission
 	for service, p := range e.pools {
-		if shares := p.admission.Shares(); len(shares) > 1 {
+		shares := p.admission.Shares()
+		if len(shares) > 1 || p.admission.HasRefused() {
 			all = append(all, newAdmission(service, shares, p.admission.Room()))
 		}
 	}
--- /dev/null
+++ b/inband/admissions_test.go
@@ -0,0 +1,38 @@
+package inband
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+// newOneLevelEngine returns an engine with a single route, and the route's pool.
+func newOneLevelEngine(options Options) (*Engine, *pool) {
+	e := New(options)
+	e.SetTables(&Tables{Version: 1, Routes: []Route{{
+		Address: netip.MustParseAddrPort("198.18.0.1:80"), Priority: 1, TargetLatencyMS: 400, TimeoutMS: 5000,
+		Shares: []Share{{Service: "orders"}},
+	}}})
+	return e, e.poolOf("orders")
+}
+
+// A pool with one level is listed once its openings are hopeless, and remains so: counts must not fall.
+func TestPoolsWithOneLevelAreListedOnceTheyRefuse(t *testing.T) {
+	is := is.New(t)
+	e, p := newOneLevelEngine(Options{RefusesByUrgency: true})
+	update := func(now clock.Millis, busy, finished float64) {
+		p.admission.Update(now, []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: busy, Finished: finished}}})
+	}
+	update(clock.Second, 20, 300)
+	is.Equal(len(e.Admissions()), 0)
+	update(2*clock.Second, 4000, 300)
+	is.Equal(len(e.Admissions()), 1)
+	is.True(e.Admissions()[0].Shares[0].Hopeless)
+	update(3*clock.Second, 20, 300)
+	is.Equal(len(e.Admissions()), 1)
+	is.True(!e.Admissions()[0].Shares[0].IsRefusing())
+}
