State of which callers the refused share is

Cause: openings are refused by the third root of the share, as a request fails only if all its tries are refused. Status, log and metric called it the share of requests, though no route tells how often callers try: at a share of 0.5, 0.79 of the openings of callers that try once are refused. Test: TestOpeningsAreRefusedByTheirOwnShare, which did not compile before; nothing could show that share.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -29,7 +29,8 @@
 	minFinished = 10.0
 	// maxOwnViewShare limits the share that is refused by a VM without news of the others.
 	maxOwnViewShare = 0.5
-	// triesPerRequest is how often clients that are refused at once try in all.
+	// triesPerRequest is how often clients that are refused at once are assumed to try in all, as routes do not tell:
+	// a request fails only if all its tries are refused. Callers that try less often are refused more than the share.
 	triesPerRequest = 3
 )
 
@@ -53,13 +54,14 @@
 	wasRefused bool // openings of the level were refused, now or before
 }
 
-// Share is the share of the requests of one priority that are refused.
+// Share is what is refused of the requests and openings of one priority. An opening meets RefusedOpenings only, or
+// Hopeless, which refuses it whatever the share.
 type Share struct {
-	Priority int     `json:"priority"`
-	Refused  float64 `json:"refused"`  // share of requests, 0 to 1
-	Hopeless bool    `json:"hopeless"` // all but one opening a second are refused, as answers would come after the timeout
-	Count    int     `json:"count"`    // openings refused so far
-	chance   float64 // that one opening is refused: a request fails only if all its tries are refused
+	Priority        int     `json:"priority"`
+	Refused         float64 `json:"refused"`          // share of the requests whose callers try triesPerRequest times, 0 to 1
+	RefusedOpenings float64 `json:"refused_openings"` // share of the openings, which is that of callers that try once, 0 to 1
+	Hopeless        bool    `json:"hopeless"`         // all but one opening a second are refused, as answers would come after the timeout
+	Count           int     `json:"count"`            // openings refused so far
 }
 
 // IsRefusing reports whether openings of the priority are refused.
@@ -160,7 +162,7 @@
 	}
 	s.average += weightAfter(elapsed, timeConstant) * (direct - s.average)
 	s.share.Refused = c.limit() * (directWeight*direct + (1-directWeight)*s.average)
-	s.share.chance = math.Pow(s.share.Refused, 1.0/triesPerRequest)
+	s.share.RefusedOpenings = math.Pow(s.share.Refused, 1.0/triesPerRequest)
 	s.share.Hopeless = c.room.isHopeless(s.level.Timeout)
 	s.wasRefused = s.wasRefused || s.share.IsRefusing()
 }
@@ -210,7 +212,7 @@
 		return false
 	}
 	s.seenAt = now
-	isRefused := draw < s.share.chance || s.share.Hopeless && !c.mayRenew(now)
+	isRefused := draw < s.share.RefusedOpenings || s.share.Hopeless && !c.mayRenew(now)
 	switch {
 	case isRefused:
 		s.share.Count++
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -125,6 +125,17 @@
 	is.Equal(rounded(c.hear(settlingTime, poolWith("east", 1000))), "[0.0 1.0]")
 }
 
+// An opening is refused more often than a request: one that is refused is tried again.
+func TestOpeningsAreRefusedByTheirOwnShare(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	c.hear(settlingTime, poolWith("east", 183))
+	s := c.Shares()[1]
+	is.Equal(fmt.Sprintf("%.2f %.2f", s.Refused, s.RefusedOpenings), "0.50 0.79")
+	is.True(c.Refuse(c.now, feeds.Priority, s.RefusedOpenings-0.01))
+	is.True(!c.Refuse(c.now, feeds.Priority, s.RefusedOpenings+0.01))
+}
+
 // A low rate of answers shows no response time: one vanished client would make it look long.
 func TestFewAnswersDoNotRaiseTheTimeWithoutLoad(t *testing.T) {
 	is := is.New(t)
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -76,7 +76,8 @@
 func writeAdmissions(w io.Writer, pools []inband.Admission) {
 	for _, a := range pools {
 		for _, s := range a.Shares {
-			_, _ = fmt.Fprintf(w, "refused %s priority %d\t%.2f, %d so far, response time %.0f ms, %.0f busy of %d slots, news %d ms old\n", a.Service, s.Priority, s.Refused, s.Count, a.ResponseTimeMS, a.Busy, a.Slots, a.NewsAgeMS)
+			_, _ = fmt.Fprintf(w, "refused %s priority %d\t%.2f of requests, %.2f of openings, %d so far, response time %.0f ms, %.0f busy of %d slots, news %d ms old\n",
+				a.Service, s.Priority, s.Refused, s.RefusedOpenings, s.Count, a.ResponseTimeMS, a.Busy, a.Slots, a.NewsAgeMS)
 		}
 	}
 }
--- a/front/refusals.go
+++ b/front/refusals.go
@@ -82,7 +82,7 @@
 		message = "refusal_began"
 	}
 	log.Warn(message, "at_ms", now, "pool", c.pool.Service, "priority", c.share.Priority, "share", c.share.Refused,
-		"hopeless", c.share.Hopeless, "refused", c.share.Count, "response_time_ms", int(c.pool.ResponseTimeMS),
+		"share_of_openings", c.share.RefusedOpenings, "hopeless", c.share.Hopeless, "refused", c.share.Count, "response_time_ms", int(c.pool.ResponseTimeMS),
 		"slots", c.pool.Slots, "busy", int(c.pool.Busy), "news_age_ms", c.pool.NewsAgeMS)
 }
 
