Measure answers for admission only where the part is on

Cause: with the part off, response times and shed requests were added up for it, though nothing used them. Test: TestAnswersAreMeasuredOnlyForThePart and TestShedRequestsAreMeasuredOnlyForThePart, seen to fail before.

--- a/inband/admissions_test.go
+++ b/inband/admissions_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/almondflow/almondflow/admission"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 )
@@ -36,3 +37,37 @@
 	is.Equal(len(e.Admissions()), 1)
 	is.True(!e.Admissions()[0].Shares[0].IsRefusing())
 }
+
+// Without the part nothing is measured for it, so that the packet path does no more than before.
+func TestAnswersAreMeasuredOnlyForThePart(t *testing.T) {
+	tests := []struct {
+		name     string
+		isOn     bool
+		expected float64
+	}{
+		{"the part is on", true, 400},
+		{"the part is off", false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e, p := newOneLevelEngine(Options{RefusesByUrgency: tt.isOn, SharesLoad: true})
+			p.admission.SetLevels([]admission.Level{{Priority: 1, TargetLatency: 400}})
+			f := &flow{backend: &Backend{pool: p}, responseTime: 400, responseBytes: 1000}
+			e.recordResponse(0, f)
+			p.admission.Update(clock.Second, nil)
+			is.Equal(p.admission.Room().ResponseTime, tt.expected)
+		})
+	}
+}
+
+func TestShedRequestsAreMeasuredOnlyForThePart(t *testing.T) {
+	is := is.New(t)
+	for _, isOn := range []bool{true, false} {
+		e, p := newOneLevelEngine(Options{RefusesByUrgency: isOn, SharesLoad: true})
+		p.admission.SetLevels([]admission.Level{{Priority: 1, TargetLatency: 400}})
+		e.recordShed(&flow{backend: &Backend{pool: p}})
+		p.admission.Update(clock.Second, nil)
+		is.Equal(p.admission.Room().ResponseTime > 0, isOn)
+	}
+}
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -72,7 +72,9 @@
 		e.recordShortResponse(now, f)
 		return
 	}
-	f.backend.pool.admission.Observe(f.responseTime)
+	if e.options.RefusesByUrgency {
+		f.backend.pool.admission.Observe(f.responseTime)
+	}
 	e.recordOutcome(now, f, true)
 }
 
@@ -98,7 +100,9 @@
 // a failure.
 func (e *Engine) recordShed(f *flow) {
 	f.hasOutcome = true
-	f.backend.pool.admission.ObserveShed()
+	if e.options.RefusesByUrgency {
+		f.backend.pool.admission.ObserveShed()
+	}
 	e.shedRequests++
 }
 
