Set the refused share of priorities that are gone to zero

Cause: the gauge was updated for the priorities of the routes of the moment only, and kept the last share of others. Test: TestRefusedShareOfPrioritiesThatAreGoneIsZero, seen to fail before.

--- a/front/metrics.go
+++ b/front/metrics.go
@@ -102,18 +102,19 @@
 func newMetrics() *metrics {
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{Reporter: tally.NullStatsReporter, OmitCardinalityMetrics: true}, 0) // there is no reporter; scrapes read snapshots
 	m := &metrics{
-		scope: scope, reportedRefused: map[int]int{},
-		storeCalls:   scope.Histogram(storeCallMetric.Name, storeCallBuckets),
-		viewAges:     scope.Histogram(viewAgeMetric.Name, viewAgeBuckets),
-		packetTimes:  scope.Histogram(packetTimeMetric.Name, packetTimeBuckets),
-		probeTimes:   scope.Histogram(probeTimeMetric.Name, probeTimeBuckets),
-		loadAges:     scope.Histogram(loadAgeMetric.Name, loadAgeBuckets),
-		loadSent:     scope.Counter(loadSentMetric.Name),
-		loadBytes:    scope.Counter(loadBytesMetric.Name),
-		loadReceived: scope.Counter(loadReceivedMetric.Name),
-		shedRequests: scope.Counter(shedRequestsMetric.Name),
-		controlBytes: scope.Counter(controlBytesMetric.Name),
-		droppedLines: scope.Counter(droppedLinesMetric.Name), unsentMessages: scope.Counter(unsentMessagesMetric.Name),
+		scope:           scope,
+		reportedRefused: map[int]int{},
+		storeCalls:      scope.Histogram(storeCallMetric.Name, storeCallBuckets),
+		viewAges:        scope.Histogram(viewAgeMetric.Name, viewAgeBuckets),
+		packetTimes:     scope.Histogram(packetTimeMetric.Name, packetTimeBuckets),
+		probeTimes:      scope.Histogram(probeTimeMetric.Name, probeTimeBuckets),
+		loadAges:        scope.Histogram(loadAgeMetric.Name, loadAgeBuckets),
+		loadSent:        scope.Counter(loadSentMetric.Name),
+		loadBytes:       scope.Counter(loadBytesMetric.Name),
+		loadReceived:    scope.Counter(loadReceivedMetric.Name),
+		shedRequests:    scope.Counter(shedRequestsMetric.Name),
+		controlBytes:    scope.Counter(controlBytesMetric.Name),
+		droppedLines:    scope.Counter(droppedLinesMetric.Name), unsentMessages: scope.Counter(unsentMessagesMetric.Name),
 	}
 	for reason := range m.packets {
 		m.packets[reason] = scope.Tagged(map[string]string{"reason": inband.Reason(reason).String()}).Counter(packetsMetric.Name)
@@ -181,7 +182,7 @@
 	} {
 		m.scope.Gauge(g.metric.Name).Update(float64(g.value))
 	}
-	d.updateRefusalMetrics()
+	d.metrics.updateRefusals(d.engine.Admissions())
 }
 
 // writeSnapshot writes all metrics: counters and gauges, ordered by name and tags, and then
--- a/front/refusals.go
+++ b/front/refusals.go
@@ -5,6 +5,8 @@
 	"maps"
 	"strconv"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/almondflow/almondflow/admission"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
@@ -86,19 +88,29 @@
 		"slots", c.pool.Slots, "busy", int(c.pool.Busy), "news_age_ms", c.pool.NewsAgeMS)
 }
 
-// updateRefusalMetrics updates the counter and the gauge of each priority. The caller holds the lock.
-func (d *Daemon) updateRefusalMetrics() {
+// updateRefusals updates the counter and the gauge of each priority.
+func (m *metrics) updateRefusals(pools []inband.Admission) {
 	counts, highest := map[int]int{}, map[int]float64{}
-	for _, pool := range d.engine.Admissions() {
+	for _, pool := range pools {
 		for _, s := range pool.Shares {
 			counts[s.Priority] += s.Count
 			highest[s.Priority] = max(highest[s.Priority], s.Refused)
 		}
 	}
 	for priority, share := range highest {
-		scope := d.metrics.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
+		scope := m.priorityScope(priority)
 		scope.Gauge(refusedShareMetric.Name).Update(share)
-		scope.Counter(refusedOpeningsMetric.Name).Inc(int64(max(0, counts[priority]-d.metrics.reportedRefused[priority])))
+		scope.Counter(refusedOpeningsMetric.Name).Inc(int64(max(0, counts[priority]-m.reportedRefused[priority])))
+	}
+	for priority := range m.reportedRefused {
+		if _, isListed := highest[priority]; !isListed {
+			m.priorityScope(priority).Gauge(refusedShareMetric.Name).Update(0) // its routes are gone
+		}
 	}
-	d.metrics.reportedRefused = counts
+	m.reportedRefused = counts
+}
+
+// priorityScope returns the scope of the metrics of one priority.
+func (m *metrics) priorityScope(priority int) tally.Scope {
+	return m.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
 }
--- a/front/refusals_test.go
+++ b/front/refusals_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/almondflow/almondflow/admission"
 	"github.com/almondflow/almondflow/clock"
@@ -57,3 +58,22 @@
 		is.Equal(len(d.engine.Admissions()), map[bool]int{false: 0, true: 1}[isOn])
 	}
 }
+
+// The gauge of a priority whose routes are gone must not stay at its last value.
+func TestRefusedShareOfPrioritiesThatAreGoneIsZero(t *testing.T) {
+	is := is.New(t)
+	m := newMetrics()
+	shares := func() []float64 {
+		var values []float64
+		for _, g := range m.scope.(tally.TestScope).Snapshot().Gauges() {
+			if g.Name() == refusedShareMetric.Name && g.Tags()["priority"] == "2" {
+				values = append(values, g.Value())
+			}
+		}
+		return values
+	}
+	m.updateRefusals(refusing(0.5))
+	is.Equal(shares(), []float64{0.5})
+	m.updateRefusals(nil)
+	is.Equal(shares(), []float64{0})
+}
