--- a/admission/answers.go
+++ b/admission/answers.go
@@ -6,7 +6,8 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
-// answersTime is the time constant with which answers count less and less.
+// answersTime is the time constant with which answers count less and less. It is well below the delay of the news, which
+// they have to precede, and above the response times that callers usually want, so that some remain.
 const answersTime = 300 * clock.Millisecond
 
 // answers measures the response time of this VM's own requests. Unlike the news of other VMs it is not late.
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -13,12 +13,15 @@
 	// UpdateInterval is the time between two updates of the shares.
 	UpdateInterval = 100 * clock.Millisecond
 	// directWeight is the weight of the pressure of the moment. The rest comes from its average: news is late,
-	// and a share that followed it alone would swing between all and nothing.
+	// and a share that followed it alone would swing between all and nothing. Most of the weight is that of the
+	// moment, as an average is later than the target latencies that it has to protect.
 	directWeight = 0.7
-	// averagingTime is the time constant of the average, and releaseTime that while no request has to wait long:
-	// then nothing is to be refused any more.
+	// averagingTime is the time constant of the average. It is about the delay of the news, which is
+	// smoothed over 750 ms and sent twice a second.
 	averagingTime = clock.Second
-	releaseTime   = 500 * clock.Millisecond
+	// releaseTime is that while no request has to wait long, when nothing is to be refused any more. Own answers
+	// show this sooner than the news does.
+	releaseTime = 500 * clock.Millisecond
 	// activeTime is how long after its newest opening a level counts as one with callers.
 	activeTime = 5 * clock.Second
 	// renewalInterval is the time between two hopeless openings that are not refused for that: their answers show
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -2,8 +2,9 @@
 
 import "github.com/almondflow/almondflow/clock"
 
-// The ramp begins and ends at these fractions of the target latency of more urgent callers. Response times
-// spread widely around their mean, so the mean must stay well below the target latency.
+// The ramp begins at the first of these fractions of the target latency of more urgent callers, and is as long as the
+// second. Response times spread widely around their mean: the mean at the end of the ramp, 7/12 of the target latency,
+// leaves room for requests that take more than half as long again.
 const (
 	rampStart  = 1.0 / 3
 	rampLength = 0.25
