--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -12,17 +13,27 @@
 	// UpdateInterval is the time between two updates of the shares.
 	UpdateInterval = 100 * clock.Millisecond
 	// directWeight is the weight of the pressure of the moment. The rest comes from its average: news is late,
-	// and a share that followed it alone would swing between all and nothing.
+	// and a share that followed it alone would swing between all and nothing. Most of the weight is that of the
+	// moment, as an average is later than the target latencies that it has to protect.
 	directWeight = 0.7
-	// averagingTime is the time constant of the average, and releaseTime that while no request has to wait long:
-	// then nothing is to be refused any more.
+	// averagingTime is the time constant of the average. It is about the delay of the news, which is
+	// smoothed over 750 ms and sent twice a second.
 	averagingTime = clock.Second
-	releaseTime   = 500 * clock.Millisecond
+	// releaseTime is that while no request has to wait long, when nothing is to be refused any more. Own answers
+	// show this sooner than the news does.
+	releaseTime = 500 * clock.Millisecond
 	// activeTime is how long after its newest opening a level counts as one with callers.
 	activeTime = 5 * clock.Second
+	// renewalInterval is the time between two hopeless openings that are not refused for that: their answers show
+	// when targets have recovered. It is below maxNewsAge, and long enough that those of many VMs are few.
+	renewalInterval = clock.Second
+	// minFinished is the number of requests a second that a domain has to finish until it shows a response time
+	// without load. A client that vanished with a request under way then adds 100 ms at the most.
+	minFinished = 10.0
 	// maxOwnViewShare limits the share that is refused by a VM without news of the others.
 	maxOwnViewShare = 0.5
-	// triesPerRequest is how often clients that are refused at once try in all.
+	// triesPerRequest is how often clients that are refused at once are assumed to try in all, as routes do not tell:
+	// a request fails only if all its tries are refused. Callers that try less often are refused more than the share.
 	triesPerRequest = 3
 )
 
@@ -34,23 +45,26 @@
 	room          Room
 	unloaded      float64 // response time without load, in milliseconds, or zero
 	updatedAt     clock.Millis
+	renewedAt     clock.Millis // when a hopeless opening was last not refused for that
 }
 
 // state is what a controller knows of a level.
 type state struct {
-	level   Level
-	seenAt  clock.Millis // when the newest opening of the level came, or zero
-	average float64      // share that the ramp asks for
-	share   Share
+	level      Level
+	seenAt     clock.Millis // when the newest opening of the level came, or zero
+	average    float64      // share that the ramp asks for
+	share      Share
+	wasRefused bool // openings of the level were refused, now or before
 }
 
-// Share is the share of the requests of one priority that are refused.
+// Share is what is refused of the requests and openings of one priority. An opening meets RefusedOpenings only, or
+// Hopeless, which refuses it whatever the share.
 type Share struct {
-	Priority int     `json:"priority"`
-	Refused  float64 `json:"refused"`  // share of requests, 0 to 1
-	Hopeless bool    `json:"hopeless"` // every opening is refused, as the answer would come after the timeout
-	Count    int     `json:"count"`    // openings refused so far
-	chance   float64 // that one opening is refused: a request fails only if all its tries are refused
+	Priority        int     `json:"priority"`
+	Refused         float64 `json:"refused"`          // share of the requests whose callers try triesPerRequest times, 0 to 1
+	RefusedOpenings float64 `json:"refused_openings"` // share of the openings, which is that of callers that try once, 0 to 1
+	Hopeless        bool    `json:"hopeless"`         // all but one opening a second are refused, as answers would come after the timeout
+	Count           int     `json:"count"`            // openings refused so far
 }
 
 // IsRefusing reports whether openings of the priority are refused.
@@ -91,11 +105,16 @@
 
 // Observe records the response time of a request of this VM.
 func (c *Controller) Observe(responseTime clock.Millis) {
-	reference := c.unloaded
-	if reference == 0 {
-		reference = rampStart * float64(c.targetLatency)
+	c.answers.add(float64(responseTime), c.usualTime())
+}
+
+// usualTime returns the response time from which answers count fully.
+func (c *Controller) usualTime() float64 {
+	target := float64(c.targetLatency)
+	if c.unloaded == 0 || target == 0 {
+		return cmp.Or(c.unloaded, rampStart*target)
 	}
-	c.answers.add(float64(responseTime), reference)
+	return min(c.unloaded, maxRampStart*target)
 }
 
 // ObserveShed records that a target was too full for a request of this VM. It counts as one that is not
@@ -146,8 +165,9 @@
 	}
 	s.average += weightAfter(elapsed, timeConstant) * (direct - s.average)
 	s.share.Refused = c.limit() * (directWeight*direct + (1-directWeight)*s.average)
-	s.share.chance = math.Pow(s.share.Refused, 1.0/triesPerRequest)
-	s.share.Hopeless = s.level.Timeout > 0 && !c.room.IsOwnView() && c.room.ResponseTime > float64(s.level.Timeout)
+	s.share.RefusedOpenings = math.Pow(s.share.Refused, 1.0/triesPerRequest)
+	s.share.Hopeless = c.room.isHopeless(s.level.Timeout)
+	s.wasRefused = s.wasRefused || s.share.IsRefusing()
 }
 
 // limit returns the greatest share that may be refused.
@@ -165,7 +185,7 @@
 // updateUnloaded updates the response time without load while it can be seen. Own answers tell of a rising load
 // before the news does, so they do not count.
 func (c *Controller) updateUnloaded(weight float64, domains []load.Pool) {
-	responseTime := bestResponseTime(domains)
+	responseTime := bestResponseTime(domains, minFinished)
 	switch {
 	case !c.room.isLightlyLoaded() || responseTime == 0:
 	case c.unloaded == 0:
@@ -180,6 +200,13 @@
 	return 1 - math.Exp(-float64(elapsed)/float64(timeConstant))
 }
 
+// Notice records an opening of a priority that may not be refused: its callers count as well.
+func (c *Controller) Notice(now clock.Millis, priority int) {
+	if s := c.find(priority); s != nil {
+		s.seenAt = now
+	}
+}
+
 // Refuse reports whether an opening of a priority is refused, and counts it. draw is a random number from 0 to 1:
 // each try is drawn anew, whoever it comes from, so a client that was refused has the same chance again.
 func (c *Controller) Refuse(now clock.Millis, priority int, draw float64) bool {
@@ -188,13 +215,19 @@
 		return false
 	}
 	s.seenAt = now
-	isRefused := s.share.Hopeless || draw < s.share.chance
-	if isRefused {
+	isRefused := draw < s.share.RefusedOpenings || s.share.Hopeless && !c.mayRenew(now)
+	switch {
+	case isRefused:
 		s.share.Count++
+	case s.share.Hopeless:
+		c.renewedAt = now
 	}
 	return isRefused
 }
 
+// mayRenew reports whether a hopeless opening may show whether answers still take as long.
+func (c *Controller) mayRenew(now clock.Millis) bool { return now-c.renewedAt >= renewalInterval }
+
 // Shares returns the refused share of each priority, the most urgent first.
 func (c *Controller) Shares() []Share {
 	shares := make([]Share, len(c.states))
@@ -211,3 +244,8 @@
 func (c *Controller) IsRefusing() bool {
 	return slices.ContainsFunc(c.states, func(s state) bool { return s.share.IsRefusing() })
 }
+
+// HasRefused reports whether openings of some priority are or were refused.
+func (c *Controller) HasRefused() bool {
+	return slices.ContainsFunc(c.states, func(s state) bool { return s.wasRefused })
+}
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -125,6 +125,35 @@
 	is.Equal(rounded(c.hear(settlingTime, poolWith("east", 1000))), "[0.0 1.0]")
 }
 
+// An opening is refused more often than a request: one that is refused is tried again.
+func TestOpeningsAreRefusedByTheirOwnShare(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	c.hear(settlingTime, poolWith("east", 183))
+	s := c.Shares()[1]
+	is.Equal(fmt.Sprintf("%.2f %.2f", s.Refused, s.RefusedOpenings), "0.50 0.79")
+	is.True(c.Refuse(c.now, feeds.Priority, s.RefusedOpenings-0.01))
+	is.True(!c.Refuse(c.now, feeds.Priority, s.RefusedOpenings+0.01))
+}
+
+// A low rate of answers shows no response time: one vanished client would make it look long.
+func TestFewAnswersDoNotRaiseTheTimeWithoutLoad(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	c.hear(settlingTime, load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 1, Finished: 0.05}})
+	is.Equal(rounded(c.hear(settlingTime, poolWith("east", 183))), "[0.0 0.5]")
+}
+
+// However long requests take without load, answers within half of the target latency count fully.
+func TestAnswersInTimeCountFully(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	c.hear(settlingTime, load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 20, Finished: 20}})
+	c.Observe(200)
+	c.Update(c.now, nil)
+	is.Equal(c.Room().ResponseTime, 200.0)
+}
+
 // Without thresholds from the tables, or with one priority, nothing is refused.
 func TestPoolsThatDoNotAskForItRefuseNothing(t *testing.T) {
 	tests := []struct {
@@ -156,6 +185,45 @@
 	is.True(!c.Refuse(c.now, 1, 0))
 }
 
+// Targets that hang finish next to nothing, so the response time that news shows is long while slots are free.
+func TestNothingIsHopelessBesideFreeSlots(t *testing.T) {
+	hanging := load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 60, Finished: 0.05}}
+	tests := []struct {
+		name       string
+		domains    []load.Pool
+		isHopeless bool
+	}{
+		{"one request whose client has vanished", []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 1, Finished: 0.05}}}, false},
+		{"the last free slot", []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 39, Finished: 0.05}}}, false},
+		{"no free slot", []load.Pool{hanging}, true},
+		{"free slots in another domain", []load.Pool{hanging, {Targets: 20, Slots: 40}}, false},
+		{"free slots by old news", []load.Pool{hanging, withAge(load.Pool{Targets: 20, Slots: 40}, clock.Minute)}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			c.hear(settlingTime, tt.domains...)
+			is.Equal(c.Shares()[0].Hopeless, tt.isHopeless)
+			is.Equal(c.Shares()[1].Hopeless, tt.isHopeless)
+		})
+	}
+}
+
+// Without any opening, nothing would show that the targets have recovered.
+func TestSomeHopelessOpeningsRenewTheMeasure(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders)
+	c.hear(settlingTime, poolWith("east", 10000))
+	admitted := 0
+	for end := c.now + settlingTime; c.now < end; c.now += 10 {
+		if !c.Refuse(c.now, orders.Priority, 0.5) {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 10) // one a second
+}
+
 // A VM without news of the others goes by the time that its own requests take, and serves at least half.
 func TestErrorOfALoneVMIsBounded(t *testing.T) {
 	tests := []struct {
--- a/admission/room.go
+++ b/admission/room.go
@@ -18,6 +18,7 @@
 	Slots        int          // of the targets in all domains that may be used and have fresh news
 	Busy         float64      // requests under way there
 	Age          clock.Millis // of the news of the domain with the newest
+	hasFreeSlots bool         // in a domain with fresh news
 }
 
 // IsOwnView reports whether there is no fresh news of other VMs, so that only this VM's own requests count.
@@ -30,9 +31,10 @@
 		if d.Age <= maxNewsAge {
 			r.Slots += d.Slots
 			r.Busy += d.Work.Busy
+			r.hasFreeSlots = r.hasFreeSlots || d.Work.Busy < float64(d.Slots)
 		}
 	}
-	r.ResponseTime = own.blend(bestResponseTime(domains))
+	r.ResponseTime = own.blend(bestResponseTime(domains, 0))
 	return r
 }
 
@@ -48,18 +50,26 @@
 }
 
 // bestResponseTime returns the expected response time in the best domain that has fresh news, as new flows go
-// there, or zero. A domain where nothing finishes shows none: its targets may be idle or dead.
-func bestResponseTime(domains []load.Pool) float64 {
+// there, or zero. A domain where nothing finishes shows none: its targets may be idle or dead. Neither does one that
+// finishes fewer than minRate requests a second.
+func bestResponseTime(domains []load.Pool, minRate float64) float64 {
 	best := 0.0
 	for _, d := range domains {
 		expected := d.ResponseTime()
-		if d.Age <= maxNewsAge && expected > 0 && (best == 0 || expected < best) {
+		isKnown := d.Age <= maxNewsAge && d.Work.Finished >= minRate && expected > 0
+		if isKnown && (best == 0 || expected < best) {
 			best = expected
 		}
 	}
 	return best
 }
 
+// isHopeless reports whether one more request would be answered after a timeout, if there is one. While a slot is
+// free it need not wait: the response time is long then because little finishes, as after targets have hung.
+func (r Room) isHopeless(timeout clock.Millis) bool {
+	return timeout > 0 && !r.IsOwnView() && !r.hasFreeSlots && r.ResponseTime > float64(timeout)
+}
+
 // isIdle reports whether fresh news shows that most slots are free: then long response times of this VM's own
 // requests have another cause.
 func (r Room) isIdle() bool {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -41,7 +41,7 @@
 	shedRequestsMetric    = Metric{"almondflow_front_shed_requests", counterType, "requests", "Requests that full targets shed, which does not count against them."}
 	overloadedPoolsMetric = Metric{"almondflow_front_full_pools", gaugeType, "pools", "Pools whose targets have more work than they can finish in time."}
 	refusedOpeningsMetric = Metric{"almondflow_front_refused_openings", counterType, "openings", "Openings refused for lack of room, by priority (tag priority)."}
-	refusedShareMetric    = Metric{"almondflow_front_refused_share", gaugeType, "share", "Share of requests refused for lack of room, by priority (tag priority), of the pool that refuses most."}
+	refusedShareMetric    = Metric{"almondflow_front_refused_share", gaugeType, "share", "Share of requests refused for lack of room, of callers that try three times, by priority (tag priority), of the pool that refuses most."}
 	tablesVersionMetric   = Metric{"almondflow_front_tables_version", gaugeType, "version", "Version of the tables in use."}
 	drainedDomainsMetric  = Metric{"almondflow_front_drained_domains", gaugeType, "domains", "Failure domains that the operator drains, whose targets get no new flows."}
 	readyAfterMetric      = Metric{"almondflow_front_ready_after", gaugeType, "milliseconds", "Time from the start of the process to its first view."}
@@ -108,18 +108,21 @@
 func newMetrics() *metrics {
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{Reporter: tally.NullStatsReporter, OmitCardinalityMetrics: true}, 0) // there is no reporter; scrapes read snapshots
 	m := &metrics{
-		scope: scope, reportedRefused: map[int]int{},
-		storeCalls:   scope.Histogram(storeCallMetric.Name, storeCallBuckets),
-		viewAges:     scope.Histogram(viewAgeMetric.Name, viewAgeBuckets),
-		packetTimes:  scope.Histogram(packetTimeMetric.Name, packetTimeBuckets),
-		probeTimes:   scope.Histogram(probeTimeMetric.Name, probeTimeBuckets),
-		loadAges:     scope.Histogram(loadAgeMetric.Name, loadAgeBuckets),
-		loadSent:     scope.Counter(loadSentMetric.Name),
-		loadBytes:    scope.Counter(loadBytesMetric.Name),
-		loadReceived: scope.Counter(loadReceivedMetric.Name),
-		shedRequests: scope.Counter(shedRequestsMetric.Name),
-		controlBytes: scope.Counter(controlBytesMetric.Name), remoteOpenings: scope.Counter(remoteOpeningsMetric.Name),
-		droppedLines: scope.Counter(droppedLinesMetric.Name), unsentMessages: scope.Counter(unsentMessagesMetric.Name),
+		scope:           scope,
+		reportedRefused: map[int]int{},
+		storeCalls:      scope.Histogram(storeCallMetric.Name, storeCallBuckets),
+		viewAges:        scope.Histogram(viewAgeMetric.Name, viewAgeBuckets),
+		packetTimes:     scope.Histogram(packetTimeMetric.Name, packetTimeBuckets),
+		probeTimes:      scope.Histogram(probeTimeMetric.Name, probeTimeBuckets),
+		loadAges:        scope.Histogram(loadAgeMetric.Name, loadAgeBuckets),
+		loadSent:        scope.Counter(loadSentMetric.Name),
+		loadBytes:       scope.Counter(loadBytesMetric.Name),
+		loadReceived:    scope.Counter(loadReceivedMetric.Name),
+		shedRequests:    scope.Counter(shedRequestsMetric.Name),
+		controlBytes:    scope.Counter(controlBytesMetric.Name),
+		remoteOpenings:  scope.Counter(remoteOpeningsMetric.Name),
+		droppedLines:    scope.Counter(droppedLinesMetric.Name),
+		unsentMessages:  scope.Counter(unsentMessagesMetric.Name),
 	}
 	for reason := range m.packets {
 		m.packets[reason] = scope.Tagged(map[string]string{"reason": inband.Reason(reason).String()}).Counter(packetsMetric.Name)
@@ -194,7 +197,7 @@
 	} {
 		m.scope.Gauge(g.metric.Name).Update(float64(g.value))
 	}
-	d.updateRefusalMetrics()
+	d.metrics.updateRefusals(d.engine.Admissions())
 }
 
 // writeSnapshot writes all metrics: counters and gauges, ordered by name and tags, and then
