Send openings to another domain in place of a refusal while that has room

Cause: admission goes mostly by this VM's own answers, which come from its own failure domain. Ruled out: own answers without weight; the news alone is seconds late, so refusals would begin and end late. While fresh news shows another domain that answers before the ramp begins, nothing is refused: the share that would be goes there. Load: one failure domain presses while the others have room. Conclusion: callers of a pressing domain are served by the others; the price is paid where all domains press.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -54,7 +54,8 @@
 	seenAt     clock.Millis // when the newest opening of the level came, or zero
 	average    float64      // share that the ramp asks for
 	share      Share
-	wasRefused bool // openings of the level were refused, now or before
+	rampStart  float64 // response time in milliseconds from which requests are refused
+	wasRefused bool    // openings of the level were refused, now or before
 }
 
 // Share is what is refused of the requests and openings of one priority. An opening meets RefusedOpenings only, or
@@ -158,6 +159,7 @@
 
 // updateShare sets the share of a level by its ramp.
 func (c *Controller) updateShare(s *state, r ramp, elapsed clock.Millis) {
+	s.rampStart = r.start
 	direct := r.share(c.room.ResponseTime)
 	timeConstant := averagingTime
 	if direct == 0 {
@@ -207,7 +209,7 @@
 	}
 }
 
-// Refuse reports whether an opening of a priority is refused, and counts it. draw is a random number from 0 to 1:
+// Refuse reports whether an opening of a priority is refused where no other domain has room, and counts it. draw is a random number from 0 to 1:
 // each try is drawn anew, whoever it comes from, so a client that was refused has the same chance again.
 func (c *Controller) Refuse(now clock.Millis, priority int, draw float64) bool {
 	s := c.find(priority)
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -22,20 +22,41 @@
 	NewsAgeMS      clock.Millis      `json:"news_age_ms"` // of the other VMs' load
 }
 
-// isRefused reports whether an opening is refused for lack of room. The target best was chosen for it, for the
-// reason given.
-func (e *Engine) isRefused(now clock.Millis, reason Reason, route *Route, p *pool, best *Backend) bool {
+// admit returns the target of an opening for which the target best was chosen, for the reason given, or nil if it
+// is refused for lack of room.
+func (e *Engine) admit(now clock.Millis, reason Reason, route *Route, p *pool, best *Backend) *Backend {
 	if !e.options.RefusesByUrgency {
-		return e.isRefusedByOwnCount(now, route, p, best)
+		if e.isRefusedByOwnCount(now, route, p, best) {
+			return nil
+		}
+		return best
 	}
 	if p.admission.IsUpdateDue(now) {
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
 	if !e.isFirstCopy(now, reason) {
 		p.admission.Notice(now, route.Priority)
-		return false
+		return best
+	}
+	switch p.admission.Decide(now, route.Priority, e.random.Float64(), e.otherDomains(now, p)) {
+	case admission.Refuse:
+		return nil
+	case admission.Elsewhere:
+		if other := e.cheapest(now, p.remote, nil); other != nil && e.cost(now, other, false, 0) < fullWeight {
+			return other
+		}
+	case admission.Admit:
+	}
+	return best
+}
+
+// otherDomains returns the work at the pool's targets in the other domains that this VM reaches, while openings
+// are refused.
+func (e *Engine) otherDomains(now clock.Millis, p *pool) []load.Pool {
+	if !p.admission.IsRefusing() {
+		return nil
 	}
-	return p.admission.Refuse(now, route.Priority, e.random.Float64())
+	return slices.DeleteFunc(e.usableDomains(now, p), func(d load.Pool) bool { return d.ID.Domain == e.options.Domain })
 }
 
 // isFirstCopy reports whether no VM can have forwarded another copy of an opening: it is the first, and did not
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -187,7 +187,7 @@
 	if b == nil {
 		return Verdict{Action: Reset, Reason: NoTarget, Seq: p.Seq}
 	}
-	if e.isRefused(now, reason, route, pool, b) {
+	if b = e.admit(now, reason, route, pool, b); b == nil {
 		return Verdict{Action: Reset, Reason: Overloaded, Seq: p.Seq}
 	}
 	if b.evidence.isSuspect(now) {
