--- a/admission/controller.go
+++ b/admission/controller.go
@@ -54,8 +54,7 @@
 	seenAt     clock.Millis // when the newest opening of the level came, or zero
 	average    float64      // share that the ramp asks for
 	share      Share
-	rampStart  float64 // response time in milliseconds from which requests are refused
-	wasRefused bool    // openings of the level were refused, now or before
+	wasRefused bool // openings of the level were refused, now or before
 }
 
 // Share is what is refused of the requests and openings of one priority. An opening meets RefusedOpenings only, or
@@ -159,7 +158,6 @@
 
 // updateShare sets the share of a level by its ramp.
 func (c *Controller) updateShare(s *state, r ramp, elapsed clock.Millis) {
-	s.rampStart = r.start
 	direct := r.share(c.room.ResponseTime)
 	timeConstant := averagingTime
 	if direct == 0 {
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"slices"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 )
@@ -15,6 +17,10 @@
 	Refuse                    // it is reset: no domain has room for it
 )
 
+// roomPart is the part of a domain's slots that may be occupied while the domain has room. The rest is left for what
+// other VMs send there before the news of it comes.
+const roomPart = 0.75
+
 // Decide decides on an opening of a priority. draw is a random number from 0 to 1, and others are the domains
 // beside that of this VM's own answers. While one of them has room, nothing is refused: the share that would be
 // goes there.
@@ -23,7 +29,7 @@
 	switch {
 	case s == nil:
 		return Admit
-	case s.hasRoomIn(others):
+	case hasRoomIn(others):
 		s.seenAt = now
 		if draw < s.share.Refused {
 			return Elsewhere
@@ -36,8 +42,10 @@
 	}
 }
 
-// hasRoomIn reports whether one of the domains answers before the ramp of the level begins, as fresh news shows.
-func (s *state) hasRoomIn(others []load.Pool) bool {
-	expected := bestResponseTime(others, minFinished)
-	return expected > 0 && expected < s.rampStart
+// hasRoomIn reports whether one of the domains has room, as fresh news shows. Response times do not tell: targets that
+// reject what they have no room for answer soon.
+func hasRoomIn(others []load.Pool) bool {
+	return slices.ContainsFunc(others, func(d load.Pool) bool {
+		return d.Age <= maxNewsAge && d.Work.Finished > 0 && d.Work.Busy <= roomPart*float64(d.Slots)
+	})
 }
