--- a/admission/controller.go
+++ b/admission/controller.go
@@ -13,14 +13,14 @@
 	// UpdateInterval is the time between two updates of the shares.
 	UpdateInterval = 100 * clock.Millisecond
 	// directWeight is the weight of the pressure of the moment. The rest comes from its average: news is late,
-	// and a share that followed it alone would swing between all and nothing. Most of the weight is that of the
-	// moment, as an average is later than the target latencies that it has to protect.
+	// and a share that followed it alone would swing between all and nothing. The moment weighs most, as an
+	// average is later than the target latencies that it has to protect.
 	directWeight = 0.7
-	// averagingTime is the time constant of the average. It is about the delay of the news, which is
-	// smoothed over 750 ms and sent twice a second.
+	// averagingTime is the time constant of the average. It is about the delay of the news: averages over up to
+	// 750 ms (package load), sent twice a second.
 	averagingTime = clock.Second
-	// releaseTime is that while no request has to wait long, when nothing is to be refused any more. Own answers
-	// show this sooner than the news does.
+	// releaseTime takes the place of averagingTime while the ramp asks for nothing: own answers show the end of a
+	// load before the news does.
 	releaseTime = 500 * clock.Millisecond
 	// activeTime is how long after its newest opening a level counts as one with callers.
 	activeTime = 5 * clock.Second
@@ -57,17 +57,18 @@
 	wasRefused bool // openings of the level were refused, now or before
 }
 
-// Share is what is refused of the requests and openings of one priority. An opening meets RefusedOpenings only, or
-// Hopeless, which refuses it whatever the share.
+// Share is what is refused of the requests and openings of one priority while no other failure domain has room. While
+// one has, the share Refused of the openings is placed there instead, and nothing is refused.
 type Share struct {
 	Priority        int     `json:"priority"`
 	Refused         float64 `json:"refused"`          // share of the requests whose callers try triesPerRequest times, 0 to 1
 	RefusedOpenings float64 `json:"refused_openings"` // share of the openings, which is that of callers that try once, 0 to 1
-	Hopeless        bool    `json:"hopeless"`         // all but one opening a second are refused, as answers would come after the timeout
+	Hopeless        bool    `json:"hopeless"`         // answers would come after the timeout: all but one opening a second at each VM are refused
 	Count           int     `json:"count"`            // openings refused so far
 }
 
-// IsRefusing reports whether openings of the priority are refused.
+// IsRefusing reports whether the share is above zero or the priority is hopeless. Its openings may go to other failure
+// domains instead of being refused.
 func (s Share) IsRefusing() bool { return s.Refused > 0 || s.Hopeless }
 
 // SetLevels replaces the levels by those of the pool's routes. What is known of priorities that remain is kept.
@@ -122,7 +123,7 @@
 func (c *Controller) ObserveShed() { c.answers.add(float64(c.targetLatency), 0) }
 
 // Update sets the shares by the work of all VMs at the pool's targets, in the domains that may be used.
-func (c *Controller) Update(now clock.Millis, domains []load.Pool) {
+func (c *Controller) Update(now clock.Millis, domains []load.DomainPool) {
 	elapsed := now - c.updatedAt
 	if c.updatedAt == 0 {
 		elapsed = math.MaxInt32 // nothing is known of before
@@ -184,7 +185,7 @@
 
 // updateUnloaded updates the response time without load while it can be seen. Own answers tell of a rising load
 // before the news does, so they do not count.
-func (c *Controller) updateUnloaded(weight float64, domains []load.Pool) {
+func (c *Controller) updateUnloaded(weight float64, domains []load.DomainPool) {
 	responseTime := bestResponseTime(domains, minFinished)
 	switch {
 	case !c.room.isLightlyLoaded() || responseTime == 0:
@@ -207,8 +208,9 @@
 	}
 }
 
-// Refuse reports whether an opening of a priority is refused where no other domain has room, and counts it. draw is a random number from 0 to 1:
-// each try is drawn anew, whoever it comes from, so a client that was refused has the same chance again.
+// Refuse reports whether an opening of a priority is refused, and counts it if so. It does not look at other failure
+// domains; Decide does that first. draw is a random number from 0 to 1, drawn anew for each try, so a client that was
+// refused has the same chance again.
 func (c *Controller) Refuse(now clock.Millis, priority int, draw float64) bool {
 	s := c.find(priority)
 	if s == nil {
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -22,16 +22,16 @@
 const settlingTime = 10 * clock.Second
 
 // poolWith returns the work at 20 targets with 2 slots each, at which one more request takes the given time.
-func poolWith(domain string, responseTime float64) load.Pool {
+func poolWith(domain string, responseTime float64) load.DomainPool {
 	const targets, slots, finished = 20, 40, 640.0 // a slot is occupied for 62.5 ms
-	return load.Pool{
-		ID: load.PoolID{Service: "orders", Domain: domain}, Targets: targets, Slots: slots,
+	return load.DomainPool{
+		ID: load.DomainPoolID{Service: "orders", Domain: domain}, Targets: targets, Slots: slots,
 		Work: load.Work{Busy: responseTime*finished/1000 - targets, Finished: finished},
 	}
 }
 
 // withAge returns the pool with news of another age.
-func withAge(p load.Pool, age clock.Millis) load.Pool {
+func withAge(p load.DomainPool, age clock.Millis) load.DomainPool {
 	p.Age = age
 	return p
 }
@@ -49,7 +49,7 @@
 }
 
 // hear updates the controller for some time with the same news and returns the refused shares.
-func (v *vm) hear(duration clock.Millis, domains ...load.Pool) []float64 {
+func (v *vm) hear(duration clock.Millis, domains ...load.DomainPool) []float64 {
 	for end := v.now + duration; v.now < end; v.now += admission.UpdateInterval {
 		for _, share := range v.Shares() {
 			v.Refuse(v.now, share.Priority, 1)
@@ -88,19 +88,19 @@
 	}
 }
 
-func TestRoomInOneDomainOrTarget(t *testing.T) {
+func TestNothingIsRefusedIfOneDomainAnswersSoon(t *testing.T) {
 	full := poolWith("east", 1000)
 	tests := []struct {
 		name      string
-		domains   []load.Pool
+		domains   []load.DomainPool
 		isRefused bool
 	}{
-		{"all domains full", []load.Pool{full, poolWith("west", 1000)}, true},
-		{"room in another domain", []load.Pool{full, poolWith("west", 70)}, false},
-		{"another domain without answers", []load.Pool{full, {Targets: 20, Slots: 40}}, true},
-		{"room in a domain with old news", []load.Pool{full, withAge(poolWith("west", 70), clock.Minute)}, true},
+		{"all domains full", []load.DomainPool{full, poolWith("west", 1000)}, true},
+		{"room in another domain", []load.DomainPool{full, poolWith("west", 70)}, false},
+		{"another domain without answers", []load.DomainPool{full, {Targets: 20, Slots: 40}}, true},
+		{"room in a domain with old news", []load.DomainPool{full, withAge(poolWith("west", 70), clock.Minute)}, true},
 		{"no targets", nil, false},
-		{"nothing finishes anywhere", []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 400}}}, false},
+		{"nothing finishes anywhere", []load.DomainPool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 400}}}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -118,7 +118,7 @@
 func TestLongResponseTimeWithoutLoadIsNoOverload(t *testing.T) {
 	is := is.New(t)
 	c := newVM(orders, feeds)
-	idle := load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 20, Finished: 160}}
+	idle := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 20, Finished: 160}}
 	c.hear(settlingTime, idle)
 	is.Equal(c.Room().ResponseTime, 125.0)
 	is.Equal(c.hear(settlingTime, poolWith("east", 140)), []float64{0, 0})
@@ -140,7 +140,7 @@
 func TestFewAnswersDoNotRaiseTheTimeWithoutLoad(t *testing.T) {
 	is := is.New(t)
 	c := newVM(orders, feeds)
-	c.hear(settlingTime, load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 1, Finished: 0.05}})
+	c.hear(settlingTime, load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 1, Finished: 0.05}})
 	is.Equal(rounded(c.hear(settlingTime, poolWith("east", 183))), "[0.0 0.5]")
 }
 
@@ -148,7 +148,7 @@
 func TestAnswersInTimeCountFully(t *testing.T) {
 	is := is.New(t)
 	c := newVM(orders, feeds)
-	c.hear(settlingTime, load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 20, Finished: 20}})
+	c.hear(settlingTime, load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 20, Finished: 20}})
 	c.Observe(200)
 	c.Update(c.now, nil)
 	is.Equal(c.Room().ResponseTime, 200.0)
@@ -187,17 +187,17 @@
 
 // Targets that hang finish next to nothing, so the response time that news shows is long while slots are free.
 func TestNothingIsHopelessBesideFreeSlots(t *testing.T) {
-	hanging := load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 60, Finished: 0.05}}
+	hanging := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 60, Finished: 0.05}}
 	tests := []struct {
 		name       string
-		domains    []load.Pool
+		domains    []load.DomainPool
 		isHopeless bool
 	}{
-		{"one request whose client has vanished", []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 1, Finished: 0.05}}}, false},
-		{"the last free slot", []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 39, Finished: 0.05}}}, false},
-		{"no free slot", []load.Pool{hanging}, true},
-		{"free slots in another domain", []load.Pool{hanging, {Targets: 20, Slots: 40}}, false},
-		{"free slots by old news", []load.Pool{hanging, withAge(load.Pool{Targets: 20, Slots: 40}, clock.Minute)}, true},
+		{"one request whose client has vanished", []load.DomainPool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 1, Finished: 0.05}}}, false},
+		{"the last free slot", []load.DomainPool{{Targets: 20, Slots: 40, Work: load.Work{Busy: 39, Finished: 0.05}}}, false},
+		{"no free slot", []load.DomainPool{hanging}, true},
+		{"free slots in another domain", []load.DomainPool{hanging, {Targets: 20, Slots: 40}}, false},
+		{"free slots by old news", []load.DomainPool{hanging, withAge(load.DomainPool{Targets: 20, Slots: 40}, clock.Minute)}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -256,7 +256,7 @@
 func TestOwnAnswersCountBeforeLateNews(t *testing.T) {
 	is := is.New(t)
 	c := newVM(orders, feeds)
-	answer := func(responseTime clock.Millis, news load.Pool) float64 {
+	answer := func(responseTime clock.Millis, news load.DomainPool) float64 {
 		var refused []float64
 		for range 20 {
 			for range 10 {
@@ -275,7 +275,7 @@
 func TestNothingIsRefusedBesideIdleTargets(t *testing.T) {
 	is := is.New(t)
 	c := newVM(orders, feeds)
-	idle := load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 5, Finished: 80}}
+	idle := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 5, Finished: 80}}
 	for range 10 {
 		c.Observe(1000)
 	}
@@ -298,7 +298,7 @@
 	for range 100 {
 		c.Refuse(c.now, orders.Priority, 1)
 		c.Refuse(c.now, feeds.Priority, 1)
-		c.Update(c.now, []load.Pool{poolWith("east", 400)})
+		c.Update(c.now, []load.DomainPool{poolWith("east", 400)})
 		c.now += admission.UpdateInterval
 	}
 	is.Equal(c.Shares()[1].Refused, 0.0) // nobody is more urgent
@@ -309,7 +309,7 @@
 	c := &admission.Controller{}
 	c.SetLevels([]admission.Level{orders, feeds})
 	c.Refuse(clock.Second, orders.Priority, 0.5)
-	c.Update(clock.Second, []load.Pool{poolWith("east", 183)})
+	c.Update(clock.Second, []load.DomainPool{poolWith("east", 183)})
 	for _, s := range c.Shares() {
 		fmt.Printf("priority %d: %.2f\n", s.Priority, s.Refused)
 	}
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -12,40 +12,40 @@
 
 // Decisions.
 const (
-	Admit     Decision = iota // it goes to the target that was chosen for it
-	Elsewhere                 // it goes to another failure domain, which has room
-	Refuse                    // it is reset: no domain has room for it
+	Admitted Decision = iota // placed on the target that was chosen for it
+	Spilled                  // placed in another failure domain, which has room
+	Refused                  // reset: no failure domain has room
 )
 
 // roomPart is the part of a domain's slots that may be occupied while the domain has room. The rest is left for what
 // other VMs send there before the news of it comes.
 const roomPart = 0.75
 
-// Decide decides on an opening of a priority. draw is a random number from 0 to 1, and others are the domains
-// beside that of this VM's own answers. While one of them has room, nothing is refused: the share that would be
-// goes there.
-func (c *Controller) Decide(now clock.Millis, priority int, draw float64, others []load.Pool) Decision {
+// Decide decides on an opening of a priority, and counts it if it is refused. draw is a random number from 0 to 1.
+// others holds the failure domains other than this VM's own that it reaches. While one of them has room, nothing is
+// refused: the share Refused of the openings goes there.
+func (c *Controller) Decide(now clock.Millis, priority int, draw float64, others []load.DomainPool) Decision {
 	s := c.find(priority)
 	switch {
 	case s == nil:
-		return Admit
+		return Admitted
 	case hasRoomIn(others):
 		s.seenAt = now
 		if draw < s.share.Refused {
-			return Elsewhere
+			return Spilled
 		}
-		return Admit
+		return Admitted
 	case c.Refuse(now, priority, draw):
-		return Refuse
+		return Refused
 	default:
-		return Admit
+		return Admitted
 	}
 }
 
 // hasRoomIn reports whether one of the domains has room, as fresh news shows. Response times do not tell: targets that
 // reject what they have no room for answer soon.
-func hasRoomIn(others []load.Pool) bool {
-	return slices.ContainsFunc(others, func(d load.Pool) bool {
+func hasRoomIn(others []load.DomainPool) bool {
+	return slices.ContainsFunc(others, func(d load.DomainPool) bool {
 		return d.Age <= maxNewsAge && d.Work.Finished > 0 && d.Work.Busy <= roomPart*float64(d.Slots)
 	})
 }
--- a/admission/decision_test.go
+++ b/admission/decision_test.go
@@ -12,32 +12,32 @@
 
 // Load: one failure domain presses, so that this VM's own requests take long. The less urgent openings go to
 // another domain that has room, and are refused only if none has.
-func TestNothingIsRefusedWhileAnotherDomainHasRoom(t *testing.T) {
+func TestRefusedShareGoesToAnotherDomainWithRoom(t *testing.T) {
 	full := poolWith("west", 1000)
-	half := load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
+	half := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
 	// Targets that reject what they have no room for answer soon.
-	rejecting := load.Pool{Targets: 20, Slots: 40, Work: load.Work{Busy: 160, Finished: 4000}}
+	rejecting := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 160, Finished: 4000}}
 	tests := []struct {
 		name     string
-		others   []load.Pool
+		others   []load.DomainPool
 		priority int
 		expected admission.Decision
 	}{
-		{"no other domain", nil, feeds.Priority, admission.Refuse},
-		{"another domain is full", []load.Pool{full}, feeds.Priority, admission.Refuse},
-		{"another domain has room", []load.Pool{half}, feeds.Priority, admission.Elsewhere},
-		{"one of two has room", []load.Pool{full, half}, feeds.Priority, admission.Elsewhere},
-		{"news of the other domain is old", []load.Pool{withAge(half, clock.Minute)}, feeds.Priority, admission.Refuse},
-		{"another domain rejects most", []load.Pool{rejecting}, feeds.Priority, admission.Refuse},
-		{"nothing finishes in the other domain", []load.Pool{{Targets: 20, Slots: 40}}, feeds.Priority, admission.Refuse},
-		{"urgent openings stay", []load.Pool{half}, orders.Priority, admission.Admit},
-		{"no such priority", []load.Pool{full}, 9, admission.Admit},
+		{"no other domain", nil, feeds.Priority, admission.Refused},
+		{"another domain is full", []load.DomainPool{full}, feeds.Priority, admission.Refused},
+		{"another domain has room", []load.DomainPool{half}, feeds.Priority, admission.Spilled},
+		{"one of two has room", []load.DomainPool{full, half}, feeds.Priority, admission.Spilled},
+		{"news of the other domain is old", []load.DomainPool{withAge(half, clock.Minute)}, feeds.Priority, admission.Refused},
+		{"another domain rejects most", []load.DomainPool{rejecting}, feeds.Priority, admission.Refused},
+		{"nothing finishes in the other domain", []load.DomainPool{{Targets: 20, Slots: 40}}, feeds.Priority, admission.Refused},
+		{"urgent openings stay", []load.DomainPool{half}, orders.Priority, admission.Admitted},
+		{"no such priority", []load.DomainPool{full}, 9, admission.Admitted},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			c := newVM(orders, feeds)
-			domains := append([]load.Pool{poolWith("east", 1000)}, tt.others...)
+			domains := append([]load.DomainPool{poolWith("east", 1000)}, tt.others...)
 			for end := c.now + settlingTime; c.now < end; c.now += admission.UpdateInterval {
 				c.Notice(c.now, orders.Priority)
 				c.Notice(c.now, feeds.Priority)
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -6,8 +6,8 @@
 // second. Response times spread widely around their mean: the mean at the end of the ramp, 7/12 of the target latency,
 // leaves room for requests that take more than half as long again.
 const (
-	rampStart  = 1.0 / 3
-	rampLength = 0.25
+	rampStart  = 1.0 / 3 // where refusals begin
+	rampLength = 0.25    // from the first refusal to all refused
 	// maxRampStart bounds the start if the pool's response time is high without load.
 	maxRampStart = 0.5
 	// unloadedFactor is how much longer than without load requests take before any is refused.
--- a/admission/room.go
+++ b/admission/room.go
@@ -25,7 +25,7 @@
 func (r Room) IsOwnView() bool { return r.Slots == 0 }
 
 // roomOf sums up the domains of a pool that have fresh news. The response time also goes by own answers.
-func roomOf(own *answers, domains []load.Pool) Room {
+func roomOf(own *answers, domains []load.DomainPool) Room {
 	r := Room{Age: ageOf(domains)}
 	for _, d := range domains {
 		if d.Age <= maxNewsAge {
@@ -39,7 +39,7 @@
 }
 
 // ageOf returns the age of the newest news.
-func ageOf(domains []load.Pool) clock.Millis {
+func ageOf(domains []load.DomainPool) clock.Millis {
 	age := clock.Millis(0)
 	for i, d := range domains {
 		if i == 0 || d.Age < age {
@@ -52,7 +52,7 @@
 // bestResponseTime returns the expected response time in the best domain that has fresh news, as new flows go
 // there, or zero. A domain where nothing finishes shows none: its targets may be idle or dead. Neither does one that
 // finishes fewer than minRate requests a second.
-func bestResponseTime(domains []load.Pool, minRate float64) float64 {
+func bestResponseTime(domains []load.DomainPool, minRate float64) float64 {
 	best := 0.0
 	for _, d := range domains {
 		expected := d.ResponseTime()
--- a/cmd/almondflow-entry/soak_test.go
+++ b/cmd/almondflow-entry/soak_test.go
@@ -296,7 +296,7 @@
 			s.t.Errorf("seed %d: version of the tables is %d after %d", *soakSeed, status.View.Version, v.version)
 		}
 		v.version, v.drains = status.View.Version, status.Drains
-		isFresh := func(p load.Pool) bool { return p.Age < load.ReportLifetime }
+		isFresh := func(p load.DomainPool) bool { return p.Age < load.ReportLifetime }
 		v.hearsLoad = slices.ContainsFunc(status.Pools, isFresh)
 	}
 }
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -73,7 +73,7 @@
 }
 
 // writeAdmissions writes the refused share of each priority of the pools.
-func writeAdmissions(w io.Writer, pools []inband.Admission) {
+func writeAdmissions(w io.Writer, pools []inband.AdmissionStatus) {
 	for _, a := range pools {
 		for _, s := range a.Shares {
 			_, _ = fmt.Fprintf(w, "refused %s priority %d\t%.2f of requests, %.2f of openings, %d so far, response time %.0f ms, %.0f busy of %d slots, news %d ms old\n",
--- a/experiment/pressure_test.go
+++ b/experiment/pressure_test.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// TestPressureWithoutThePart shows that the bound of urgent requests needs admission by urgency: the rule that
+// TestUrgentBoundNeedsAdmissionByUrgency shows that the bound of urgent requests needs admission by urgency: the rule that
 // goes by this VM's own count and a fixed latency refuses nothing there.
-func TestPressureWithoutThePart(t *testing.T) {
+func TestUrgentBoundNeedsAdmissionByUrgency(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	size := pressureSize()
--- a/experiment/shared_test.go
+++ b/experiment/shared_test.go
@@ -9,9 +9,9 @@
 	"github.com/almondflow/almondflow/inband"
 )
 
-// TestSharedWithoutNews guards against placement by shared load that serves callers worse than placement by
+// TestSharedServesAsWellAsLocalWithoutNews guards against placement by shared load that serves callers worse than placement by
 // own counts while no VM hears of others, under each pattern. The tolerance is that of TestPatterns.
-func TestSharedWithoutNews(t *testing.T) {
+func TestSharedServesAsWellAsLocalWithoutNews(t *testing.T) {
 	const noise = 0.002
 	for _, pattern := range experiment.Patterns() {
 		t.Run(pattern.Name, func(t *testing.T) {
--- a/front/era_test.go
+++ b/front/era_test.go
@@ -92,7 +92,7 @@
 }
 
 // Without eras, a sibling's view is fetched as a difference, as before.
-func TestNoErasFetchTheDifference(t *testing.T) {
+func TestStoreWithoutErasFetchesTheDifference(t *testing.T) {
 	is := is.New(t)
 	reader, _ := daemonThatRead(t, readInEra(0, 5, "i-1", "i-2"))
 	behind, _ := daemonThatRead(t, readInEra(0, 5, "i-1"))
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -84,9 +84,9 @@
 	d.runMaintenance(fake.Now())
 	is.True(d.knowsLoad)
 	is.Equal(counted(d, loadReceivedMetric), int64(1))
-	is.Equal(d.engine.LoadPools(), []load.Pool{
-		{ID: load.PoolID{Service: "core", Domain: "a"}, Targets: 1, Slots: 2, Work: load.Work{Busy: 3, Finished: 40, Flows: 5}, Age: tickInterval},
-		{ID: load.PoolID{Service: "core", Domain: "b"}, Targets: 1, Slots: 3, Age: load.NewsLifetime},
+	is.Equal(d.engine.LoadPools(), []load.DomainPool{
+		{ID: load.DomainPoolID{Service: "core", Domain: "a"}, Targets: 1, Slots: 2, Work: load.Work{Busy: 3, Finished: 40, Flows: 5}, Age: tickInterval},
+		{ID: load.DomainPoolID{Service: "core", Domain: "b"}, Targets: 1, Slots: 3, Age: load.NewsLifetime},
 	})
 	fake.Advance(4 * clock.Second)
 	d.runMaintenance(fake.Now())
@@ -127,7 +127,7 @@
 func TestAgeOfNewsIncludesItsWay(t *testing.T) {
 	is := is.New(t)
 	d, fake := newSharingDaemon(t, true)
-	pool := load.PoolID{Service: "core", Domain: "b"}.Hash()
+	pool := load.DomainPoolID{Service: "core", Domain: "b"}.Hash()
 	report := load.Report{Pools: []load.PoolNews{{Pool: pool, Source: load.HashDomain("b"), Work: load.Work{Busy: 3}, Age: 40}}}
 	d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: load.Encode(&report, maxLoadBytes)})
 	is.Equal(d.engine.TakeLoadReport(fake.Now()).Pools[0].Age, 40+transitTime)
@@ -159,7 +159,7 @@
 			is := is.New(t)
 			d, fake := newSharingDaemon(t, true)
 			d.random = rand.New(rand.NewPCG(1, 2))
-			report := load.Encode(&load.Report{Remote: []load.PoolWork{{Pool: load.PoolID{Service: "core", Domain: "b"}.Hash()}}}, maxLoadBytes)
+			report := load.Encode(&load.Report{Remote: []load.PoolWork{{Pool: load.DomainPoolID{Service: "core", Domain: "b"}.Hash()}}}, maxLoadBytes)
 			for range 200 {
 				d.receive(context.Background(), &siblings.Message{Kind: siblings.Load, From: otherVM, Load: report})
 				for i := range tt.vms - 2 {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -41,7 +41,7 @@
 	shedRequestsMetric    = Metric{"almondflow_front_shed_requests", counterType, "requests", "Requests that full targets shed, which does not count against them."}
 	overloadedPoolsMetric = Metric{"almondflow_front_full_pools", gaugeType, "pools", "Pools whose targets have more work than they can finish in time."}
 	refusedOpeningsMetric = Metric{"almondflow_front_refused_openings", counterType, "openings", "Openings refused for lack of room, by priority (tag priority)."}
-	refusedShareMetric    = Metric{"almondflow_front_refused_share", gaugeType, "share", "Share of requests refused for lack of room, of callers that try three times, by priority (tag priority), of the pool that refuses most."}
+	refusedShareMetric    = Metric{"almondflow_front_refused_share", gaugeType, "share", "Share of requests to be refused for lack of room, of callers that try three times, by priority (tag priority), of the pool with the greatest; they go to other failure domains while these have room."}
 	tablesVersionMetric   = Metric{"almondflow_front_tables_version", gaugeType, "version", "Version of the tables in use."}
 	drainedDomainsMetric  = Metric{"almondflow_front_drained_domains", gaugeType, "domains", "Failure domains that the operator drains, whose targets get no new flows."}
 	readyAfterMetric      = Metric{"almondflow_front_ready_after", gaugeType, "milliseconds", "Time from the start of the process to its first view."}
@@ -197,7 +197,7 @@
 	} {
 		m.scope.Gauge(g.metric.Name).Update(float64(g.value))
 	}
-	d.metrics.updateRefusals(d.engine.Admissions())
+	d.metrics.updateRefusals(d.engine.AdmissionStatuses())
 }
 
 // writeSnapshot writes all metrics: counters and gauges, ordered by name and tags, and then
--- a/front/policy_test.go
+++ b/front/policy_test.go
@@ -9,7 +9,7 @@
 )
 
 // Only deployments whose settings ask for it place new flows by shared load.
-func TestPolicy(t *testing.T) {
+func TestOnlyTheRuleTurnsSharedPlacementOn(t *testing.T) {
 	tests := []struct {
 		name     string
 		policy   string
--- a/front/refusals.go
+++ b/front/refusals.go
@@ -28,13 +28,13 @@
 
 // refusalChange is the begin or the end of a refusal.
 type refusalChange struct {
-	pool    inband.Admission
+	pool    inband.AdmissionStatus
 	share   admission.Share
 	isBegin bool
 }
 
 // update returns the refusals that have begun or ended.
-func (l *refusalLog) update(now clock.Millis, pools []inband.Admission) []refusalChange {
+func (l *refusalLog) update(now clock.Millis, pools []inband.AdmissionStatus) []refusalChange {
 	if l.refusedAt == nil {
 		l.refusedAt = map[refusalKey]clock.Millis{}
 	}
@@ -71,7 +71,7 @@
 // logRefusals logs which openings begin and cease to be refused for lack of room.
 func (d *Daemon) logRefusals(now clock.Millis) {
 	d.mu.Lock()
-	changes := d.refusals.update(now, d.engine.Admissions())
+	changes := d.refusals.update(now, d.engine.AdmissionStatuses())
 	d.mu.Unlock()
 	for _, c := range changes {
 		c.write(now, d.log)
@@ -89,7 +89,7 @@
 }
 
 // updateRefusals updates the counter and the gauge of each priority.
-func (m *metrics) updateRefusals(pools []inband.Admission) {
+func (m *metrics) updateRefusals(pools []inband.AdmissionStatus) {
 	counts, highest := map[int]int{}, map[int]float64{}
 	for _, pool := range pools {
 		for _, s := range pool.Shares {
--- a/front/refusals_test.go
+++ b/front/refusals_test.go
@@ -13,15 +13,15 @@
 )
 
 // refusing returns a pool that refuses a share of the openings of priority 2.
-func refusing(share float64) []inband.Admission {
-	return []inband.Admission{{Service: "orders", Shares: []admission.Share{{Priority: 1}, {Priority: 2, Refused: share}}}}
+func refusing(share float64) []inband.AdmissionStatus {
+	return []inband.AdmissionStatus{{Service: "orders", Shares: []admission.Share{{Priority: 1}, {Priority: 2, Refused: share}}}}
 }
 
 // A refusal that stops and goes on within a second is one in the log.
 func TestBeginAndEndOfARefusalAreLoggedOnce(t *testing.T) {
 	steps := []struct {
 		at       clock.Millis
-		pools    []inband.Admission
+		pools    []inband.AdmissionStatus
 		expected []bool // begins (true) and ends (false)
 	}{
 		{0, refusing(0), nil},
@@ -55,7 +55,7 @@
 			{Address: netip.MustParseAddrPort("198.18.0.1:80"), Priority: 1, Shares: []inband.Share{{Service: "orders"}}},
 			{Address: netip.MustParseAddrPort("198.18.0.1:81"), Priority: 2, Shares: []inband.Share{{Service: "orders"}}},
 		}})
-		is.Equal(len(d.engine.Admissions()), map[bool]int{false: 0, true: 1}[isOn])
+		is.Equal(len(d.engine.AdmissionStatuses()), map[bool]int{false: 0, true: 1}[isOn])
 	}
 }
 
--- a/front/status.go
+++ b/front/status.go
@@ -13,17 +13,17 @@
 
 // Status is the state of a running daemon as shown to operators.
 type Status struct {
-	Name       string                `json:"name"`
-	Domain     string                `json:"domain"`
-	UptimeMS   clock.Millis          `json:"uptime_ms"`
-	Ready      bool                  `json:"ready"`
-	View       *siblings.ViewSummary `json:"view"`
-	ReaderRank int                   `json:"reader_rank"` // VMs that read the store before this one
-	Siblings   []siblings.Contact    `json:"siblings"`
-	Drains     []drain.Mark          `json:"drains,omitempty"` // failure domains that get no new flows
-	Targets    []inband.Health       `json:"targets"`
-	Pools      []load.Pool           `json:"pools,omitempty"`      // if VMs share their load
-	Admissions []inband.Admission    `json:"admissions,omitempty"` // of pools whose less urgent openings may be refused
+	Name       string                   `json:"name"`
+	Domain     string                   `json:"domain"`
+	UptimeMS   clock.Millis             `json:"uptime_ms"`
+	Ready      bool                     `json:"ready"`
+	View       *siblings.ViewSummary    `json:"view"`
+	ReaderRank int                      `json:"reader_rank"` // VMs that read the store before this one
+	Siblings   []siblings.Contact       `json:"siblings"`
+	Drains     []drain.Mark             `json:"drains,omitempty"` // failure domains that get no new flows
+	Targets    []inband.Health          `json:"targets"`
+	Pools      []load.DomainPool        `json:"pools,omitempty"`      // if VMs share their load
+	Admissions []inband.AdmissionStatus `json:"admissions,omitempty"` // of pools whose less urgent openings may be refused
 }
 
 // serveStatus answers with the Status of the daemon.
@@ -35,7 +35,7 @@
 		Ready: d.catalog.IsComplete() && !d.isStopping, View: d.viewSummary(now),
 		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now),
 		Drains: d.catalog.Drains(), Pools: d.engine.LoadPools(), Targets: d.engine.Targets(),
-		Admissions: d.engine.Admissions(),
+		Admissions: d.engine.AdmissionStatuses(),
 	}
 	d.mu.Unlock()
 	d.writeJSON(w, status)
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -12,8 +12,8 @@
 // openingCopiesTime is how long after a client's first opening the last copy of it may reach a VM.
 const openingCopiesTime = 1400 * clock.Millisecond
 
-// Admission is what an entry VM refuses at one pool, and why.
-type Admission struct {
+// AdmissionStatus is what an entry VM refuses at one pool, and why.
+type AdmissionStatus struct {
 	Service        string            `json:"service"`
 	Shares         []admission.Share `json:"shares"` // the most urgent first
 	ResponseTimeMS float64           `json:"response_time_ms"`
@@ -22,8 +22,8 @@
 	NewsAgeMS      clock.Millis      `json:"news_age_ms"` // of the other VMs' load
 }
 
-// admit returns the target of an opening for which the target best was chosen, for the reason given, or nil if it
-// is refused for lack of room.
+// admit returns the target of an opening: best, which the policy chose for it, or one in another failure domain that
+// has room, or nil if the opening is refused. reason says which copy of the opening it is.
 func (e *Engine) admit(now clock.Millis, reason Reason, route *Route, p *pool, best *Backend) *Backend {
 	if !e.options.RefusesByUrgency {
 		if e.isRefusedByOwnCount(now, route, p, best) {
@@ -39,24 +39,24 @@
 		return best
 	}
 	switch p.admission.Decide(now, route.Priority, e.random.Float64(), e.otherDomains(now, p)) {
-	case admission.Refuse:
+	case admission.Refused:
 		return nil
-	case admission.Elsewhere:
+	case admission.Spilled: // if no target there takes it, it stays: news showed room
 		if other := e.cheapest(now, p.remote, nil); other != nil && e.cost(now, other, false, 0) < fullWeight {
 			return other
 		}
-	case admission.Admit:
+	case admission.Admitted:
 	}
 	return best
 }
 
 // otherDomains returns the work at the pool's targets in the other domains that this VM reaches, while openings
 // are refused.
-func (e *Engine) otherDomains(now clock.Millis, p *pool) []load.Pool {
+func (e *Engine) otherDomains(now clock.Millis, p *pool) []load.DomainPool {
 	if !p.admission.IsRefusing() {
 		return nil
 	}
-	return slices.DeleteFunc(e.usableDomains(now, p), func(d load.Pool) bool { return d.ID.Domain == e.options.Domain })
+	return slices.DeleteFunc(e.usableDomains(now, p), func(d load.DomainPool) bool { return d.ID.Domain == e.options.Domain })
 }
 
 // isFirstCopy reports whether no VM can have forwarded another copy of an opening: it is the first, and did not
@@ -67,11 +67,11 @@
 }
 
 // usableDomains returns the work at the pool's targets in the domains that this VM reaches, if VMs tell each other.
-func (e *Engine) usableDomains(now clock.Millis, p *pool) []load.Pool {
+func (e *Engine) usableDomains(now clock.Millis, p *pool) []load.DomainPool {
 	if !e.options.SharesLoad {
 		return nil
 	}
-	return slices.DeleteFunc(p.domains(), func(d load.Pool) bool {
+	return slices.DeleteFunc(p.domains(), func(d load.DomainPool) bool {
 		return d.Targets == 0 || e.IsPartitioned(now, d.ID.Domain)
 	})
 }
@@ -85,7 +85,11 @@
 	for _, route := range e.routes {
 		for _, share := range route.Shares {
 			p := e.poolOf(share.Service)
-			levels[p] = append(levels[p], admission.Level{Priority: route.Priority, TargetLatency: route.TargetLatencyMS, Timeout: route.TimeoutMS})
+			levels[p] = append(levels[p], admission.Level{
+				Priority:      route.Priority,
+				TargetLatency: route.TargetLatencyMS,
+				Timeout:       route.TimeoutMS,
+			})
 		}
 	}
 	for _, p := range e.pools {
@@ -93,22 +97,22 @@
 	}
 }
 
-// Admissions returns what is refused at the pools that routes of several priorities share, ordered by service. The
+// AdmissionStatuses returns what is refused at the pools that routes of several priorities share, ordered by service. The
 // only level of other pools is refused if it is hopeless; they are listed from then on.
-func (e *Engine) Admissions() []Admission {
-	var all []Admission
+func (e *Engine) AdmissionStatuses() []AdmissionStatus {
+	var all []AdmissionStatus
 	for service, p := range e.pools {
 		shares := p.admission.Shares()
 		if len(shares) > 1 || p.admission.HasRefused() {
 			all = append(all, newAdmission(service, shares, p.admission.Room()))
 		}
 	}
-	slices.SortFunc(all, func(a, b Admission) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(all, func(a, b AdmissionStatus) int { return cmp.Compare(a.Service, b.Service) })
 	return all
 }
 
-func newAdmission(service string, shares []admission.Share, room admission.Room) Admission {
-	return Admission{
+func newAdmission(service string, shares []admission.Share, room admission.Room) AdmissionStatus {
+	return AdmissionStatus{
 		Service: service, Shares: shares, ResponseTimeMS: room.ResponseTime,
 		Slots: room.Slots, Busy: room.Busy, NewsAgeMS: room.Age,
 	}
--- a/inband/admissions_test.go
+++ b/inband/admissions_test.go
@@ -26,16 +26,16 @@
 	is := is.New(t)
 	e, p := newOneLevelEngine(Options{RefusesByUrgency: true})
 	update := func(now clock.Millis, busy, finished float64) {
-		p.admission.Update(now, []load.Pool{{Targets: 20, Slots: 40, Work: load.Work{Busy: busy, Finished: finished}}})
+		p.admission.Update(now, []load.DomainPool{{Targets: 20, Slots: 40, Work: load.Work{Busy: busy, Finished: finished}}})
 	}
 	update(clock.Second, 20, 300)
-	is.Equal(len(e.Admissions()), 0)
+	is.Equal(len(e.AdmissionStatuses()), 0)
 	update(2*clock.Second, 4000, 300)
-	is.Equal(len(e.Admissions()), 1)
-	is.True(e.Admissions()[0].Shares[0].Hopeless)
+	is.Equal(len(e.AdmissionStatuses()), 1)
+	is.True(e.AdmissionStatuses()[0].Shares[0].Hopeless)
 	update(3*clock.Second, 20, 300)
-	is.Equal(len(e.Admissions()), 1)
-	is.True(!e.Admissions()[0].Shares[0].IsRefusing())
+	is.Equal(len(e.AdmissionStatuses()), 1)
+	is.True(!e.AdmissionStatuses()[0].Shares[0].IsRefusing())
 }
 
 // Without the part nothing is measured for it, so that the packet path does no more than before.
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -29,11 +29,11 @@
 	backends        []*Backend    // all of them
 	local           []*Backend    // in the VM's own failure domain, unless that is drained
 	remote          []*Backend    // in other domains that are not drained
-	domainPools     []*domainPool // the same targets, by failure domain
-	load            *loadState
-	isOverloaded    bool         // set once looksOverloaded has been for overloadTime
-	looksOverloaded bool         // the last target chosen showed both signs of overload
-	overloadedSince clock.Millis // when looksOverloaded was set
+	domainPools     []*domainPool // the backends by failure domain, drained and leaving ones included
+	load            *loadState    // of the engine, shared by all pools
+	isOverloaded    bool          // set once looksOverloaded has been for overloadTime
+	looksOverloaded bool          // the last target chosen showed both signs of overload
+	overloadedSince clock.Millis  // when looksOverloaded was set
 	admission       admission.Controller
 	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
 	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
@@ -43,7 +43,7 @@
 }
 
 func (p *pool) add(b *Backend, domain string) {
-	b.domainPool = p.in(load.PoolID{Service: b.target.Service, Domain: b.target.Domain})
+	b.domainPool = p.in(load.DomainPoolID{Service: b.target.Service, Domain: b.target.Domain})
 	b.domainPool.backends = append(b.domainPool.backends, b)
 	p.backends = append(p.backends, b)
 	p.addCandidate(b, domain)
@@ -95,7 +95,7 @@
 // chooseTarget returns the target for a new flow to a pool, or nil if no target accepts it. The
 // target avoid, which may be nil, is only a last resort.
 func (e *Engine) chooseTarget(now clock.Millis, p *pool, avoid *Backend) *Backend {
-	if e.options.Policy.SharesLoad() {
+	if e.options.Policy.UsesSharedLoad() {
 		return e.chooseByDomain(now, p, avoid)
 	}
 	var s selection
@@ -135,7 +135,7 @@
 
 // draw returns the random part of a cost.
 func (e *Engine) draw() float64 {
-	if !e.options.Policy.SharesLoad() {
+	if !e.options.Policy.UsesSharedLoad() {
 		return 1
 	}
 	return e.random.ExpFloat64()
--- a/inband/domainpool.go
+++ b/inband/domainpool.go
@@ -7,18 +7,18 @@
 
 // domainPool holds the targets of a pool in one failure domain.
 type domainPool struct {
-	id        load.PoolID
+	id        load.DomainPoolID
 	hash      uint32 // of the id
 	pool      *pool
 	backends  []*Backend
 	isLocal   bool // in this VM's own failure domain
 	isListed  bool // in loadState.pools
 	isCounted bool // no target has changed since the last count
-	poolWork
+	domainEstimate
 }
 
-// poolWork is what this VM believes of the work at the targets of a domainPool.
-type poolWork struct {
+// domainEstimate is what this VM believes of the work at the targets of a domainPool.
+type domainEstimate struct {
 	targets       int       // that accept new flows, as last counted
 	slots         int       // of these targets
 	hasWork       bool      // as of the last update; if not, the fields below are not set
@@ -32,7 +32,7 @@
 }
 
 // in returns the part of the pool in a failure domain.
-func (p *pool) in(id load.PoolID) *domainPool {
+func (p *pool) in(id load.DomainPoolID) *domainPool {
 	for _, d := range p.domainPools {
 		if d.id == id {
 			return d
@@ -46,7 +46,7 @@
 // keepWork takes over what is believed of the work of a previous pool, which holds until the next update.
 func (p *pool) keepWork(previous *pool) {
 	for _, d := range p.domainPools {
-		d.poolWork = previous.in(d.id).poolWork
+		d.domainEstimate = previous.in(d.id).domainEstimate
 	}
 }
 
@@ -63,7 +63,7 @@
 
 // reset forgets what was added up.
 func (d *domainPool) reset() {
-	d.poolWork = poolWork{targets: d.targets, slots: d.slots, newsAge: load.NewsLifetime}
+	d.domainEstimate = domainEstimate{targets: d.targets, slots: d.slots, newsAge: load.NewsLifetime}
 }
 
 // update estimates the work of all VMs at the pool's targets. Of the targets of this VM's own failure domain
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -31,9 +31,9 @@
 	State      string      `json:"state"`  // state of that flow
 	Candidates []Candidate `json:"candidates"`
 	// DrainedDomains holds the failure domains whose targets are no candidates because they are drained.
-	DrainedDomains []string    `json:"drained_domains,omitempty"`
-	Priority       int         `json:"priority"`             // of the route
-	Admissions     []Admission `json:"admissions,omitempty"` // of the route's pools, if openings to them may be refused
+	DrainedDomains []string          `json:"drained_domains,omitempty"`
+	Priority       int               `json:"priority"`             // of the route
+	Admissions     []AdmissionStatus `json:"admissions,omitempty"` // of the route's pools, if openings to them may be refused
 }
 
 var phaseNames = [...]string{"opening", "open", "ended"}
@@ -52,7 +52,7 @@
 	}
 	x.Route, x.DrainedDomains = route.Name, e.drainedDomainsOf(route)
 	x.Priority = route.Priority
-	x.Admissions = slices.DeleteFunc(e.Admissions(), func(a Admission) bool { return !route.leadsTo(a.Service) })
+	x.Admissions = slices.DeleteFunc(e.AdmissionStatuses(), func(a AdmissionStatus) bool { return !route.leadsTo(a.Service) })
 	for _, share := range route.Shares {
 		if p := e.pools[share.Service]; p != nil {
 			x.Candidates = e.addCandidates(now, x.Candidates, p.local)
@@ -82,7 +82,7 @@
 		work := b.work()
 		c.Work = &work
 	}
-	if e.options.Policy.SharesLoad() {
+	if e.options.Policy.UsesSharedLoad() {
 		c.ResponseMS = b.responseTime() * b.pool.serviceTime
 	}
 	return c
--- a/inband/load.go
+++ b/inband/load.go
@@ -123,8 +123,8 @@
 }
 
 // summary returns the work of all VMs at a pool's targets in one failure domain.
-func (s *loadState) summary(d *domainPool) load.Pool {
-	p := load.Pool{ID: d.id, Targets: d.targets, Slots: d.slots, Age: load.NewsLifetime}
+func (s *loadState) summary(d *domainPool) load.DomainPool {
+	p := load.DomainPool{ID: d.id, Targets: d.targets, Slots: d.slots, Age: load.NewsLifetime}
 	if d.hasWork {
 		p.Work, p.Age = d.fromOwnDomain.Add(d.foreign), d.newsAge
 	}
@@ -176,15 +176,15 @@
 
 // LoadPools returns the work at all pools by failure domain, ordered by name, or nothing if VMs do not share
 // their load.
-func (e *Engine) LoadPools() []load.Pool {
+func (e *Engine) LoadPools() []load.DomainPool {
 	if !e.load.isShared {
 		return nil
 	}
-	all := make([]load.Pool, 0, len(e.load.pools))
+	all := make([]load.DomainPool, 0, len(e.load.pools))
 	for _, d := range e.load.pools {
 		all = append(all, e.load.summary(d))
 	}
-	slices.SortFunc(all, func(a, b load.Pool) int {
+	slices.SortFunc(all, func(a, b load.DomainPool) int {
 		return cmp.Or(cmp.Compare(a.ID.Service, b.ID.Service), cmp.Compare(a.ID.Domain, b.ID.Domain))
 	})
 	return all
--- a/inband/load_test.go
+++ b/inband/load_test.go
@@ -23,8 +23,8 @@
 	e.Sweep(250)
 	e.SetLocalVMs(3)
 	e.Sweep(500)
-	is.Equal(e.poolOf("orders").domains(), []load.Pool{
-		{ID: load.PoolID{Service: "orders", Domain: "east"}, Targets: 2, Slots: 6, Work: load.Work{Flows: 15}, Age: load.ReportLifetime},
-		{ID: load.PoolID{Service: "orders", Domain: "west"}, Targets: 1, Slots: 1, Work: load.Work{Flows: 3}, Age: load.NewsLifetime},
+	is.Equal(e.poolOf("orders").domains(), []load.DomainPool{
+		{ID: load.DomainPoolID{Service: "orders", Domain: "east"}, Targets: 2, Slots: 6, Work: load.Work{Flows: 15}, Age: load.ReportLifetime},
+		{ID: load.DomainPoolID{Service: "orders", Domain: "west"}, Targets: 1, Slots: 1, Work: load.Work{Flows: 3}, Age: load.NewsLifetime},
 	})
 }
--- a/inband/loadfailures_test.go
+++ b/inband/loadfailures_test.go
@@ -158,7 +158,7 @@
 	f := newLoadFleet(1, 4, 12)
 	f.rate = 0
 	f.run(clock.Second)
-	id := load.PoolID{Service: "orders", Domain: "east"}
+	id := load.DomainPoolID{Service: "orders", Domain: "east"}
 	news := load.Report{Pools: []load.PoolNews{
 		{Pool: id.Hash(), Source: load.HashDomain("west"), Work: load.Work{Busy: 8, Finished: 100}},
 		{Pool: id.Hash(), Source: load.HashDomain("north"), Work: load.Work{Busy: 99}}, // not its own
@@ -180,7 +180,7 @@
 		{Target: &Target{ID: "t2", Service: "orders", Domain: "east", Slots: 2}},
 	})
 	e.SetLocalVMs(2)
-	pool := load.PoolID{Service: "orders", Domain: "east"}.Hash()
+	pool := load.DomainPoolID{Service: "orders", Domain: "east"}.Hash()
 	e.ReceiveLoad(100, fleetAddress, "west", load.Report{Remote: []load.PoolWork{{Pool: pool, Work: load.Work{Busy: 3}}}})
 	e.ReceiveLoad(100, fleetAddress, "east", load.Report{Pools: []load.PoolNews{{Pool: pool, Source: load.HashDomain("east"), Work: load.Work{Busy: 5}, Age: 40}}})
 	e.Sweep(250)
@@ -215,7 +215,7 @@
 func TestNewsOfUnknownPoolsIsIgnored(t *testing.T) {
 	is := is.New(t)
 	e := newSharingEngine(servingTargets(1))
-	known := load.PoolNews{Pool: load.PoolID{Service: "orders", Domain: "east"}.Hash(), Source: load.HashDomain("west")}
+	known := load.PoolNews{Pool: load.DomainPoolID{Service: "orders", Domain: "east"}.Hash(), Source: load.HashDomain("west")}
 	for i := range 1000 {
 		e.ReceiveLoad(100, fleetAddress, "west", load.Report{Pools: []load.PoolNews{{Pool: uint32(i), Source: known.Source}}})
 	}
--- a/inband/loadtargets_test.go
+++ b/inband/loadtargets_test.go
@@ -102,7 +102,7 @@
 	e.Sweep(250)
 	is.Equal(e.LoadPools()[0].Targets, 4)
 	for i := range 2 * poolsPerCount {
-		e.load.add(&domainPool{id: load.PoolID{Service: fmt.Sprint(i), Domain: "west"}}) // counted before its turn
+		e.load.add(&domainPool{id: load.DomainPoolID{Service: fmt.Sprint(i), Domain: "west"}}) // counted before its turn
 	}
 	e.SetDrainedDomains([]string{"east"})
 	e.Sweep(500)
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -80,7 +80,7 @@
 
 // recordShortResponse records that the flow's current request was answered with an error.
 func (e *Engine) recordShortResponse(now clock.Millis, f *flow) {
-	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayShed() {
+	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayShedByError() {
 		e.recordShed(f)
 		return
 	}
@@ -89,7 +89,7 @@
 
 // recordNoResponse records that the flow's current request is not answered, though others are.
 func (e *Engine) recordNoResponse(now clock.Millis, f *flow) {
-	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayAbort() {
+	if !f.hasOutcome && e.options.SharesLoad && f.backend.believed().MayShedBySilence() {
 		e.recordShed(f)
 		return
 	}
--- a/inband/overload.go
+++ b/inband/overload.go
@@ -40,7 +40,7 @@
 	return p.isOverloaded && e.options.Policy.RefusesUnderOverload() && route.Priority > p.topPriority
 }
 
-// OverloadedPools returns the number of overloaded pools.
+// OverloadedPools returns the number of pools that refuse, or would refuse, less urgent openings by either rule.
 func (e *Engine) OverloadedPools() int {
 	count := 0
 	for _, p := range e.pools {
--- a/inband/policy.go
+++ b/inband/policy.go
@@ -17,8 +17,8 @@
 	// RefusesUnderOverload reports whether less urgent flows are refused while a pool is
 	// overloaded.
 	RefusesUnderOverload() bool
-	// SharesLoad reports whether targets are chosen by the load that the entry VMs share.
-	SharesLoad() bool
+	// UsesSharedLoad reports whether targets are chosen by the load that the entry VMs share.
+	UsesSharedLoad() bool
 }
 
 // Location is the position of an entry VM.
@@ -42,8 +42,8 @@
 // RefusesUnderOverload returns false.
 func (Naive) RefusesUnderOverload() bool { return false }
 
-// SharesLoad returns false.
-func (Naive) SharesLoad() bool { return false }
+// UsesSharedLoad returns false.
+func (Naive) UsesSharedLoad() bool { return false }
 
 // Weights of the Local policy, in waiting requests.
 const (
@@ -107,5 +107,5 @@
 // RefusesUnderOverload returns true.
 func (Local) RefusesUnderOverload() bool { return true }
 
-// SharesLoad returns false.
-func (Local) SharesLoad() bool { return false }
+// UsesSharedLoad returns false.
+func (Local) UsesSharedLoad() bool { return false }
--- a/inband/retransmit_test.go
+++ b/inband/retransmit_test.go
@@ -207,7 +207,7 @@
 }
 
 // Each of three targets may answer one of the three copies that clients send.
-func TestThreeAnswers(t *testing.T) {
+func TestAnyTargetOfThreeCopiesMayAnswer(t *testing.T) {
 	for chosen := range 3 {
 		t.Run(fmt.Sprintf("copy %d", chosen), func(t *testing.T) {
 			is := is.New(t)
--- a/inband/shared.go
+++ b/inband/shared.go
@@ -32,8 +32,8 @@
 // that take long by nature are no reason to leave the failure domain, but waits are.
 func (p *pool) acceptedLatency() float64 { return max(overloadLatency, maxServiceTimes*p.serviceTime) }
 
-// SharesLoad returns true.
-func (Shared) SharesLoad() bool { return true }
+// UsesSharedLoad returns true.
+func (Shared) UsesSharedLoad() bool { return true }
 
 // spreadTarget returns what this VM believes of the target.
 func (b *Backend) spreadTarget() spread.Target {
--- a/inband/shared_test.go
+++ b/inband/shared_test.go
@@ -13,9 +13,9 @@
 	"github.com/almondflow/almondflow/load"
 )
 
-// TestLocalChoosesAsBefore guards deployments that do not share load against other decisions: the targets of
+// TestLocalDecisionsAreUnchanged guards deployments that do not share load against other decisions: the targets of
 // many flows, under load and with targets in slow start and expired, are those of the version before.
-func TestLocalChoosesAsBefore(t *testing.T) {
+func TestLocalDecisionsAreUnchanged(t *testing.T) {
 	is := is.New(t)
 	const choicesBefore = 2571594654580870798 // of the program before package spread
 	targets := published(largePool(40, "abc")...)
@@ -69,7 +69,7 @@
 
 // reportPool reports the work at the pool in another failure domain, as a VM of that domain does.
 func reportPool(e *inband.Engine, now clock.Millis, domain string, work load.Work) {
-	pool := load.PoolID{Service: "core", Domain: domain}
+	pool := load.DomainPoolID{Service: "core", Domain: domain}
 	news := load.PoolNews{Pool: pool.Hash(), Source: load.HashDomain(domain), Work: work}
 	e.ReceiveLoad(now, siblingOfB, domain, load.Report{Pools: []load.PoolNews{news}})
 }
@@ -139,7 +139,7 @@
 }
 
 // Without news, flows stay at home and are spread as evenly as Local spreads them.
-func TestSharedWithoutNews(t *testing.T) {
+func TestSharedSpreadsLikeLocalWithoutNews(t *testing.T) {
 	is := is.New(t)
 	targets := largePool(40, "ab")
 	e := newSharedEngine(targets)
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -78,7 +78,7 @@
 // updateSpills compares the load of failure domains anew, of pools that have work in the own one or had it
 // lately.
 func (e *Engine) updateSpills(now clock.Millis) {
-	if !e.options.Policy.SharesLoad() {
+	if !e.options.Policy.UsesSharedLoad() {
 		return
 	}
 	for _, d := range e.load.working {
@@ -95,7 +95,7 @@
 }
 
 // updateSpill compares the load of failure domains for one pool, and returns that in the own one.
-func (e *Engine) updateSpill(now clock.Millis, p *pool) load.Pool {
+func (e *Engine) updateSpill(now clock.Millis, p *pool) load.DomainPool {
 	own, others := e.compareDomains(now, p)
 	if !own.Work.IsStalled() {
 		p.responseTime = own.ResponseTime()
@@ -117,7 +117,7 @@
 
 // compareDomains returns the load of a pool in the VM's own failure domain, and in the others that it reaches.
 // If none of them has told of its load lately, the others are taken to be loaded like the own one.
-func (e *Engine) compareDomains(now clock.Millis, p *pool) (own, others load.Pool) {
+func (e *Engine) compareDomains(now clock.Millis, p *pool) (own, others load.DomainPool) {
 	reachable := 0
 	for _, d := range p.domainPools {
 		if d.isLocal {
@@ -139,14 +139,14 @@
 }
 
 // combine returns the load of two pools together.
-func combine(a, b load.Pool) load.Pool {
-	return load.Pool{Targets: a.Targets + b.Targets, Slots: a.Slots + b.Slots, Work: a.Work.Add(b.Work)}
+func combine(a, b load.DomainPool) load.DomainPool {
+	return load.DomainPool{Targets: a.Targets + b.Targets, Slots: a.Slots + b.Slots, Work: a.Work.Add(b.Work)}
 }
 
 // Spillings returns how new flows are spread over failure domains, ordered by service. It returns none if the
 // policy does not use shared load.
 func (e *Engine) Spillings() []Spilling {
-	if !e.options.Policy.SharesLoad() {
+	if !e.options.Policy.UsesSharedLoad() {
 		return nil
 	}
 	all := make([]Spilling, 0, len(e.pools))
--- a/inband/work.go
+++ b/inband/work.go
@@ -69,8 +69,8 @@
 }
 
 // domains returns the work at the pool's targets, by failure domain.
-func (p *pool) domains() []load.Pool {
-	all := make([]load.Pool, 0, len(p.domainPools))
+func (p *pool) domains() []load.DomainPool {
+	all := make([]load.DomainPool, 0, len(p.domainPools))
 	for _, d := range p.domainPools {
 		all = append(all, p.load.summary(d))
 	}
--- a/load/hash.go
+++ b/load/hash.go
@@ -4,7 +4,7 @@
 
 // Hash returns the number that stands for the pool in reports. Two pools that share one, of which there are
 // few among a hundred thousand, are told as one.
-func (p PoolID) Hash() uint32 { return hashNames(p.Service, p.Domain) }
+func (p DomainPoolID) Hash() uint32 { return hashNames(p.Service, p.Domain) }
 
 // HashDomain returns the number that stands for a failure domain in reports.
 func HashDomain(name string) uint32 { return hashNames(name) }
--- a/load/heard.go
+++ b/load/heard.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	// freshTime is how long a report counts in full. In small failure domains each VM hears each other one
-	// that often.
+	// freshTime is how long a report counts in full: two intervals between reports.
 	freshTime = clock.Second
 	// ReportLifetime is the age at which a report counts for nothing. Its weight falls until then, so that
 	// the belief changes bit by bit when a VM is heard no more.
--- a/load/pool.go
+++ b/load/pool.go
@@ -2,15 +2,15 @@
 
 import "github.com/almondflow/almondflow/clock"
 
-// PoolID names the targets of one service in one failure domain.
-type PoolID struct {
+// DomainPoolID names the targets of one service in one failure domain.
+type DomainPoolID struct {
 	Service string `json:"service"`
 	Domain  string `json:"domain"`
 }
 
-// Pool is what all entry VMs together have under way at the targets of one service in one failure domain.
-type Pool struct {
-	ID      PoolID       `json:"id"`
+// DomainPool is what all entry VMs together have under way at the targets of one service in one failure domain.
+type DomainPool struct {
+	ID      DomainPoolID `json:"id"`
 	Targets int          `json:"targets"` // that accept new flows
 	Slots   int          `json:"slots"`   // of these targets
 	Work    Work         `json:"work"`
@@ -19,7 +19,7 @@
 
 // ResponseTime returns the expected time in milliseconds until one more request is answered, if requests
 // are spread evenly over the pool's targets. It is zero while no request finishes.
-func (p Pool) ResponseTime() float64 {
+func (p DomainPool) ResponseTime() float64 {
 	if p.Targets == 0 {
 		return 0
 	}
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -5,25 +5,25 @@
 
 import "github.com/almondflow/almondflow/load"
 
-// fullLoad is the number of requests under way for each slot from which targets may shed requests: one more
-// waits for each slot. It leaves room for the requests that are on their way.
+// fullLoad is the number of requests under way for each slot from which a target may shed requests: one waits for
+// every two slots. Fewer may be requests that are on their way.
 const fullLoad = 1.5
 
 // Target is what is believed of a target when one of its requests has failed.
 type Target struct {
 	Work  load.Work
 	Slots int
-	Pool  load.Pool // the targets of its service in its failure domain
+	Pool  load.DomainPool // the targets of its service in its failure domain
 }
 
-// MayShed reports whether the target may have shed a request that it answered with an error: it has a queue,
-// or its slots are occupied while the whole pool has one, as news of single targets are late.
-func (t *Target) MayShed() bool {
-	return t.Work.Busy >= fullLoad*float64(t.Slots) || t.MayAbort()
+// MayShedByError reports whether the target may have shed a request that it answered with an error: it has a queue,
+// or its slots are occupied while the whole pool has one, as news of single targets is late.
+func (t *Target) MayShedByError() bool {
+	return t.Work.Busy >= fullLoad*float64(t.Slots) || t.MayShedBySilence()
 }
 
-// MayAbort reports whether the target may have shed a request that it did not answer. Requests that are never
+// MayShedBySilence reports whether the target may have shed a request that it did not answer. Requests that are never
 // answered count as its work, so this takes a queue at the whole pool.
-func (t *Target) MayAbort() bool {
+func (t *Target) MayShedBySilence() bool {
 	return t.Work.Busy >= float64(t.Slots) && t.Pool.Work.Busy >= fullLoad*float64(t.Pool.Slots)
 }
--- a/shedding/shedding_test.go
+++ b/shedding/shedding_test.go
@@ -32,10 +32,10 @@
 			is := is.New(t)
 			target := shedding.Target{
 				Work: load.Work{Busy: tt.target}, Slots: 2,
-				Pool: load.Pool{Targets: 30, Slots: 60, Work: load.Work{Busy: tt.pool}},
+				Pool: load.DomainPool{Targets: 30, Slots: 60, Work: load.Work{Busy: tt.pool}},
 			}
-			is.Equal(target.MayShed(), tt.mayShed)
-			is.Equal(target.MayAbort(), tt.mayAbort)
+			is.Equal(target.MayShedByError(), tt.mayShed)
+			is.Equal(target.MayShedBySilence(), tt.mayAbort)
 		})
 	}
 }
--- a/spread/loads_test.go
+++ b/spread/loads_test.go
@@ -100,8 +100,8 @@
 // domains together have room: 98% are served.
 const maxShed = 0.02
 
-// TestLoads guards callers against targets that shed requests while others have free slots.
-func TestLoads(t *testing.T) {
+// TestFewRequestsAreShedWhileTargetsHaveRoom guards callers against targets that shed requests while others have free slots.
+func TestFewRequestsAreShedWhileTargetsHaveRoom(t *testing.T) {
 	tests := []struct {
 		name      string
 		load      [domains]float64 // requests in relation to the capacity of a domain, while no target is slow
@@ -190,8 +190,8 @@
 	is.True(play(sharedLoad{takesCheapest: true}, load, undisturbed).shedShare(0) > maxShed)
 }
 
-// TestStaleReport guards against a target that all VMs take for idle, because of one report that is old.
-func TestStaleReport(t *testing.T) {
+// TestStaleIdleReportDoesNotAttractAllFlows guards against a target that all VMs take for idle, because of one report that is old.
+func TestStaleIdleReportDoesNotAttractAllFlows(t *testing.T) {
 	is := is.New(t)
 	isStale := func(i int) bool { return i == 0 }
 	share := func(p policy) float64 {
@@ -202,8 +202,8 @@
 	is.True(share(sharedLoad{takesCheapest: true}) > limit)
 }
 
-// TestFullTargets guards against flows to targets that hold as many as they may while others have room.
-func TestFullTargets(t *testing.T) {
+// TestFullTargetsGetNoFlowsWhileOthersHaveRoom guards against flows to targets that hold as many as they may while others have room.
+func TestFullTargetsGetNoFlowsWhileOthersHaveRoom(t *testing.T) {
 	is := is.New(t)
 	load := [domains]float64{0.5, 0.5}
 	is.Equal(play(sharedLoad{}, load, (*world).fillQuarter).rejected, 0)
--- a/spread/spill.go
+++ b/spread/spill.go
@@ -26,7 +26,7 @@
 
 // Update compares the pool's targets in the own failure domain with those in the others. The margin is in
 // milliseconds.
-func (s *Spill) Update(now clock.Millis, own, others load.Pool, margin float64) {
+func (s *Spill) Update(now clock.Millis, own, others load.DomainPool, margin float64) {
 	seconds := float64(min(now-s.updatedAt, maxStep)) / float64(clock.Second)
 	s.updatedAt = now
 	if others.Targets == 0 {
@@ -54,11 +54,11 @@
 // excess returns by how many milliseconds one more request is expected to wait longer in the own domain. Only
 // waits for slots are compared, because the time on the way to clients counts in response times as well, but
 // not while all slots are occupied.
-func excess(own, others load.Pool) float64 { return wait(own) - wait(others) }
+func excess(own, others load.DomainPool) float64 { return wait(own) - wait(others) }
 
 // wait returns the expected time in milliseconds until one more request gets a slot, if requests are spread
 // evenly over the pool's targets.
-func wait(p load.Pool) float64 { return p.ResponseTime() - p.Work.ServiceTime(p.Slots) }
+func wait(p load.DomainPool) float64 { return p.ResponseTime() - p.Work.ServiceTime(p.Slots) }
 
 // Margin returns by how many milliseconds requests may wait longer in the own domain than elsewhere. It is
 // at most one service time, because the queue of a target holds only some requests, however patient the
--- a/spread/target.go
+++ b/spread/target.go
@@ -5,9 +5,9 @@
 	"github.com/almondflow/almondflow/load"
 )
 
-// priorRequests is the number of slots that are assumed to have been occupied at the usual pace, in
+// priorSlots is the number of slots that are assumed to have been occupied at the usual pace, in
 // addition to what was seen, so that few finished requests do not make a target look slow.
-const priorRequests = 0.5
+const priorSlots = 0.5
 
 // Target is what an entry VM believes of a target that accepts new flows.
 type Target struct {
@@ -25,7 +25,7 @@
 	}
 	occupied := min(t.Work.Busy, float64(t.Slots))
 	finished := t.Work.Finished / float64(clock.Second)
-	serviceTime := (occupied + priorRequests) / (finished + priorRequests/usual)
+	serviceTime := (occupied + priorSlots) / (finished + priorSlots/usual)
 	return max(1, serviceTime/usual)
 }
 
--- a/spread/target_test.go
+++ b/spread/target_test.go
@@ -58,7 +58,7 @@
 	is.True(spread.Target{Work: work, MaxConnections: 100}.IsFull())
 }
 
-func TestMargin(t *testing.T) {
+func TestMarginIsAtMostOneServiceTime(t *testing.T) {
 	tests := []struct {
 		name          string
 		targetLatency clock.Millis
@@ -75,14 +75,14 @@
 	}
 }
 
-func TestSpill(t *testing.T) {
-	idle := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
-	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
-	silent := load.Pool{Targets: 10, Slots: 20}
-	stalled := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100}}
+func TestShareGrowsWhileRequestsWaitLonger(t *testing.T) {
+	idle := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
+	full := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
+	silent := load.DomainPool{Targets: 10, Slots: 20}
+	stalled := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100}}
 	tests := []struct {
 		name        string
-		own, others load.Pool
+		own, others load.DomainPool
 		isSpilling  bool
 	}{
 		{"nothing presses", idle, idle, false},
@@ -91,9 +91,9 @@
 		{"another domain is full", idle, full, false},
 		{"full, and the others have no work", full, silent, true},
 		{"full, and the others hang", full, stalled, false},
-		{"full, and no other domain", full, load.Pool{}, false},
+		{"full, and no other domain", full, load.DomainPool{}, false},
 		{"nothing is known", silent, silent, false},
-		{"no target in the own domain", load.Pool{}, idle, false},
+		{"no target in the own domain", load.DomainPool{}, idle, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -109,9 +109,9 @@
 
 // TestSpillHoldsWhileNothingFinishes guards against flows that come back to a domain because its targets hang.
 func TestSpillHoldsWhileNothingFinishes(t *testing.T) {
-	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
-	idle := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
-	stalled := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100}}
+	full := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
+	idle := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
+	stalled := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100}}
 	is := is.New(t)
 	var s spread.Spill
 	for now := clock.Millis(0); now < 2*clock.Second; now += 250 {
@@ -121,14 +121,14 @@
 	is.True(share > 0)
 	s.Update(2*clock.Second, stalled, idle, 0)
 	is.Equal(s.Share(), share)
-	s.Update(3*clock.Second, load.Pool{Targets: 10, Slots: 20}, idle, 0)
+	s.Update(3*clock.Second, load.DomainPool{Targets: 10, Slots: 20}, idle, 0)
 	is.Equal(s.Share(), 0.0) // nothing is under way
 }
 
 // A VM that stood still must not act on the time that passed meanwhile.
 func TestSpillAfterAPause(t *testing.T) {
-	full := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
-	idle := load.Pool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
+	full := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 100, Finished: 400}}
+	idle := load.DomainPool{Targets: 10, Slots: 20, Work: load.Work{Busy: 4, Finished: 80}}
 	var s spread.Spill
 	s.Update(clock.Minute, full, idle, 50)
 	is.New(t).True(s.Share() <= 0.25)
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -206,7 +206,7 @@
 }
 
 // pools returns what a VM believes of the targets of its own domain and of the others.
-func (w *world) pools(v int) (own, others load.Pool) {
+func (w *world) pools(v int) (own, others load.DomainPool) {
 	for i, t := range w.targets {
 		p := &others
 		if t.domain == w.vms[v].domain {
