--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -133,3 +134,17 @@
 	is.True(read.CheckEra(inEra(2, newChanges(0, 80))) != nil)
 	is.Equal(read.Next(200*clock.Millisecond), "")
 }
+
+// A copy may lack a drain that began since. The operator writes it again, and until then the domain stays drained.
+func TestDrainOutlivesACopyThatLacksIt(t *testing.T) {
+	is := is.New(t)
+	c := newCatalogOfEra(1, newTarget("i-1", 90, inband.Serving))
+	began := inEra(1, &catalog.Changes{Revision: 101})
+	began.Drains = []drain.Mark{{Domain: "a", Revision: inband.NewRevision(1, 101)}}
+	c.Apply(100, 100, began)
+	is.Equal(len(c.Drains()), 1)
+	list := inEra(2, newChanges(5, 95, newTarget("i-1", 70, inband.Serving)))
+	list.HasAllDrains = true
+	c.Replace(500, 500, list)
+	is.Equal(len(c.Drains()), 1)
+}
