--- a/front/daemon.go
+++ b/front/daemon.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +60,7 @@
 	if o.DecodeParts == nil {
 		return Parts{}
 	}
-	return o.DecodeParts(settings.Rules)
+	return o.DecodeParts(strings.Split(settings.Rules, ","))
 }
 
 // tickInterval is the time between two runs of the periodic tasks.
--- a/front/settings.go
+++ b/front/settings.go
@@ -31,7 +31,7 @@
 	CPUShare            float64          `json:"cpu_share"`             // fraction of a core
 	LinkMbps            float64          `json:"link_mbps"`
 	FirstStart          bool             `json:"first_start"` // the whole deployment starts for the first time
-	Rules               []string         `json:"rules"`       // of the platform that are in force; some turn optional parts on
+	Rules               string           `json:"rules"`       // of the platform that are in force, separated by commas; some turn optional parts on
 }
 
 // Parts are the optional parts of the daemon. Each is off unless the rules in the settings ask for it.
