Handle SIGHUP until the process ends

Cause: run and the command entry removed the handler of SIGHUP when they returned, and the command removed it when its drain began and installed it only after the daemon was built. A signal sent to a process is given to its main thread; where that thread is late, the handler is gone when the signal is delivered, and the default action ends the process.

Ruled out: a signal from outside.

Change: the handler is installed before all else and stays.

--- a/cmd/almondflow-entry/main.go
+++ b/cmd/almondflow-entry/main.go
@@ -31,8 +31,8 @@
 
 func run() error {
 	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP) // before all else, as it would terminate the process
-	defer signal.Stop(hangUps)
+	// From the first to the last moment, as a SIGHUP without a handler terminates the process.
+	signal.Notify(hangUps, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	path := os.Getenv(settingsVariable)
--- a/cmd/almondflow-entry/main_test.go
+++ b/cmd/almondflow-entry/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -299,3 +300,12 @@
 	is.NoErr(pipe.Close())
 	is.True(strings.Contains((<-ended).Error(), "decode settings"))
 }
+
+// Guards against a SIGHUP at the end of the process that terminates it, as run removed its handler.
+// A signal from just before the end may be delivered only then.
+func TestHangUpAfterTheEnd(t *testing.T) {
+	is := is.New(t)
+	t.Setenv(settingsVariable, "")
+	is.True(errors.Is(run(), errNoSettings))
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP)) // without the handler it ends the test
+}
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -41,6 +41,10 @@
 }
 
 func runEntry(ctx context.Context, command *cli.Command) error {
+	hangUps := make(chan os.Signal, 1)
+	// From the first to the last moment, also during the drain after ctx ends, as a SIGHUP without
+	// a handler terminates the process.
+	signal.Notify(hangUps, syscall.SIGHUP)
 	s, err := settings.Load(command.String("settings"))
 	if err != nil {
 		return fmt.Errorf("%s: %w", command.String("settings"), err)
@@ -55,22 +59,14 @@
 	if err != nil {
 		return err
 	}
-	go reloadKeysOnSIGHUP(ctx, daemon, s.Files(), log)
+	go reloadKeysOnHangUp(daemon, s.Files(), hangUps, log)
 	return daemon.Run(ctx)
 }
 
-// reloadKeysOnSIGHUP reloads the key files on every SIGHUP until the context ends. If a file is
-// invalid, the daemon keeps its current keys.
-func reloadKeysOnSIGHUP(ctx context.Context, daemon *entry.Daemon, files settings.Files, log *slog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
+// reloadKeysOnHangUp reloads the key files on each SIGHUP. If a file is invalid, the daemon keeps
+// its current keys.
+func reloadKeysOnHangUp(daemon *entry.Daemon, files settings.Files, hangUps <-chan os.Signal, log *slog.Logger) {
+	for range hangUps {
 		if err := reloadKeys(daemon, files); err != nil {
 			log.Error("keys_refused", "error", err)
 		}
