Bind new flows of a route to its allowed regions

Cause: a route's allowed regions were not decoded, so its flows went to targets of any region.

Ruled out: the region of a target in its entry (entries have none; settings name the region of each failure domain); a check of each candidate (a sample of a large pool may hold none, and spill and room would still be those of all regions); JSON for the regions in deploy/entry.json (a launcher that leaves placeholders as they are would make the settings invalid, and a table inside of a text is not escaped).

Change: package region maps failure domains to regions. A route with allowed regions has pools of its own, which hold the part of its services in them, so candidates, copies, drains, slow start, spill, overload and admission go by these targets only. Refusal is reset at once, no_target_in_region in log and counter. Settings, status, explain, views and deltas of siblings know regions; routes without them, or with all of them, use the pool of the service as before.

Known red tests left out, all tests of inband, front, platform, region, cmd, experiment, catalog and siblings pass.

--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/samber/oops"
@@ -57,6 +58,7 @@
 	for _, m := range s.Drains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained since revision %d\n", m.Domain, m.Revision)
 	}
+	writeBoundRoutes(t, s.Bound)
 	writeAdmissions(t, s.Admissions)
 	for _, c := range s.Siblings {
 		_, _ = fmt.Fprintf(t, "sibling %s\t%s, heard %d ms ago\n", c.Address, c.Domain, c.AgeMS)
@@ -72,6 +74,13 @@
 	return t.Flush()
 }
 
+// writeBoundRoutes writes the routes whose flows may go to some regions only.
+func writeBoundRoutes(w io.Writer, routes []inband.BoundRoute) {
+	for _, r := range routes {
+		_, _ = fmt.Fprintf(w, "route %s\tbound to %s, %d targets\n", r.Name, strings.Join(r.AllowedRegions, ", "), r.Targets)
+	}
+}
+
 // writeAdmissions writes the refused share of each priority of the pools.
 func writeAdmissions(w io.Writer, pools []inband.AdmissionStatus) {
 	for _, a := range pools {
@@ -115,6 +124,9 @@
 func writeFrontExplanation(w io.Writer, explanation *inband.Explanation) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\npriority\t%d\n", explanation.Route, explanation.Target, explanation.State, explanation.Priority)
+	if len(explanation.AllowedRegions) > 0 {
+		_, _ = fmt.Fprintf(t, "regions\tbound to %s\n", strings.Join(explanation.AllowedRegions, ", "))
+	}
 	for _, domain := range explanation.DrainedDomains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained\n", domain)
 	}
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/region"
 	"github.com/almondflow/almondflow/siblings"
 )
 
@@ -90,6 +91,7 @@
 	// mu guards the fields below. It is not held during blocking calls.
 	mu                  sync.Mutex
 	engine              *inband.Engine
+	regions             region.Map // of failure domains, as the engine has them
 	catalog             *catalog.Catalog
 	readScheduler       *catalog.ReadScheduler
 	members             *siblings.Members
@@ -159,6 +161,7 @@
 	d.members = siblings.NewMembers(siblings.Contact{
 		Address: localAddress(d.sockets.messages), Domain: settings.Domain, Capacity: settings.capacity(),
 	}, random)
+	d.applyRegions(d.clock.Now(), settings)
 	d.discovery = siblings.NewDiscovery(localAddress(d.sockets.messages).Addr(), settings.Seeds, random)
 	d.readScheduler.SetRank(d.discovery.Rank(d.clock.Now(), 0), 1)
 	if settings.FirstStart && !d.isSeed() {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -58,8 +58,8 @@
 	probesMetric          = Metric{"almondflow_front_target_probes", counterType, "probes", "TCP connections to targets, by what they showed (tag outcome)."}
 	probeTimeMetric       = Metric{"almondflow_front_probe_time", histogramType, "milliseconds", "Time until a probe of a target had an outcome."}
 	remoteOpeningsMetric  = Metric{"almondflow_front_remote_openings", counterType, "flows", "New flows that were sent to targets of other failure domains."}
-	responseTimeMetric    = Metric{"almondflow_front_expected_response", gaugeType, "milliseconds", "Time in which a new request is expected to be answered in the own failure domain (tag service)."}
-	spillShareMetric      = Metric{"almondflow_front_spill_share", gaugeType, "fraction", "Share of a service's new flows that is sent to other failure domains because requests wait longer in the own one (tag service)."}
+	responseTimeMetric    = Metric{"almondflow_front_expected_response", gaugeType, "milliseconds", "Time in which a new request is expected to be answered in the own failure domain (tag service; tag regions for routes that are bound to some)."}
+	spillShareMetric      = Metric{"almondflow_front_spill_share", gaugeType, "fraction", "Share of a service's new flows that is sent to other failure domains because requests wait longer in the own one (tag service; tag regions for routes that are bound to some)."}
 	packetTimeMetric      = Metric{"almondflow_front_packet_time", histogramType, "microseconds", "Time from reading a packet to sending it on, sampled for one packet in 64."}
 )
 
@@ -176,7 +176,11 @@
 	m.remoteOpenings.Inc(int64(d.engine.RemoteOpenings() - m.reportedRemote))
 	m.reportedRemote = d.engine.RemoteOpenings()
 	for _, s := range d.engine.Spillings() {
-		tagged := m.scope.Tagged(map[string]string{"service": s.Service})
+		tags := map[string]string{"service": s.Service}
+		if len(s.AllowedRegions) > 0 {
+			tags["regions"] = strings.Join(s.AllowedRegions, ",")
+		}
+		tagged := m.scope.Tagged(tags)
 		tagged.Gauge(responseTimeMetric.Name).Update(s.ResponseTime)
 		tagged.Gauge(spillShareMetric.Name).Update(s.Share)
 	}
--- a/front/reload.go
+++ b/front/reload.go
@@ -26,8 +26,8 @@
 	d.settingsText = text
 }
 
-// Reload reloads the settings file. Only the seeds, the rate limit of log lines and the shutdown
-// time take effect in a running process. Invalid settings are logged and change nothing.
+// Reload reloads the settings file. Only the seeds, the regions of failure domains, the rate limit of log lines and
+// the shutdown time take effect in a running process. Invalid settings are logged and change nothing.
 func (d *Daemon) Reload(path string) {
 	text, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
@@ -47,7 +47,9 @@
 	}
 	updated := *d.settings.Load()
 	updated.Seeds, updated.LogLinesPerSecond, updated.StopMS = parsed.Seeds, parsed.LogLinesPerSecond, parsed.StopMS
+	updated.Regions = parsed.Regions
 	d.settings.Store(&updated)
+	d.applyRegions(now, &updated)
 	d.mu.Lock()
 	d.lineLimiter.perSecond = parsed.LogLinesPerSecond
 	d.mu.Unlock()
--- a/front/settings.go
+++ b/front/settings.go
@@ -31,6 +31,7 @@
 	CPUShare            float64          `json:"cpu_share"`             // fraction of a core
 	LinkMbps            float64          `json:"link_mbps"`
 	FirstStart          bool             `json:"first_start"` // the whole deployment starts for the first time
+	Regions             string           `json:"regions"`     // of the failure domains, such as "east-a=east,west-a=west"
 	Rules               string           `json:"rules"`       // of the platform that are in force, separated by commas; some turn optional parts on
 }
 
--- a/front/status.go
+++ b/front/status.go
@@ -13,14 +13,17 @@
 
 // Status is the state of a running daemon as shown to operators.
 type Status struct {
-	Name       string                   `json:"name"`
-	Domain     string                   `json:"domain"`
-	UptimeMS   clock.Millis             `json:"uptime_ms"`
-	Ready      bool                     `json:"ready"`
-	View       *siblings.ViewSummary    `json:"view"`
-	ReaderRank int                      `json:"reader_rank"` // VMs that read the store before this one
-	Siblings   []siblings.Contact       `json:"siblings"`
-	Drains     []drain.Mark             `json:"drains,omitempty"` // failure domains that get no new flows
+	Name       string                `json:"name"`
+	Domain     string                `json:"domain"`
+	UptimeMS   clock.Millis          `json:"uptime_ms"`
+	Ready      bool                  `json:"ready"`
+	View       *siblings.ViewSummary `json:"view"`
+	ReaderRank int                   `json:"reader_rank"` // VMs that read the store before this one
+	Siblings   []siblings.Contact    `json:"siblings"`
+	Drains     []drain.Mark          `json:"drains,omitempty"` // failure domains that get no new flows
+	// Regions holds the region of each failure domain, and Bound the routes whose flows may go to some regions only.
+	Regions    map[string]string        `json:"regions,omitempty"`
+	Bound      []inband.BoundRoute      `json:"bound_routes,omitempty"`
 	Targets    []inband.Health          `json:"targets"`
 	Pools      []load.DomainPool        `json:"pools,omitempty"`      // if VMs share their load
 	Admissions []inband.AdmissionStatus `json:"admissions,omitempty"` // of pools whose less urgent openings may be refused
@@ -34,6 +37,7 @@
 		Name: d.settings.Load().Name, Domain: d.settings.Load().Domain, UptimeMS: now,
 		Ready: d.catalog.IsComplete() && !d.isStopping, View: d.viewSummary(now),
 		ReaderRank: d.readScheduler.Rank(), Siblings: d.members.Alive(now),
+		Regions: d.regions.Domains(), Bound: d.engine.BoundRoutes(now),
 		Drains: d.catalog.Drains(), Pools: d.engine.LoadPools(), Targets: d.engine.Targets(),
 		Admissions: d.engine.AdmissionStatuses(),
 	}
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -15,7 +15,8 @@
 // AdmissionStatus is what an entry VM refuses at one pool, and why.
 type AdmissionStatus struct {
 	Service        string            `json:"service"`
-	Shares         []admission.Share `json:"shares"` // the most urgent first
+	AllowedRegions []string          `json:"allowed_regions,omitempty"` // of the routes that the pool is for
+	Shares         []admission.Share `json:"shares"`                    // the most urgent first
 	ResponseTimeMS float64           `json:"response_time_ms"`
 	Slots          int               `json:"slots"`
 	Busy           float64           `json:"busy"`
@@ -31,6 +32,7 @@
 		}
 		return best
 	}
+	e.noticeCaller(now, route, p)
 	if p.admission.IsUpdateDue(now) {
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
@@ -84,15 +86,16 @@
 	levels := map[*pool][]admission.Level{}
 	for _, route := range e.routes {
 		for _, share := range route.Shares {
-			p := e.poolOf(share.Service)
-			levels[p] = append(levels[p], admission.Level{
-				Priority:      route.Priority,
-				TargetLatency: route.TargetLatencyMS,
-				Timeout:       route.TimeoutMS,
-			})
+			for p := range e.sharedPools(route, share.Service) {
+				levels[p] = append(levels[p], admission.Level{
+					Priority:      route.Priority,
+					TargetLatency: route.TargetLatencyMS,
+					Timeout:       route.TimeoutMS,
+				})
+			}
 		}
 	}
-	for _, p := range e.pools {
+	for p := range e.allPools() {
 		p.admission.SetLevels(levels[p])
 	}
 }
@@ -101,19 +104,21 @@
 // only level of other pools is refused if it is hopeless; they are listed from then on.
 func (e *Engine) AdmissionStatuses() []AdmissionStatus {
 	var all []AdmissionStatus
-	for service, p := range e.pools {
+	for p := range e.allPools() {
 		shares := p.admission.Shares()
 		if len(shares) > 1 || p.admission.HasRefused() {
-			all = append(all, newAdmission(service, shares, p.admission.Room()))
+			all = append(all, newAdmission(p, shares, p.admission.Room()))
 		}
 	}
-	slices.SortFunc(all, func(a, b AdmissionStatus) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(all, func(a, b AdmissionStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), slices.Compare(a.AllowedRegions, b.AllowedRegions))
+	})
 	return all
 }
 
-func newAdmission(service string, shares []admission.Share, room admission.Room) AdmissionStatus {
+func newAdmission(p *pool, shares []admission.Share, room admission.Room) AdmissionStatus {
 	return AdmissionStatus{
-		Service: service, Shares: shares, ResponseTimeMS: room.ResponseTime,
+		Service: p.service, AllowedRegions: p.allowedRegions, Shares: shares, ResponseTimeMS: room.ResponseTime,
 		Slots: room.Slots, Busy: room.Busy, NewsAgeMS: room.Age,
 	}
 }
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -26,6 +26,8 @@
 // pool holds the targets of a service.
 type pool struct {
 	service         string
+	allowedRegions  []string      // of the routes that it is for; none in the pool of the whole service
+	regional        []*pool       // of the same service, for routes with allowed regions
 	backends        []*Backend    // all of them
 	local           []*Backend    // in the VM's own failure domain, unless that is drained
 	remote          []*Backend    // in other domains that are not drained
@@ -45,10 +47,30 @@
 func (p *pool) add(b *Backend, domain string) {
 	b.domainPool = p.in(load.DomainPoolID{Service: b.target.Service, Domain: b.target.Domain})
 	b.domainPool.backends = append(b.domainPool.backends, b)
+	p.addBackend(b, domain)
+}
+
+func (p *pool) addBackend(b *Backend, domain string) {
 	p.backends = append(p.backends, b)
 	p.addCandidate(b, domain)
 }
 
+// keepState takes over what a previous pool of the same targets has come to.
+func (p *pool) keepState(previous *pool) {
+	p.isOverloaded, p.looksOverloaded, p.overloadedSince = previous.isOverloaded, previous.looksOverloaded, previous.overloadedSince
+	p.stats = previous.stats
+	p.spillState = previous.spillState
+	p.admission = previous.admission
+}
+
+// unavailable returns the reason why no target of the pool accepts a flow.
+func (p *pool) unavailable() Reason {
+	if len(p.allowedRegions) > 0 {
+		return NoTargetInRegion
+	}
+	return NoTarget
+}
+
 // addCandidate adds a target to those that new flows may go to, unless it is drained.
 func (p *pool) addCandidate(b *Backend, domain string) {
 	if b.isDrained {
--- a/inband/delta.go
+++ b/inband/delta.go
@@ -66,5 +66,5 @@
 func isSameRoute(a, b *Route) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Repeatable == b.Repeatable &&
 		a.Priority == b.Priority && a.TargetLatencyMS == b.TargetLatencyMS && a.TimeoutMS == b.TimeoutMS &&
-		slices.Equal(a.Shares, b.Shares)
+		slices.Equal(a.Shares, b.Shares) && slices.Equal(a.AllowedRegions, b.AllowedRegions)
 }
--- a/inband/drained.go
+++ b/inband/drained.go
@@ -12,7 +12,7 @@
 	for _, domain := range domains {
 		e.drained[domain] = true
 	}
-	for _, p := range e.pools { // targets outside of pools share a tag, and get no new flows anyway
+	for p := range e.allPools() { // targets outside of pools share a tag, and get no new flows anyway
 		p.updateCandidates(e.options.Domain, e.drained)
 	}
 }
@@ -27,9 +27,7 @@
 func (e *Engine) drainedDomainsOf(route *Route) []string {
 	var domains []string
 	for _, share := range route.Shares {
-		if p := e.pools[share.Service]; p != nil {
-			domains = addDrainedDomains(domains, p.backends)
-		}
+		domains = addDrainedDomains(domains, e.poolFor(route, share.Service).backends)
 	}
 	slices.Sort(domains)
 	return domains
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/region"
 )
 
 // maxInactivity is the longest time between two sweeps of a process that runs, with room for one that is
@@ -39,6 +40,7 @@
 	pools            map[string]*pool
 	maxConnections   map[string]int  // flows that one target holds, by service; zero is no limit
 	drained          map[string]bool // failure domains whose targets get no new flows
+	regions          region.Map      // of failure domains
 	local            []*Backend      // targets of the own failure domain
 	contactIndex     int             // in local, of the last target that FirstContact checked
 	flows            *flowTable
@@ -148,7 +150,7 @@
 		verdict.Unresponsive = previous
 		return verdict
 	}
-	if route.leadsTo(previous.target.Service) && previous.acceptsNewFlows(now) {
+	if route.leadsTo(previous.target.Service) && e.mayUse(route, previous) && previous.acceptsNewFlows(now) {
 		e.resumeMeter(f)
 		return forward(previous, Repeated)
 	}
@@ -182,10 +184,10 @@
 
 // placeFlow chooses a target for a new flow and starts tracking the flow.
 func (e *Engine) placeFlow(now clock.Millis, p *Packet, route *Route, avoid *Backend, reason Reason) Verdict {
-	pool := e.poolOf(e.chooseService(route))
+	pool := e.poolFor(route, e.chooseService(route))
 	b := e.chooseTarget(now, pool, avoid)
 	if b == nil {
-		return Verdict{Action: Reset, Reason: NoTarget, Seq: p.Seq}
+		return Verdict{Action: Reset, Reason: pool.unavailable(), Seq: p.Seq}
 	}
 	if b = e.admit(now, reason, route, pool, b); b == nil {
 		return Verdict{Action: Reset, Reason: Overloaded, Seq: p.Seq}
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -32,8 +32,9 @@
 	Candidates []Candidate `json:"candidates"`
 	// DrainedDomains holds the failure domains whose targets are no candidates because they are drained.
 	DrainedDomains []string          `json:"drained_domains,omitempty"`
-	Priority       int               `json:"priority"`             // of the route
-	Admissions     []AdmissionStatus `json:"admissions,omitempty"` // of the route's pools, if openings to them may be refused
+	AllowedRegions []string          `json:"allowed_regions,omitempty"` // whose targets may get the route's new flows; all if empty
+	Priority       int               `json:"priority"`                  // of the route
+	Admissions     []AdmissionStatus `json:"admissions,omitempty"`      // of the route's pools, if openings to them may be refused
 }
 
 var phaseNames = [...]string{"opening", "open", "ended"}
@@ -52,12 +53,14 @@
 	}
 	x.Route, x.DrainedDomains = route.Name, e.drainedDomainsOf(route)
 	x.Priority = route.Priority
-	x.Admissions = slices.DeleteFunc(e.AdmissionStatuses(), func(a AdmissionStatus) bool { return !route.leadsTo(a.Service) })
+	x.AllowedRegions = route.AllowedRegions
+	x.Admissions = slices.DeleteFunc(e.AdmissionStatuses(), func(a AdmissionStatus) bool {
+		return !route.leadsTo(a.Service) || !slices.Equal(a.AllowedRegions, e.poolFor(route, a.Service).allowedRegions)
+	})
 	for _, share := range route.Shares {
-		if p := e.pools[share.Service]; p != nil {
-			x.Candidates = e.addCandidates(now, x.Candidates, p.local)
-			x.Candidates = e.addCandidates(now, x.Candidates, p.remote)
-		}
+		p := e.poolFor(route, share.Service)
+		x.Candidates = e.addCandidates(now, x.Candidates, p.local)
+		x.Candidates = e.addCandidates(now, x.Candidates, p.remote)
 	}
 	slices.SortStableFunc(x.Candidates, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
 	return x
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -73,7 +73,9 @@
 		return
 	}
 	if e.options.RefusesByUrgency {
-		f.backend.pool.admission.Observe(f.responseTime)
+		for p := range e.poolsOf(f.backend) {
+			p.admission.Observe(f.responseTime)
+		}
 	}
 	e.recordOutcome(now, f, true)
 }
@@ -101,7 +103,9 @@
 func (e *Engine) recordShed(f *flow) {
 	f.hasOutcome = true
 	if e.options.RefusesByUrgency {
-		f.backend.pool.admission.ObserveShed()
+		for p := range e.poolsOf(f.backend) {
+			p.admission.ObserveShed()
+		}
 	}
 	e.shedRequests++
 }
--- a/inband/overload.go
+++ b/inband/overload.go
@@ -43,7 +43,7 @@
 // OverloadedPools returns the number of pools that refuse, or would refuse, less urgent openings by either rule.
 func (e *Engine) OverloadedPools() int {
 	count := 0
-	for _, p := range e.pools {
+	for p := range e.allPools() {
 		if p.isOverloaded || p.admission.IsRefusing() {
 			count++
 		}
--- a/inband/poollimits.go
+++ b/inband/poollimits.go
@@ -14,16 +14,17 @@
 	isSet := map[*pool]bool{}
 	for _, route := range e.routes {
 		for _, share := range route.Shares {
-			p := e.poolOf(share.Service)
-			if !isSet[p] {
-				p.poolLimits = poolLimits{topPriority: route.Priority}
-				isSet[p] = true
+			for p := range e.sharedPools(route, share.Service) {
+				if !isSet[p] {
+					p.poolLimits = poolLimits{topPriority: route.Priority}
+					isSet[p] = true
+				}
+				p.addRoute(route)
 			}
-			p.addRoute(route)
 		}
 	}
-	for service, p := range e.pools {
-		p.maxConnections = e.maxConnections[service]
+	for p := range e.allPools() {
+		p.maxConnections = e.maxConnections[p.service]
 	}
 }
 
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -1,6 +1,7 @@
 package inband
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -28,11 +29,12 @@
 
 // Spilling is how a pool's new flows are spread over failure domains.
 type Spilling struct {
-	Service      string
-	Share        float64 // of new flows, sent to other failure domains
-	ServiceTime  float64 // usual, in milliseconds; zero while unknown
-	ResponseTime float64 // expected in the VM's own failure domain, in milliseconds; zero while unknown
-	IsSpilling   bool
+	Service        string
+	AllowedRegions []string // of the routes that the pool is for
+	Share          float64  // of new flows, sent to other failure domains
+	ServiceTime    float64  // usual, in milliseconds; zero while unknown
+	ResponseTime   float64  // expected in the VM's own failure domain, in milliseconds; zero while unknown
+	IsSpilling     bool
 }
 
 // chooseByDomain returns the target for a new flow. The flow stays in the VM's own failure domain unless the
@@ -82,9 +84,8 @@
 		return
 	}
 	for _, d := range e.load.working {
-		if d.isLocal && !d.pool.isCompared {
-			d.pool.isCompared = true
-			e.compared = append(e.compared, d.pool)
+		if d.isLocal {
+			e.compareAll(d)
 		}
 	}
 	e.compared = slices.DeleteFunc(e.compared, func(p *pool) bool {
@@ -94,6 +95,16 @@
 	})
 }
 
+// compareAll lists the pools that hold the targets of d as ones to compare.
+func (e *Engine) compareAll(d *domainPool) {
+	for p := range d.pool.withRegional() {
+		if p.holds(d) && !p.isCompared {
+			p.isCompared = true
+			e.compared = append(e.compared, p)
+		}
+	}
+}
+
 // updateSpill compares the load of failure domains for one pool, and returns that in the own one.
 func (e *Engine) updateSpill(now clock.Millis, p *pool) load.DomainPool {
 	own, others := e.compareDomains(now, p)
@@ -108,7 +119,7 @@
 // listCompared lists the pools to compare after they were added anew.
 func (e *Engine) listCompared() {
 	e.compared = nil
-	for _, p := range e.pools {
+	for p := range e.allPools() {
 		if p.isCompared {
 			e.compared = append(e.compared, p)
 		}
@@ -150,10 +161,10 @@
 		return nil
 	}
 	all := make([]Spilling, 0, len(e.pools))
-	for _, p := range e.pools {
+	for p := range e.allPools() {
 		all = append(all, p.spilling())
 	}
-	slices.SortFunc(all, func(a, b Spilling) int { return strings.Compare(a.Service, b.Service) })
+	slices.SortFunc(all, compareSpillings)
 	return all
 }
 
@@ -168,12 +179,16 @@
 			all = append(all, p.spilling())
 		}
 	}
-	slices.SortFunc(all, func(a, b Spilling) int { return strings.Compare(a.Service, b.Service) })
+	slices.SortFunc(all, compareSpillings)
 	return all
 }
 
+func compareSpillings(a, b Spilling) int {
+	return cmp.Or(strings.Compare(a.Service, b.Service), slices.Compare(a.AllowedRegions, b.AllowedRegions))
+}
+
 func (p *pool) spilling() Spilling {
 	return Spilling{
-		Service: p.service, Share: p.spill.Share(), ServiceTime: p.serviceTime, ResponseTime: p.responseTime, IsSpilling: p.isSpilling,
+		Service: p.service, AllowedRegions: p.allowedRegions, Share: p.spill.Share(), ServiceTime: p.serviceTime, ResponseTime: p.responseTime, IsSpilling: p.isSpilling,
 	}
 }
--- a/inband/tables.go
+++ b/inband/tables.go
@@ -20,6 +20,8 @@
 	Repeatable bool           `json:"repeatable"` // clients repeat a request after any failure
 	Priority   int            `json:"priority"`   // 0 is the most urgent
 	Shares     []Share        `json:"shares"`
+	// AllowedRegions are the regions whose targets new flows may go to. They may go to all if there are none.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 	// TargetLatencyMS is the time in which callers want the answer, and TimeoutMS the one after which they
 	// give up. Zero if the tables do not say.
 	TargetLatencyMS clock.Millis `json:"target_latency_ms,omitempty"`
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -40,9 +40,8 @@
 	e.routes = routes
 	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *responseSizes) bool { return routes[service] == nil })
 	e.setMaxConnections(tables.Services)
-	e.setPoolLimits()
 	e.setSlowStartRates(tables.Services)
-	e.setLevels()
+	e.setRegionalPools(e.pools)
 }
 
 // UpdateTargets updates the given targets and leaves the others unchanged.
@@ -68,7 +67,9 @@
 		b.isDrained = e.drained[p.Target.Domain]
 		b.pool = e.poolOf(p.Target.Service)
 		e.byID[p.Target.ID], e.byTag[b.tag] = b, b
+		domains := len(b.pool.domainPools)
 		e.addToPool(b)
+		e.addToRegionalPools(b, len(b.pool.domainPools) > domains)
 		return true
 	}
 	if b.sharesTag || b.target.Service != p.Target.Service || b.target.Domain != p.Target.Domain {
@@ -148,15 +149,10 @@
 	e.watchlist.backends = slices.DeleteFunc(e.watchlist.backends, func(b *Backend) bool { return byID[b.target.ID] != b })
 	for service, p := range e.pools {
 		if previous := previousPools[service]; previous != nil {
-			p.isOverloaded, p.looksOverloaded, p.overloadedSince = previous.isOverloaded, previous.looksOverloaded, previous.overloadedSince
-			p.stats = previous.stats
-			p.spillState = previous.spillState
+			p.keepState(previous)
 			p.keepWork(previous)
-			p.admission = previous.admission
 		}
 	}
 	e.load.listWorking()
-	e.listCompared()
-	e.setPoolLimits()
-	e.setLevels()
+	e.setRegionalPools(previousPools)
 }
