Count events in one second in one place for tests

Cause: mostInOneSecond stood in slowstart/share_test.go and in inband/slowstart_test.go.

Ruled out: an exported function of package slowstart, which only tests would call.

Change: package ratetest, beside seedtest, counts it. The two tests compare as before; their names and bounds are unchanged. A test more counts where a target does: openings that are sent and arrive within one second, with delays of 0 to 300 ms on both ways, for 50 VMs and limits of 1 to 120 a second; none exceeds its limit.

Shown: go test ./ratetest ./slowstart ./inband passes.

--- a/inband/slowstart_test.go
+++ b/inband/slowstart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/ratetest"
 )
 
 // slowStartFleet returns engines of one failure domain that share the slow starts of the given targets, each
@@ -48,7 +49,7 @@
 			opened := openEverywhere(engines, 4*clock.Second)
 			is.Equal(len(opened), 2)
 			for _, times := range opened {
-				is.True(float64(mostInOneSecond(times)) <= max(1, tt.rate))
+				is.True(float64(ratetest.MostInOneSecond(times)) <= max(1, tt.rate))
 			}
 		})
 	}
@@ -69,20 +70,6 @@
 	return opened
 }
 
-func mostInOneSecond(times []clock.Millis) int {
-	most := 0
-	for _, start := range times {
-		count := 0
-		for _, at := range times {
-			if at >= start && at < start+clock.Second {
-				count++
-			}
-		}
-		most = max(most, count)
-	}
-	return most
-}
-
 // Load: all targets that are left are in slow start and have what they bear. Further openings are refused at
 // once: they have not run, and their clients may go elsewhere.
 func TestOpeningBeyondAllSlowStartsIsRefused(t *testing.T) {
--- a/slowstart/share_test.go
+++ b/slowstart/share_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/ratetest"
 	"github.com/almondflow/almondflow/slowstart"
 )
 
@@ -56,7 +57,7 @@
 			t.Run(fmt.Sprintf("%d VMs, %v a second", vms, limit), func(t *testing.T) {
 				is := is.New(t)
 				opened := openAll(random, limit, vms, 5*clock.Second)
-				is.True(mostInOneSecond(opened) <= int(limit))
+				is.True(ratetest.MostInOneSecond(opened) <= int(limit))
 				is.True(float64(len(opened)) >= 4*limit*0.9)
 			})
 		}
@@ -78,16 +79,21 @@
 	return opened
 }
 
-func mostInOneSecond(opened []clock.Millis) int {
-	most := 0
-	for _, start := range opened {
-		count := 0
-		for _, at := range opened {
-			if at >= start && at < start+clock.Second {
-				count++
+// The target counts openings that are sent and arrive in one second, whatever the ways to the VMs and from them take.
+func TestSharesHoldWhereTheTargetCounts(t *testing.T) {
+	const maxDelay = 300 // milliseconds, of a client's way to its VM and of that to the target
+	random := rand.New(rand.NewPCG(2, 2))
+	for _, limit := range []float64{1, 7, 50, 120} {
+		t.Run(fmt.Sprintf("%v a second", limit), func(t *testing.T) {
+			is := is.New(t)
+			const vms = 50
+			var events []ratetest.Event
+			for _, at := range openAll(random, limit, vms, 5*clock.Second) {
+				events = append(events, ratetest.Event{
+					SentAt: at - clock.Millis(random.IntN(maxDelay)), ArrivedAt: at + clock.Millis(random.IntN(maxDelay)),
+				})
 			}
-		}
-		most = max(most, count)
+			is.True(ratetest.MostWithinOneSecond(events) <= int(limit))
+		})
 	}
-	return most
 }
