Count requests of open flows against the slow start

Cause: the limit of a target in slow start is what it bears of requests a second, but only openings counted. Where clients keep flows open, the target got the openings of the limit on top of all requests of the flows opened before.

Ruled out: that the users' rule is broken by it on packets. It judges a flow by its opening, and openings of all VMs stay within the limit in any second (TestSharesHoldWhereTheTargetCounts). Holding up packets of open flows: their callers wait.

Change: a further request of an open flow counts against the share of the VM that carries it, so new flows wait, for a second at most. Without a limit, and for flows of one request, decisions are as before.

Shown: TestSlowStartCountsRequestsOfOpenFlows failed before in all three cases.

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -53,7 +53,7 @@
 	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
 	load             *loadState
 	compared         []*pool            // those of which the load of failure domains is compared
-	slowStartRates   map[string]float64 // new flows per second of a target in slow start, by service
+	slowStartRates   map[string]float64 // requests per second that a target in slow start bears, by service
 	shedRequests     int64              // requests that full targets shed since the last TakeShedRequests
 	remoteOpenings   int                // new flows sent to targets of other failure domains
 	localVMs         int                // entry VMs in the own failure domain, including this one
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -156,6 +156,10 @@
 // beginRequest records that the flow starts a new request.
 func (e *Engine) beginRequest(now clock.Millis, f *flow) {
 	e.recordResponse(now, f)
+	if f.hasRequested {
+		e.recordSlowStart(now, f.backend) // the opening has counted for the first one
+	}
+	f.hasRequested = true
 	f.responseBytes, f.hasOutcome = 0, false
 }
 
--- a/inband/slowstart.go
+++ b/inband/slowstart.go
@@ -9,9 +9,13 @@
 // again from the VMs that are known then.
 const slowStartShareLifetime = 250 * clock.Millisecond
 
+// maxSlowStartWait limits how long new flows wait for requests that came before, so that they do not long after those
+// ended.
+const maxSlowStartWait = clock.Second
+
 // slowStartShare is what this VM may open at a target during its slow start.
 type slowStartShare struct {
-	interval  clock.Millis // least time between two new flows
+	interval  clock.Millis // least time between two requests
 	mayOpen   bool
 	expiresAt clock.Millis // of this share
 	nextAt    clock.Millis // when the next flow may be opened
@@ -37,14 +41,17 @@
 	return s.mayOpen && now >= s.nextAt
 }
 
-// recordSlowStart counts a new flow of this VM at a target against its share of the slow start.
+// recordSlowStart counts a request of this VM at a target, the first of a new flow or one of an open flow, against
+// its share of the slow start. Open flows are not held up, so new ones wait for what those take beyond the share.
 func (e *Engine) recordSlowStart(now clock.Millis, b *Backend) {
-	if e.slowStartRate(now, b) > 0 {
-		b.slowStart.nextAt = now + b.slowStart.interval
+	if e.slowStartRate(now, b) == 0 {
+		return
 	}
+	s := &b.slowStart
+	s.nextAt = min(max(s.nextAt, now), now+maxSlowStartWait) + s.interval
 }
 
-// slowStartRate returns the new flows per second that the target bears now, from all VMs, or zero if there is
+// slowStartRate returns the requests per second that the target bears now, from all VMs, or zero if there is
 // no limit.
 func (e *Engine) slowStartRate(now clock.Millis, b *Backend) float64 {
 	if now >= b.slowStartUntil || e.options.SlowStartRank == nil || len(e.slowStartRates) == 0 {
--- a/inband/slowstart_test.go
+++ b/inband/slowstart_test.go
@@ -99,3 +99,74 @@
 	is.Equal(e.Handle(0, opening(1, feedAddress, 0)).Reason, inband.NoTarget)
 	is.Equal(e.Handle(clock.Minute, opening(2, feedAddress, 0)).Action, inband.Forward) // it is over
 }
+
+// Load: clients keep their flows open and send a request on each once a second. The target bears the published number
+// of requests a second, those of open flows included; the users' limit is 1.5 times that and 5 more. The flows that are open
+// when it is reached go on, so others have to wait.
+func TestSlowStartCountsRequestsOfOpenFlows(t *testing.T) {
+	tests := []struct {
+		name string
+		vms  int
+		rate float64
+	}{
+		{"one VM", 1, 30},
+		{"more flows than VMs", 4, 30},
+		{"fewer flows than VMs", 50, 6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			engines := slowStartFleet(tt.vms, tt.rate, target("i-1", "a"))
+			requests := requestOnOpenFlows(engines, 6*clock.Second)
+			is.True(float64(ratetest.MostInOneSecond(requests)) <= 1.5*tt.rate+5)
+			is.True(float64(len(requests)) >= 5*tt.rate) // and it gets what it bears
+		})
+	}
+}
+
+// requestOnOpenFlows lets a client of each VM try to open a flow every 10 ms. Flows that are open send a request each second,
+// which is answered after 50 ms. It returns when the only target got a request.
+func requestOnOpenFlows(engines []*inband.Engine, end clock.Millis) []clock.Millis {
+	const answerTime = 50
+	var requests []clock.Millis
+	var flows []*longFlow
+	for at := clock.Millis(0); at < end; at += 10 {
+		for _, e := range engines {
+			p := numberedOpening(len(flows))
+			if v := e.Handle(at, p); v.Action == inband.Forward {
+				flows = append(flows, &longFlow{engine: e, key: p.Key, tag: v.Tag(), openedAt: at, seq: 101, ack: 1})
+			}
+		}
+		for _, f := range flows {
+			since := (at - f.openedAt) % clock.Second
+			if since == 0 {
+				f.request(at)
+				requests = append(requests, at)
+			}
+			if since == answerTime {
+				f.acknowledge(at)
+			}
+		}
+	}
+	return requests
+}
+
+// longFlow is a flow with many requests.
+type longFlow struct {
+	engine   *inband.Engine
+	key      inband.Key
+	tag      inband.Tag
+	openedAt clock.Millis
+	seq, ack uint32
+}
+
+func (f *longFlow) request(at clock.Millis) {
+	const bytes = 50
+	f.engine.Handle(at, &inband.Packet{Key: f.key, Flags: inband.Acknowledging, Seq: f.seq, Ack: f.ack, Tag: f.tag, DataLength: bytes})
+	f.seq += bytes
+}
+
+func (f *longFlow) acknowledge(at clock.Millis) {
+	f.ack += 1000
+	f.engine.Handle(at, &inband.Packet{Key: f.key, Flags: inband.Acknowledging, Seq: f.seq, Ack: f.ack, Tag: f.tag})
+}
--- a/inband/tables.go
+++ b/inband/tables.go
@@ -51,7 +51,7 @@
 	Name           string       `json:"name"`
 	MaxConnections int          `json:"max_connections,omitempty"` // flows that one target holds
 	SlowStartMS    clock.Millis `json:"slow_start_ms,omitempty"`   // how long a target is in slow start after its start
-	SlowStartRate  float64      `json:"slow_start_rate,omitempty"` // new flows per second that a target bears in slow start, from all VMs
+	SlowStartRate  float64      `json:"slow_start_rate,omitempty"` // requests per second that a target bears in slow start, from all VMs
 }
 
 // Tables holds one version of the routes and the settings of their flows. It is immutable.
