Move what judges requests and overload out of inband

What judges requests and overload by arithmetic alone stood among the decisions on packets, where a newcomer does not find it.

Ruled out: moving the choice of targets, admission and shared load, which others change now.

Change: package outcome counts failures, latency and response sizes and says how far a target's failures exceed those of its pool; package overload holds the detector of a pool with too much work. Behaviour is the same.

--- a/inband/backend.go
+++ b/inband/backend.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
+	"github.com/almondflow/almondflow/outcome"
 )
 
 // Backend is a target together with what this entry VM observes of it.
@@ -22,13 +23,13 @@
 	busy           int // those of them that wait for an answer
 	evidence       evidence
 	probe          probeState
-	latency        latency
+	latency        outcome.Latency
 	pool           *pool
 	domainPool     *domainPool   // the part of the pool in the target's failure domain
 	meter          load.Meter    // of this VM's own work
 	heard          load.Work     // work that other VMs of this VM's failure domain reported
 	isActive       bool          // listed as one with work of this VM
-	stats          requestStats  // outcomes of its requests, seen here and reported by other VMs
+	stats          outcome.Stats // outcomes of its requests, seen here and reported by other VMs
 	isFailing      bool          // as of the last TakeStatusChanges
 	isWatched      bool          // listed in the engine's watchlist
 	unreported     outcomeCounts // outcomes not yet reported to the other VMs
@@ -38,7 +39,7 @@
 // target has restarted.
 func (b *Backend) applyPublished(p Published) {
 	if b.target != nil && b.target.StartedAtMS != p.Target.StartedAtMS && p.Target.State != Gone {
-		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, requestStats{}, outcomeCounts{}
+		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, outcome.Stats{}, outcomeCounts{}
 		b.heard = load.Work{}
 		b.meter.Forget()
 		b.slowStart = slowStartShare{}
--- a/inband/choose.go
+++ b/inband/choose.go
@@ -6,6 +6,8 @@
 	"github.com/almondflow/almondflow/admission"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
+	"github.com/almondflow/almondflow/outcome"
+	"github.com/almondflow/almondflow/overload"
 )
 
 // Limits on the candidates considered for one new flow.
@@ -25,21 +27,17 @@
 
 // pool holds the targets of a service.
 type pool struct {
-	service         string
-	allowedRegions  []string      // of the routes that it is for; none in the pool of the whole service
-	regional        []*pool       // of the same service, for routes with allowed regions
-	backends        []*Backend    // all of them
-	local           []*Backend    // in the VM's own failure domain, unless that is drained
-	remote          []*Backend    // in other domains that are not drained
-	domainPools     []*domainPool // the backends by failure domain, drained and leaving ones included
-	load            *loadState    // of the engine, shared by all pools
-	isOverloaded    bool          // set once looksOverloaded has been for overloadTime
-	looksOverloaded bool          // the last target chosen showed both signs of overload
-	overloadedSince clock.Millis  // when looksOverloaded was set
-	admission       admission.Controller
-	stats           requestStats // outcomes of the requests that this VM forwarded to its targets
-	lastConfidence  float64      // confidence computed at confidenceAt, shared by all targets of the pool
-	confidenceAt    clock.Millis
+	service        string
+	allowedRegions []string          // of the routes that it is for; none in the pool of the whole service
+	regional       []*pool           // of the same service, for routes with allowed regions
+	backends       []*Backend        // all of them
+	local          []*Backend        // in the VM's own failure domain, unless that is drained
+	remote         []*Backend        // in other domains that are not drained
+	domainPools    []*domainPool     // the backends by failure domain, drained and leaving ones included
+	load           *loadState        // of the engine, shared by all pools
+	overload       overload.Detector // by this VM's own requests
+	admission      admission.Controller
+	stats          outcome.PoolStats // of the requests that this VM forwarded to its targets
 	poolLimits
 	spillState
 }
@@ -57,8 +55,8 @@
 
 // keepState takes over what a previous pool of the same targets has come to.
 func (p *pool) keepState(previous *pool) {
-	p.isOverloaded, p.looksOverloaded, p.overloadedSince = previous.isOverloaded, previous.looksOverloaded, previous.overloadedSince
-	p.stats = previous.stats
+	p.overload = previous.overload
+	p.stats.Stats = previous.stats.Stats
 	p.spillState = previous.spillState
 	p.admission = previous.admission
 }
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/outcome"
 	"github.com/almondflow/almondflow/region"
 )
 
@@ -50,7 +51,7 @@
 	resumedAt        clock.Millis // when the process last went on after it had stood still
 	links            map[string]*link
 	watchlist        watchlist
-	sizes            map[netip.AddrPort]*responseSizes // response sizes, by address of the route
+	sizes            map[netip.AddrPort]*outcome.Sizes // response sizes, by address of the route
 	load             *loadState
 	compared         []*pool            // those of which the load of failure domains is compared
 	slowStartRates   map[string]float64 // requests per second that a target in slow start bears, by service
@@ -70,7 +71,7 @@
 		pools:    map[string]*pool{},
 		flows:    newFlowTable(64),
 		links:    map[string]*link{},
-		sizes:    map[netip.AddrPort]*responseSizes{},
+		sizes:    map[netip.AddrPort]*outcome.Sizes{},
 		load:     newLoadState(&options),
 		localVMs: 1,
 
--- a/inband/loadsweep_test.go
+++ b/inband/loadsweep_test.go
@@ -87,7 +87,7 @@
 			request := requestAfter(&p, e.byID["t0"].tag)
 			e.Handle(1, &request)
 			for now := sweepInterval; now <= tt.isBusy; now += sweepInterval {
-				e.byID["t0"].latency.add(now, 2*clock.Second)
+				e.byID["t0"].latency.Add(now, 2*clock.Second)
 				e.Sweep(now)
 			}
 			is.Equal(e.busyRequests(), 1)
--- a/inband/observe.go
+++ b/inband/observe.go
@@ -55,7 +55,7 @@
 		e.holdOffUntil = now + holdOffTime
 	}
 	if f.isBusy && f.phase == open {
-		b.latency.add(now, now-f.sentAt)
+		b.latency.Add(now, now-f.sentAt)
 		f.responseTime = now - f.sentAt
 	}
 	if l := e.linkTo(b); l != nil {
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/outcome"
 	"github.com/almondflow/almondflow/shedding"
 )
 
@@ -48,8 +49,8 @@
 	if isSuccess {
 		succeeded, failed = 1, 0
 	}
-	b.stats.add(now, float64(succeeded), float64(failed))
-	b.pool.stats.add(now, float64(succeeded), float64(failed))
+	b.stats.Add(now, float64(succeeded), float64(failed))
+	b.pool.stats.Add(now, float64(succeeded), float64(failed))
 	b.unreported.succeeded += int32(succeeded)
 	b.unreported.failed += int32(failed)
 	if failed > 0 {
@@ -65,10 +66,10 @@
 	}
 	sizes := e.sizes[f.key.Destination]
 	if sizes == nil {
-		sizes = &responseSizes{}
+		sizes = &outcome.Sizes{}
 		e.sizes[f.key.Destination] = sizes
 	}
-	if sizes.observe(f.responseBytes) {
+	if sizes.Observe(f.responseBytes) {
 		e.recordShortResponse(now, f)
 		return
 	}
@@ -150,7 +151,7 @@
 	if !e.options.SharesLoad {
 		return minAbortTimeout
 	}
-	return max(minAbortTimeout, 2*clock.Millis(b.latency.value(now)))
+	return max(minAbortTimeout, 2*clock.Millis(b.latency.Value(now)))
 }
 
 // beginRequest records that the flow starts a new request.
@@ -195,7 +196,7 @@
 			continue
 		}
 		if domain == e.options.Domain || domain == b.target.Domain {
-			b.stats.add(now, float64(r.Succeeded), float64(r.Failed))
+			b.stats.Add(now, float64(r.Succeeded), float64(r.Failed))
 			e.watchTarget(b)
 		}
 	}
--- a/inband/policy.go
+++ b/inband/policy.go
@@ -1,6 +1,9 @@
 package inband
 
-import "github.com/almondflow/almondflow/clock"
+import (
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/overload"
+)
 
 // Policy controls the choice of targets for new flows.
 type Policy interface {
@@ -56,10 +59,6 @@
 	failureWeight       = 60.0 // a target that fails all requests in a pool where few fail
 )
 
-// overloadLatency is the average latency in milliseconds above which a target counts as
-// overloaded.
-const overloadLatency = 80.0
-
 // Local prefers targets of its own failure domain, then those with the least work.
 type Local struct{}
 
@@ -71,7 +70,7 @@
 	if b.target.Domain != from.Domain {
 		cost += remoteWeight
 	}
-	return cost + b.startPenalty(now) + b.latencyPenalty(now, overloadLatency)
+	return cost + b.startPenalty(now) + b.latencyPenalty(now, overload.MaxLatency)
 }
 
 // ownLoad returns the load that this VM puts on the target, multiplied by the number of VMs, in waiting
@@ -83,7 +82,7 @@
 // latencyPenalty returns the cost of the latency of the target that this VM sees, as far as it is above what
 // is accepted, in milliseconds.
 func (b *Backend) latencyPenalty(now clock.Millis, accepted float64) float64 {
-	return excessLatencyWeight * max(0, b.latency.value(now)-accepted)
+	return excessLatencyWeight * max(0, b.latency.Value(now)-accepted)
 }
 
 // startPenalty returns the cost of a target in slow start or with an expired store entry.
--- a/inband/shared.go
+++ b/inband/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/overload"
 	"github.com/almondflow/almondflow/spread"
 )
 
@@ -30,7 +31,9 @@
 
 // acceptedLatency returns the latency in milliseconds up to which it does not speak against a target. Requests
 // that take long by nature are no reason to leave the failure domain, but waits are.
-func (p *pool) acceptedLatency() float64 { return max(overloadLatency, maxServiceTimes*p.serviceTime) }
+func (p *pool) acceptedLatency() float64 {
+	return max(overload.MaxLatency, maxServiceTimes*p.serviceTime)
+}
 
 // UsesSharedLoad returns true.
 func (Shared) UsesSharedLoad() bool { return true }
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/outcome"
 )
 
 // Published is a target with the state of its store entry.
@@ -38,7 +39,7 @@
 		routes[tables.Routes[i].Address] = &tables.Routes[i]
 	}
 	e.routes = routes
-	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *responseSizes) bool { return routes[service] == nil })
+	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *outcome.Sizes) bool { return routes[service] == nil })
 	e.setMaxConnections(tables.Services)
 	e.setSlowStartRates(tables.Services)
 	e.setRegionalPools(e.pools)
--- a/inband/latency.go
+++ b/outcome/latency.go
@@ -1,4 +1,4 @@
-package inband
+package outcome
 
 import "github.com/almondflow/almondflow/clock"
 
@@ -9,16 +9,17 @@
 	latencyLifetime = 2 * clock.Second
 )
 
-// latency is a moving average of a target's time to answer, in milliseconds. It is estimated
+// Latency is a moving average of a target's time to answer, in milliseconds. It is estimated
 // from the client's packets and is up to 40 ms too high, because clients
 // acknowledge only every second packet at once.
-type latency struct {
+type Latency struct {
 	average    float64
 	hasAverage bool
 	updatedAt  clock.Millis
 }
 
-func (l *latency) add(now, elapsed clock.Millis) {
+// Add adds the time that an answer took.
+func (l *Latency) Add(now, elapsed clock.Millis) {
 	if !l.hasAverage || now-l.updatedAt > latencyLifetime {
 		l.average = float64(elapsed)
 	} else {
@@ -27,8 +28,8 @@
 	l.hasAverage, l.updatedAt = true, now
 }
 
-// value returns the average, or zero if it is stale.
-func (l *latency) value(now clock.Millis) float64 {
+// Value returns the average, or zero if it is stale.
+func (l *Latency) Value(now clock.Millis) float64 {
 	if now-l.updatedAt > latencyLifetime {
 		return 0
 	}
--- a/inband/responsesize.go
+++ b/outcome/sizes.go
@@ -1,4 +1,4 @@
-package inband
+package outcome
 
 import "math"
 
@@ -17,16 +17,16 @@
 	shortFraction   = 0.5
 )
 
-// responseSizes tracks the usual size of the responses on a route. If sizes are alike, a much
+// Sizes tracks the usual size of the responses on a route. If sizes are alike, a much
 // shorter response is an error or a refusal; if they vary, size says nothing.
-type responseSizes struct {
+type Sizes struct {
 	mean      float64 // in bytes
 	deviation float64 // mean absolute deviation, in bytes
 	count     int
 }
 
-// observe records the size of a response and reports whether it is short.
-func (s *responseSizes) observe(bytes uint32) bool {
+// Observe records the size of a response and reports whether it is short.
+func (s *Sizes) Observe(bytes uint32) bool {
 	size := float64(bytes)
 	if s.count == 0 {
 		s.mean = size
--- a/inband/responsesize_test.go
+++ b/outcome/sizes_test.go
@@ -1,4 +1,4 @@
-package inband
+package outcome
 
 import (
 	"testing"
@@ -22,11 +22,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			s := &responseSizes{}
+			s := &Sizes{}
 			for i := range 60 {
-				is.True(!s.observe(tt.usual[i%len(tt.usual)]))
+				is.True(!s.Observe(tt.usual[i%len(tt.usual)]))
 			}
-			is.Equal(s.observe(tt.size), tt.want)
+			is.Equal(s.Observe(tt.size), tt.want)
 		})
 	}
 }
@@ -34,15 +34,15 @@
 // Errors must stay recognizable while they make up a fifth of the responses.
 func TestFrequentErrorsStayShort(t *testing.T) {
 	is := is.New(t)
-	s := &responseSizes{}
+	s := &Sizes{}
 	for range 60 {
-		s.observe(830)
+		s.Observe(830)
 	}
 	for i := range 500 {
 		if i%5 == 0 {
-			is.True(s.observe(150))
+			is.True(s.Observe(150))
 		} else {
-			is.True(!s.observe(830))
+			is.True(!s.Observe(830))
 		}
 	}
 }
@@ -50,35 +50,22 @@
 // Responses that become short permanently are accepted as normal after some time.
 func TestResponseSizesAdapt(t *testing.T) {
 	is := is.New(t)
-	s := &responseSizes{}
+	s := &Sizes{}
 	for range 60 {
-		s.observe(830)
+		s.Observe(830)
 	}
 	for range 1000 {
-		s.observe(150)
+		s.Observe(150)
 	}
-	is.True(!s.observe(150))
+	is.True(!s.Observe(150))
 }
 
 // The first responses on a route are not evaluated.
 func TestFirstResponsesAreNotEvaluated(t *testing.T) {
 	is := is.New(t)
-	s := &responseSizes{}
+	s := &Sizes{}
 	for range minSizeSamples - 1 {
-		s.observe(830)
+		s.Observe(830)
 	}
-	is.True(!s.observe(150))
-}
-
-func TestRequestStatsDecay(t *testing.T) {
-	is := is.New(t)
-	s := &requestStats{}
-	is.Equal(s.failureRate(0), 0.0)
-	s.add(0, 0, 1)
-	is.Equal(s.failureRate(0), 1/(1+priorSuccesses)) // one failure weighs little
-	s.add(0, 0, 7)
-	is.Equal(s.failureRate(0), 0.8)
-	is.Equal(s.failureRate(statsHalfLife), 4/(4+priorSuccesses))
-	s.add(statsHalfLife, 4, 0)
-	is.Equal(s.failureRate(statsHalfLife), 0.4)
+	is.True(!s.Observe(150))
 }
