Keep audit records in one ring buffer

Cause: the audit trails of operator and front each held a ring buffer of their own.

Ruled out: one audit trail for both, as their records and the log lines differ.

Change: package ring holds the buffer, and both trails use it. Records, order and limits are as before; the memory of a trail grows with its records in place of being taken at the start.

Shown: the tests of both trails are unchanged and pass, with those of ring, entry and cmd.

--- a/front/audittrail.go
+++ b/front/audittrail.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/ring"
 )
 
 // maxTrailRecords limits the records of the audit trail.
@@ -19,30 +20,24 @@
 	Source  string       `json:"source"` // "store", the address of a sibling, or the path of the settings file
 }
 
-// auditTrail keeps the newest changes in a ring buffer.
+// auditTrail keeps the newest changes.
 type auditTrail struct {
 	mu      sync.Mutex
-	records []AuditRecord
-	next    int // index of the oldest record once the trail is full
+	records ring.Buffer[AuditRecord]
 }
 
 // add adds a record, which replaces the oldest one if the trail is full.
 func (t *auditTrail) add(record AuditRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.records) < maxTrailRecords {
-		t.records = append(t.records, record)
-		return
-	}
-	t.records[t.next] = record
-	t.next = (t.next + 1) % maxTrailRecords
+	t.records.Add(record, maxTrailRecords)
 }
 
 // list returns the records from oldest to newest.
 func (t *auditTrail) list() []AuditRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return append(append([]AuditRecord{}, t.records[t.next:]...), t.records[:t.next]...)
+	return t.records.All()
 }
 
 // serveAudit answers with the audit trail.
--- a/operator/audittrail.go
+++ b/operator/audittrail.go
@@ -2,8 +2,11 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/almondflow/almondflow/ring"
 )
 
 // ChangeKind is the kind of change in an audit record.
@@ -66,9 +69,10 @@
 type AuditTrail struct {
 	log *slog.Logger
 	now func() time.Time
-	mu  sync.Mutex
-	// ring holds the record with sequence number n at index n-1 modulo its capacity.
-	ring []AuditRecord
+	// size is the number of records that are kept.
+	size    int
+	mu      sync.Mutex
+	records ring.Buffer[AuditRecord]
 	// last is the sequence number of the latest record, or 0.
 	last uint64
 }
@@ -76,7 +80,7 @@
 // NewAuditTrail returns an AuditTrail that keeps the latest size records. The function now
 // returns the wall clock time for the records.
 func NewAuditTrail(size int, log *slog.Logger, now func() time.Time) *AuditTrail {
-	return &AuditTrail{log: log, now: now, ring: make([]AuditRecord, 0, size)}
+	return &AuditTrail{log: log, now: now, size: size}
 }
 
 // Add adds a record of a change and logs it.
@@ -84,11 +88,7 @@
 	t.mu.Lock()
 	t.last++
 	r := AuditRecord{Sequence: t.last, Time: t.now().UTC(), Kind: kind, Subject: subject, Before: before, After: after, Source: source}
-	if len(t.ring) < cap(t.ring) {
-		t.ring = append(t.ring, r)
-	} else {
-		t.ring[(r.Sequence-1)%uint64(cap(t.ring))] = r
-	}
+	t.records.Add(r, t.size)
 	t.mu.Unlock()
 	t.log.Info("change", "sequence", r.Sequence, "kind", string(kind), "subject", subject,
 		"before", before, "after", after, "source", source)
@@ -98,14 +98,7 @@
 func (t *AuditTrail) Records(after uint64) []AuditRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	records := make([]AuditRecord, 0, len(t.ring))
-	for i := range uint64(len(t.ring)) {
-		r := t.ring[(t.last+i)%uint64(len(t.ring))]
-		if r.Sequence > after {
-			records = append(records, r)
-		}
-	}
-	return records
+	return slices.DeleteFunc(t.records.All(), func(r AuditRecord) bool { return r.Sequence <= after })
 }
 
 // Added returns the number of records added since the start, including those that are no
