Write literals of many fields with one field a line

Cause: a newcomer's list named literals with several fields a line as hard to read.

Shown: tests and linter of these packages pass.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -32,7 +32,8 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
 			&cli.DurationFlag{
-				Name: "start-timeout", Value: defaultStartTimeout,
+				Name:  "start-timeout",
+				Value: defaultStartTimeout,
 				Usage: "exit if the tables and the list were not both read within this `DURATION`",
 			},
 		},
--- a/cmd/front-demo/main.go
+++ b/cmd/front-demo/main.go
@@ -119,7 +119,10 @@
 		return err
 	}
 	daemon, err := front.New(settings, front.Options{
-		PacketCodec: platform.PacketCodec{}, Store: platform.NewStore(d.storeAddress), ReadinessPath: platform.ReadinessPath, LogOutput: io.Discard,
+		PacketCodec:   platform.PacketCodec{},
+		Store:         platform.NewStore(d.storeAddress),
+		ReadinessPath: platform.ReadinessPath,
+		LogOutput:     io.Discard,
 	})
 	if err != nil {
 		return err
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -25,8 +25,11 @@
 		Commands: []*cli.Command{
 			{Name: "status", Usage: "show view, siblings and targets", Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontStatus},
 			{
-				Name: "explain", Usage: "show where a flow goes and why", ArgsUsage: "CLIENT:PORT SERVICE:PORT",
-				Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontExplain,
+				Name:      "explain",
+				Usage:     "show where a flow goes and why",
+				ArgsUsage: "CLIENT:PORT SERVICE:PORT",
+				Flags:     []cli.Flag{daemonFlag(), jsonFlag()},
+				Action:    runFrontExplain,
 			},
 			{Name: "audit", Usage: "list the state changes that the daemon recorded", Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontAudit},
 			newFrontTraceCommand(),
--- a/cmd/fronttracecmd.go
+++ b/cmd/fronttracecmd.go
@@ -18,7 +18,9 @@
 
 func newFrontTraceCommand() *cli.Command {
 	return &cli.Command{
-		Name: "trace", Usage: "tell the story of a flow or a target from the logs of the VMs", ArgsUsage: "[FILE...]",
+		Name:      "trace",
+		Usage:     "tell the story of a flow or a target from the logs of the VMs",
+		ArgsUsage: "[FILE...]",
 		Description: "Reads files, or standard input without one, in any order. Lines may have a time and the name\n" +
 			"of the VM before them; otherwise the file's name counts as that of the VM.",
 		Flags: []cli.Flag{
--- a/control/controller.go
+++ b/control/controller.go
@@ -116,7 +116,9 @@
 	}
 	c.permission = m.Permission(now)
 	c.node.SetVotingLease(now, core.VotingLease{
-		ListVersion: c.permission.ListVersion, SettledVersion: c.permission.SettledVersion, ExpiresAt: c.permission.ExpiresAt,
+		ListVersion:    c.permission.ListVersion,
+		SettledVersion: c.permission.SettledVersion,
+		ExpiresAt:      c.permission.ExpiresAt,
 	})
 	view := m.View()
 	if c.ranking == nil || view.Version() == c.viewVersion {
--- a/core/copies.go
+++ b/core/copies.go
@@ -209,7 +209,12 @@
 // not.
 func (s *shard) sendCorrection(fc *flowContext, r *record, to fleet.ID) {
 	s.message = steer.Message{
-		Kind: steer.Repair, TableVersion: uint64(r.tableVersion), Key: fc.key, Target: r.target, Decided: r.has(decided), Origin: s.self(),
+		Kind:         steer.Repair,
+		TableVersion: uint64(r.tableVersion),
+		Key:          fc.key,
+		Target:       r.target,
+		Decided:      r.has(decided),
+		Origin:       s.self(),
 	}
 	s.send(fc, to, &s.message, nil)
 }
--- a/entry/queries.go
+++ b/entry/queries.go
@@ -55,7 +55,10 @@
 			continue
 		}
 		peers = append(peers, operator.Peer{
-			Name: vm.Name(), Domain: vm.Domain(), State: vm.State().String(), Alive: view.Alive(vm.ID()),
+			Name:   vm.Name(),
+			Domain: vm.Domain(),
+			State:  vm.State().String(),
+			Alive:  view.Alive(vm.ID()),
 		})
 	}
 	return peers
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -77,8 +77,13 @@
 
 func (e *Engine) candidate(now clock.Millis, b *Backend) Candidate {
 	c := Candidate{
-		ID: b.target.ID, Domain: b.target.Domain, Cost: e.cost(now, b, false, 1), Flows: b.flows, Busy: b.busy,
-		Suspect: b.evidence.isSuspect(now), Partitioned: e.IsPartitioned(now, b.target.Domain),
+		ID:          b.target.ID,
+		Domain:      b.target.Domain,
+		Cost:        e.cost(now, b, false, 1),
+		Flows:       b.flows,
+		Busy:        b.busy,
+		Suspect:     b.evidence.isSuspect(now),
+		Partitioned: e.IsPartitioned(now, b.target.Domain),
 		FailureRate: b.stats.FailureRate(now),
 	}
 	if e.load.isShared {
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -143,7 +143,10 @@
 
 func (b *Backend) probeReport(now clock.Millis) ProbeReport {
 	return ProbeReport{
-		ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, Outcome: b.probe.outcome, AgeMS: now - b.probe.sentAt,
-		Confirmed: b.probe.isSilent(now) && b.probe.isConfirmed,
+		ID:          b.target.ID,
+		StartedAtMS: b.target.StartedAtMS,
+		Outcome:     b.probe.outcome,
+		AgeMS:       now - b.probe.sentAt,
+		Confirmed:   b.probe.isSilent(now) && b.probe.isConfirmed,
 	}
 }
--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -93,8 +93,12 @@
 	b.probe.isOut = true
 	b.probe.nextAt = now + targetProbeInterval
 	return &TargetProbe{
-		ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, Address: b.target.Address, Controls: e.controls(b),
-		Cause: cause, SuspectedFor: suspectedFor,
+		ID:           b.target.ID,
+		StartedAtMS:  b.target.StartedAtMS,
+		Address:      b.target.Address,
+		Controls:     e.controls(b),
+		Cause:        cause,
+		SuspectedFor: suspectedFor,
 	}
 }
 
--- a/inband/queries.go
+++ b/inband/queries.go
@@ -35,9 +35,16 @@
 	all := make([]Health, 0, len(e.byID))
 	for id, b := range e.byID {
 		all = append(all, Health{
-			ID: id, Service: b.target.Service, Domain: b.target.Domain, State: b.target.State.String(),
-			Flows: b.flows, Busy: b.busy, Timeouts: b.evidence.openings + b.evidence.data, Reporters: b.evidence.reports.count,
-			AnswersProbes: b.probe.hasAnswered, Probe: b.probe.outcome,
+			ID:            id,
+			Service:       b.target.Service,
+			Domain:        b.target.Domain,
+			State:         b.target.State.String(),
+			Flows:         b.flows,
+			Busy:          b.busy,
+			Timeouts:      b.evidence.openings + b.evidence.data,
+			Reporters:     b.evidence.reports.count,
+			AnswersProbes: b.probe.hasAnswered,
+			Probe:         b.probe.outcome,
 		})
 	}
 	slices.SortFunc(all, func(a, b Health) int { return strings.Compare(a.ID, b.ID) })
--- a/member/status.go
+++ b/member/status.go
@@ -108,7 +108,12 @@
 	}
 	m.dirty = true
 	m.sink.Event(Event{
-		At: now, Kind: StatusChanged, Member: id, Before: before, After: u.Status, Incarnation: u.Incarnation,
+		At:          now,
+		Kind:        StatusChanged,
+		Member:      id,
+		Before:      before,
+		After:       u.Status,
+		Incarnation: u.Incarnation,
 	})
 }
 
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -73,7 +73,9 @@
 	}
 	for _, u := range truncate(g.GetUpdates(), member.MaxUpdates) {
 		m.Updates = append(m.Updates, member.Update{
-			ID: fleet.ID(u.GetId()), Status: memberStatus(u.GetStatus()), Incarnation: u.GetIncarnation(),
+			ID:          fleet.ID(u.GetId()),
+			Status:      memberStatus(u.GetStatus()),
+			Incarnation: u.GetIncarnation(),
 		})
 	}
 	decodePredecessor(g, &m.Predecessor)
