Write the answers of daemons in one place of the command line

Cause: seven commands chose between JSON and text each for itself.

Ruled out: one writer of tables for all; their lines differ.

Change: writeAnswer does it. Output is as before.

Shown: tests of cmd and the commands' tests of cmd/almondflow-entry pass, unchanged.

--- a/cmd/auditcmd.go
+++ b/cmd/auditcmd.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"text/tabwriter"
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/almondflow/almondflow/operator"
 )
 
 func newAuditCommand() *cli.Command {
@@ -27,10 +30,11 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		return writeJSON(command.Root().Writer, records)
-	}
-	t := tabwriter.NewWriter(command.Root().Writer, 0, 0, 2, ' ', 0)
+	return writeAnswer(command, records, writeAuditRecords)
+}
+
+func writeAuditRecords(w io.Writer, records []operator.AuditRecord) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "sequence\ttime\tkind\tsubject\tbefore\tafter\tsource")
 	for _, r := range records {
 		_, _ = fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\t%s\n",
--- a/cmd/explaincmd.go
+++ b/cmd/explaincmd.go
@@ -34,11 +34,7 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		err = writeJSON(command.Root().Writer, explanation)
-	} else {
-		err = writeExplanation(command.Root().Writer, &explanation)
-	}
+	err = writeAnswer(command, &explanation, writeExplanation)
 	if err == nil && explanation.Service == "" {
 		return oops.Code(result.NotFound).Errorf("no route for %s", explanation.Flow)
 	}
--- a/cmd/flowscmd.go
+++ b/cmd/flowscmd.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/almondflow/almondflow/operator"
 )
 
 const defaultFlowsLimit = 100
@@ -28,10 +31,11 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		return writeJSON(command.Root().Writer, flows)
-	}
-	t := tabwriter.NewWriter(command.Root().Writer, 0, 0, 2, ' ', 0)
+	return writeAnswer(command, flows, writeFlows)
+}
+
+func writeFlows(w io.Writer, flows []operator.Flow) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "protocol\tsource\tdestination\ttarget\trole")
 	for _, f := range flows {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", f.Protocol, f.Source, f.Destination, f.Target, f.Role)
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -46,10 +46,7 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		return writeJSON(command.Root().Writer, status)
-	}
-	return writeFrontStatus(command.Root().Writer, &status)
+	return writeAnswer(command, &status, writeFrontStatus)
 }
 
 func writeFrontStatus(w io.Writer, s *front.Status) error {
@@ -103,11 +100,7 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		err = writeJSON(command.Root().Writer, explanation)
-	} else {
-		err = writeFrontExplanation(command.Root().Writer, &explanation)
-	}
+	err = writeAnswer(command, &explanation, writeFrontExplanation)
 	if err == nil && explanation.Route == "" {
 		return oops.Code(result.NotFound).Errorf("no route to %s", key.Destination)
 	}
@@ -145,10 +138,11 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		return writeJSON(command.Root().Writer, records)
-	}
-	t := tabwriter.NewWriter(command.Root().Writer, 0, 0, 2, ' ', 0)
+	return writeAnswer(command, records, writeFrontAudit)
+}
+
+func writeFrontAudit(w io.Writer, records []front.AuditRecord) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "at_ms\tsubject\tbefore\tafter\tsource")
 	for _, r := range records {
 		_, _ = fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\n", r.AtMS, r.Subject, r.Before, r.After, r.Source)
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -120,3 +120,12 @@
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(value)
 }
+
+// writeAnswer writes what a daemon answered to a command: as JSON if the command line asks for it, or as text.
+func writeAnswer[T any](command *cli.Command, answer T, writeText func(io.Writer, T) error) error {
+	w := command.Root().Writer
+	if command.Bool("json") {
+		return writeJSON(w, answer)
+	}
+	return writeText(w, answer)
+}
--- a/cmd/statuscmd.go
+++ b/cmd/statuscmd.go
@@ -25,10 +25,7 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		return writeJSON(command.Root().Writer, status)
-	}
-	return writeStatus(command.Root().Writer, &status)
+	return writeAnswer(command, &status, writeStatus)
 }
 
 func writeStatus(w io.Writer, s *operator.Status) error {
