Keep the pools of bound routes when tables change

Cause: each change of the tables formed the pools of bound routes anew, under the daemon's lock.

Ruled out: forming them at the first flow, as that is a packet's time.

Change: a pool whose failure domains are the same stays as it is.

--- a/inband/regionload_test.go
+++ b/inband/regionload_test.go
@@ -1,6 +1,8 @@
 package inband_test
 
 import (
+	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +12,7 @@
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/load"
+	"github.com/almondflow/almondflow/region"
 )
 
 // Load: the own failure domain presses. A bound route spills to the domains of its regions only, and by their load
@@ -135,3 +138,30 @@
 	slices.Sort(domains)
 	return strings.Join(slices.Compact(domains), "")
 }
+
+// BenchmarkSetTablesOfBoundRoutes measures a change of the tables at the size to design for: three regions, each of
+// which has a route that is bound to it.
+func BenchmarkSetTablesOfBoundRoutes(b *testing.B) {
+	for _, count := range []int{150, 99000} {
+		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
+			e := newLargeEngine(largePool(count, "abcdefg"), 1000)
+			regions, err := region.ParseMap("a=east,b=east,c=east,d=west,e=west,f=north,g=north")
+			if err != nil {
+				b.Fatal(err)
+			}
+			e.SetRegions(regions)
+			t := tables(2)
+			for i, name := range []string{"east", "west", "north"} {
+				bound := t.Routes[0]
+				bound.Address = netip.AddrPortFrom(feedAddress.Addr(), uint16(i+1))
+				bound.AllowedRegions = []string{name}
+				t.Routes = append(t.Routes, bound)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Version++
+				e.SetTables(t)
+			}
+		})
+	}
+}
--- a/inband/regions.go
+++ b/inband/regions.go
@@ -78,24 +78,31 @@
 	if findPool(p.regional, allowed) != nil {
 		return
 	}
-	r := &pool{service: p.service, load: p.load, allowedRegions: allowed}
-	for _, d := range p.domainPools {
-		if e.regions.Allows(allowed, d.id.Domain) {
-			r.domainPools = append(r.domainPools, d)
-		}
-	}
-	if len(r.domainPools) == len(p.domainPools) {
+	isOutside := func(d *domainPool) bool { return !e.regions.Allows(allowed, d.id.Domain) }
+	domains := slices.DeleteFunc(slices.Clone(p.domainPools), isOutside)
+	if len(domains) == len(p.domainPools) {
 		return
 	}
+	r := findPool(known, allowed)
+	if r == nil || !slices.Equal(r.domainPools, domains) {
+		r = e.newRegionalPool(p, allowed, domains, r)
+	}
+	p.regional = append(p.regional, r)
+}
+
+// newRegionalPool returns the pool of the targets of p in some failure domains. It keeps the state of a previous one,
+// unless there is none.
+func (e *Engine) newRegionalPool(p *pool, allowed []string, domains []*domainPool, previous *pool) *pool {
+	r := &pool{service: p.service, load: p.load, allowedRegions: allowed, domainPools: domains}
 	for _, b := range p.backends {
 		if e.regions.Allows(allowed, b.target.Domain) {
 			r.addBackend(b, e.options.Domain)
 		}
 	}
-	if before := findPool(known, allowed); before != nil {
-		r.keepState(before)
+	if previous != nil {
+		r.keepState(previous)
 	}
-	p.regional = append(p.regional, r)
+	return r
 }
 
 // addToRegionalPools adds a new target to the pools of the regions that hold it. isNewDomain is set if it is the first
