Keep lines of the regions within 150 characters

Shown: tests and linter of front, inband and cmd pass, TestUnknownSeedIsContacted (known red) left out.

--- a/cmd/almondflow-entry/regions_test.go
+++ b/cmd/almondflow-entry/regions_test.go
@@ -139,7 +139,11 @@
 		want      []string
 	}{
 		{"status", []string{"status", "--daemon", operatorAddress}, []string{"route feed ", "bound to east, 2 targets"}},
-		{"explain", []string{"explain", "--daemon", operatorAddress, "100.64.0.7:40001", feedAddress.String()}, []string{"bound to east", "i-00000001", "i-00000002"}},
+		{
+			"explain",
+			[]string{"explain", "--daemon", operatorAddress, "100.64.0.7:40001", feedAddress.String()},
+			[]string{"bound to east", "i-00000001", "i-00000002"},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) { checkFrontCommand(t, tt.arguments, result.OK, tt.want) })
--- a/front/health.go
+++ b/front/health.go
@@ -96,7 +96,8 @@
 
 func (d *Daemon) logSpills(now clock.Millis, changes []inband.Spilling) {
 	for _, s := range changes {
-		d.log.Info("pool_spills", "at_ms", now, "service", s.Service, "regions", strings.Join(s.AllowedRegions, ","), "spills", s.IsSpilling, "share", s.Share,
+		d.log.Info("pool_spills", "at_ms", now, "service", s.Service, "regions", strings.Join(s.AllowedRegions, ","),
+			"spills", s.IsSpilling, "share", s.Share,
 			"response_ms", s.ResponseTime, "service_ms", s.ServiceTime)
 	}
 }
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -58,9 +58,13 @@
 	probesMetric          = Metric{"almondflow_front_target_probes", counterType, "probes", "TCP connections to targets, by what they showed (tag outcome)."}
 	probeTimeMetric       = Metric{"almondflow_front_probe_time", histogramType, "milliseconds", "Time until a probe of a target had an outcome."}
 	remoteOpeningsMetric  = Metric{"almondflow_front_remote_openings", counterType, "flows", "New flows that were sent to targets of other failure domains."}
-	responseTimeMetric    = Metric{"almondflow_front_expected_response", gaugeType, "milliseconds", "Time in which a new request is expected to be answered in the own failure domain (tag service; tag regions for routes that are bound to some)."}
-	spillShareMetric      = Metric{"almondflow_front_spill_share", gaugeType, "fraction", "Share of a service's new flows that is sent to other failure domains because requests wait longer in the own one (tag service; tag regions for routes that are bound to some)."}
-	packetTimeMetric      = Metric{"almondflow_front_packet_time", histogramType, "microseconds", "Time from reading a packet to sending it on, sampled for one packet in 64."}
+	responseTimeMetric    = Metric{"almondflow_front_expected_response", gaugeType, "milliseconds",
+		"Time in which a new request is expected to be answered in the own failure domain " +
+			"(tag service; tag regions for routes that are bound to some)."}
+	spillShareMetric = Metric{"almondflow_front_spill_share", gaugeType, "fraction",
+		"Share of a service's new flows that is sent to other failure domains because requests wait longer " +
+			"in the own one (tag service; tag regions for routes that are bound to some)."}
+	packetTimeMetric = Metric{"almondflow_front_packet_time", histogramType, "microseconds", "Time from reading a packet to sending it on, sampled for one packet in 64."}
 )
 
 // AllMetrics returns the descriptions of all metrics of the daemon.
--- a/front/packets.go
+++ b/front/packets.go
@@ -128,7 +128,8 @@
 // isRoutine reports whether log lines with this reason may be suppressed under load.
 func isRoutine(reason inband.Reason) bool {
 	switch reason {
-	case inband.Placed, inband.PlacedLate, inband.MovedUnavailable, inband.Repeated, inband.NoRoute, inband.NoTarget, inband.NoTargetInRegion, inband.Overloaded:
+	case inband.Placed, inband.PlacedLate, inband.MovedUnavailable, inband.Repeated,
+		inband.NoRoute, inband.NoTarget, inband.NoTargetInRegion, inband.Overloaded:
 		return true
 	default:
 		return false
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -189,6 +189,11 @@
 
 func (p *pool) spilling() Spilling {
 	return Spilling{
-		Service: p.service, AllowedRegions: p.allowedRegions, Share: p.spill.Share(), ServiceTime: p.serviceTime, ResponseTime: p.responseTime, IsSpilling: p.isSpilling,
+		Service:        p.service,
+		AllowedRegions: p.allowedRegions,
+		Share:          p.spill.Share(),
+		ServiceTime:    p.serviceTime,
+		ResponseTime:   p.responseTime,
+		IsSpilling:     p.isSpilling,
 	}
 }
--- a/inband/watchlist.go
+++ b/inband/watchlist.go
@@ -47,7 +47,8 @@
 // needsWatching reports whether the target timed out or failed requests and may still need a
 // reaction.
 func (b *Backend) needsWatching(now clock.Millis) bool {
-	return b.evidence.isUnresponsive() || b.isSuspectedNow(now) || b.isFailing || b.unreported.failed > 0 || b.stats.FailureRate(now) >= minWatchedFailureRate
+	return b.evidence.isUnresponsive() || b.isSuspectedNow(now) || b.isFailing || b.unreported.failed > 0 ||
+		b.stats.FailureRate(now) >= minWatchedFailureRate
 }
 
 // isSuspectedNow reports whether there are recent signs about the target, of this VM or another one, or
