Choose recipients of messages without sorting all known VMs

Cause: each choice of recipients or contacts copied and sorted all known VMs under the lock that packets need, and each received message chose contacts for a reply that only a hello gets.

Change: members also stand in a list, of which a sample shuffles only as much as it looks at; contacts are chosen for replies to a hello only; counts don't build lists. New tests hold samples to even shares, no VM twice, none that is gone; they passed on the code before as well.

--- a/front/announce.go
+++ b/front/announce.go
@@ -14,8 +14,7 @@
 const (
 	heartbeatTicks            = 4 // ticks per heartbeat
 	viewRequestTicks          = 2 // ticks per request for a first view
-	localHeartbeats           = 2 // VMs of this VM's domain that get a heartbeat
-	remoteHeartbeats          = 1 // VMs of all other domains together
+	localHeartbeats           = 2 // VMs of this VM's domain that get a heartbeat, beside one of another domain
 	maxLocalRecipients        = 12
 	remoteRecipientsPerDomain = 2
 	maxForwardRecipients      = 4
@@ -68,10 +67,8 @@
 	d.mu.Lock()
 	expired := d.members.RemoveExpired(now)
 	recipients := addressesOf(d.members.SampleLocal(now, localHeartbeats))
-	if remote := d.members.SampleRemote(now, 1); len(remote) > 0 {
-		recipients = append(recipients, addressesOf(remote[:remoteHeartbeats])...)
-	}
-	isAlone := len(d.members.Alive(now)) == 0
+	recipients = append(recipients, addressesOf(d.members.SampleOneRemote(now))...)
+	isAlone := d.members.CountAlive(now) == 0
 	message := siblings.Message{Kind: siblings.Heartbeat, View: d.viewSummary(now)}
 	d.mu.Unlock()
 	for _, c := range expired {
--- a/front/load.go
+++ b/front/load.go
@@ -48,10 +48,10 @@
 		return
 	}
 	report := d.engine.TakeDomainReport(now)
-	recipients := d.members.SampleRemote(now, 1)
+	recipients := d.members.SampleOneRemote(now)
 	d.mu.Unlock()
 	if len(report.Pools) > 0 {
-		d.sendLoad(&report, recipients[:min(1, len(recipients))])
+		d.sendLoad(&report, recipients)
 	}
 }
 
--- a/front/messages.go
+++ b/front/messages.go
@@ -149,8 +149,9 @@
 	d.isFetching = d.isFetching || isFetching
 	version, revision := d.versionsToFetchAfter(m.View)
 	isLocal := m.From.Domain == d.members.Self().Domain
-	reply := siblings.Message{
-		Kind: siblings.Heartbeat, View: d.viewSummary(now), Contacts: d.members.SampleContacts(now, m.From.Domain),
+	var reply *siblings.Message
+	if m.Kind == siblings.Hello {
+		reply = &siblings.Message{Kind: siblings.Heartbeat, View: d.viewSummary(now), Contacts: d.members.SampleContacts(now, m.From.Domain)}
 	}
 	d.mu.Unlock()
 	d.logChanges(now, m.From.Address.String(), applied, nil)
@@ -168,8 +169,8 @@
 		d.tellConfirmed(now, confirmed)
 		d.resetFlowsOfLostTargets(now)
 	}
-	if m.Kind == siblings.Hello {
-		d.send(reply, []netip.AddrPort{m.From.Address})
+	if reply != nil {
+		d.send(*reply, []netip.AddrPort{m.From.Address})
 	}
 	if !isNewer {
 		return
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -186,7 +186,7 @@
 		value  int64
 	}{
 		{flowsMetric, int64(d.engine.Flows())},
-		{siblingsMetric, int64(len(d.members.Alive(now)))},
+		{siblingsMetric, int64(d.members.CountAlive(now))},
 		{suspectsMetric, int64(d.engine.Suspects())},
 		{failingTargetsMetric, int64(d.engine.FailingTargets())},
 		{overloadedPoolsMetric, int64(d.engine.OverloadedPools())},
--- a/front/reading.go
+++ b/front/reading.go
@@ -53,7 +53,7 @@
 // before. The caller holds the lock.
 func (d *Daemon) updateRank(now clock.Millis) {
 	due := d.nextRead(now)
-	d.readScheduler.SetRank(d.discovery.Rank(now, d.members.Rank(now)), 1+len(d.members.Alive(now)))
+	d.readScheduler.SetRank(d.discovery.Rank(now, d.members.Rank(now)), 1+d.members.CountAlive(now))
 	if d.nextRead(now) < due {
 		d.wakeReader()
 	}
--- a/siblings/members.go
+++ b/siblings/members.go
@@ -20,19 +20,12 @@
 	expiryTimeout = 60 * clock.Second
 )
 
-const (
-	// maxContactsPerMessage limits the contacts in a message.
-	maxContactsPerMessage = 6
-	// maxReadersPerMessage limits those of them that are included because they read the store
-	// first.
-	maxReadersPerMessage = 2
-)
-
 // member is another entry VM and the last time at which it was known to be alive.
 type member struct {
 	contact   Contact
 	aliveAt   clock.Millis
 	readOrder uint64 // hash of the address, which orders VMs of the same capacity
+	index     int    // place in Members.list
 }
 
 func newMember(c Contact, aliveAt clock.Millis) *member {
@@ -48,11 +41,19 @@
 	return m.readOrder < other.readOrder
 }
 
+// contactAt returns the contact with its age.
+func (m *member) contactAt(now clock.Millis) Contact {
+	c := m.contact
+	c.AgeMS = now - m.aliveAt
+	return c
+}
+
 // Members holds the other entry VMs that this VM knows of. It is not safe for concurrent use.
 type Members struct {
 	self    *member
 	random  *rand.Rand
 	members map[netip.AddrPort]*member
+	list    []*member // all members, in an order that samples shuffle
 }
 
 // NewMembers returns an empty set of members for the VM with the contact self.
@@ -72,7 +73,7 @@
 	aliveAt := now - c.AgeMS
 	known, ok := m.members[c.Address]
 	if !ok {
-		m.members[c.Address] = newMember(c, aliveAt)
+		m.add(newMember(c, aliveAt))
 		return now-aliveAt < aliveTimeout
 	}
 	wasAlive := now-known.aliveAt < aliveTimeout
@@ -81,19 +82,49 @@
 	return !wasAlive && now-known.aliveAt < aliveTimeout
 }
 
+func (m *Members) add(added *member) {
+	added.index = len(m.list)
+	m.list = append(m.list, added)
+	m.members[added.contact.Address] = added
+}
+
 // Remove removes a VM that shuts down.
-func (m *Members) Remove(address netip.AddrPort) { delete(m.members, address) }
+func (m *Members) Remove(address netip.AddrPort) {
+	removed, ok := m.members[address]
+	if !ok {
+		return
+	}
+	last := len(m.list) - 1
+	m.swap(removed.index, last)
+	m.list[last] = nil
+	m.list = m.list[:last]
+	delete(m.members, address)
+}
+
+// swap swaps two members in the list.
+func (m *Members) swap(i, j int) {
+	m.list[i], m.list[j] = m.list[j], m.list[i]
+	m.list[i].index, m.list[j].index = i, j
+}
 
 // Alive returns the VMs that are alive, ordered by address.
 func (m *Members) Alive(now clock.Millis) []Contact {
 	return m.aliveWithin(now, aliveTimeout)
 }
 
+// CountAlive returns the number of other VMs that are alive.
+func (m *Members) CountAlive(now clock.Millis) int {
+	return m.count(now, func(*member) bool { return true })
+}
+
 // CountLocal returns the number of other VMs in this VM's failure domain that are alive.
-func (m *Members) CountLocal(now clock.Millis) int {
+func (m *Members) CountLocal(now clock.Millis) int { return m.count(now, m.isLocal) }
+
+// count returns the number of VMs that are alive and counted.
+func (m *Members) count(now clock.Millis, isCounted func(*member) bool) int {
 	count := 0
-	for _, known := range m.members {
-		if now-known.aliveAt < aliveTimeout && known.contact.Domain == m.self.contact.Domain {
+	for _, known := range m.list {
+		if now-known.aliveAt < aliveTimeout && isCounted(known) {
 			count++
 		}
 	}
@@ -110,9 +141,7 @@
 	found := make([]Contact, 0, len(m.members))
 	for _, known := range m.members {
 		if now-known.aliveAt < limit {
-			c := known.contact
-			c.AgeMS = now - known.aliveAt
-			found = append(found, c)
+			found = append(found, known.contactAt(now))
 		}
 	}
 	slices.SortFunc(found, func(a, b Contact) int { return a.Address.Compare(b.Address) })
@@ -125,7 +154,7 @@
 	for address, known := range m.members {
 		if now-known.aliveAt >= expiryTimeout {
 			expired = append(expired, known.contact)
-			delete(m.members, address)
+			m.Remove(address)
 		}
 	}
 	return expired
@@ -149,69 +178,3 @@
 	_, _ = h.Write([]byte(address.String())) // never returns an error
 	return h.Sum64()
 }
-
-// SampleLocal returns up to count random VMs of this VM's failure domain.
-func (m *Members) SampleLocal(now clock.Millis, count int) []Contact {
-	return m.sample(m.Known(now), count, func(c Contact) bool { return c.Domain == m.self.contact.Domain })
-}
-
-// SampleRemote returns up to maxPerDomain random VMs of each other failure domain.
-func (m *Members) SampleRemote(now clock.Millis, maxPerDomain int) []Contact {
-	known := m.Known(now)
-	taken := map[string]int{}
-	return m.sample(known, len(known), func(c Contact) bool {
-		if c.Domain == m.self.contact.Domain || taken[c.Domain] >= maxPerDomain {
-			return false
-		}
-		taken[c.Domain]++
-		return true
-	})
-}
-
-// SampleDomain returns up to count random VMs of a failure domain that are expected to answer
-// a probe.
-func (m *Members) SampleDomain(now clock.Millis, domain string, count int) []Contact {
-	return m.sample(m.aliveWithin(now, probeWindow), count, func(c Contact) bool { return c.Domain == domain })
-}
-
-// sample shuffles contacts in place and returns up to count of those that are wanted.
-func (m *Members) sample(contacts []Contact, count int, isWanted func(Contact) bool) []Contact {
-	m.random.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
-	var sampled []Contact
-	for _, c := range contacts {
-		if len(sampled) < count && isWanted(c) {
-			sampled = append(sampled, c)
-		}
-	}
-	return sampled
-}
-
-// SampleContacts returns VMs that are alive, to be included in a message to a VM of the given
-// failure domain. These are the VMs that read the store first, which show the receiver its own
-// rank, then random VMs, those of its domain first, as it forwards views to them.
-func (m *Members) SampleContacts(now clock.Millis, domain string) []Contact {
-	alive := m.Alive(now)
-	m.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	for i := range min(maxReadersPerMessage, len(alive)) {
-		m.moveFirstReader(alive[i:])
-	}
-	for i := min(maxReadersPerMessage, len(alive)); i < min(maxContactsPerMessage, len(alive)); i++ {
-		local := slices.IndexFunc(alive[i:], func(c Contact) bool { return c.Domain == domain })
-		if local < 0 {
-			break
-		}
-		alive[i], alive[i+local] = alive[i+local], alive[i]
-	}
-	return alive[:min(maxContactsPerMessage, len(alive))]
-}
-
-// moveFirstReader swaps the contact that reads the store first with the first one.
-func (m *Members) moveFirstReader(contacts []Contact) {
-	first := 0
-	for i := range contacts {
-		if m.members[contacts[i].Address].readsBefore(m.members[contacts[first].Address]) {
-			first = i
-		}
-	}
-	contacts[0], contacts[first] = contacts[first], contacts[0]
-}
