Contact an unknown seed now and then

Cause: a VM contacted the seeds only while it knew no other VM. A seed that is restarted while it is the only seed left knows nobody, and the VMs that it told of its end do not write to it: it stayed alone for good.

Ruled out: keeping VMs that said goodbye in the list, which costs messages to each VM that leaves for good.

Change: with each heartbeat, a VM sends a Hello to one seed that it does not know to be alive, with a probability of one in the number of VMs that it knows (siblings.Members.SampleUnknown; random numbers of the daemon's source). A whole deployment sends about one Hello per heartbeat interval whatever its size. Its receiver knows the sender and its contacts, and the reply makes the sender know the receiver (TestHelloMakesVMsKnowEachOther).

--- a/front/announce.go
+++ b/front/announce.go
@@ -63,7 +63,8 @@
 }
 
 // sendHeartbeat reports to some VMs that this one is alive. A VM that knows no other VM contacts
-// the seeds again.
+// the seeds again. One that knows others contacts an unknown seed now and then, which may have
+// started without knowing anyone, or belong to VMs that know only each other.
 func (d *Daemon) sendHeartbeat(now clock.Millis) {
 	d.mu.Lock()
 	expired := d.members.RemoveExpired(now)
@@ -72,6 +73,7 @@
 		recipients = append(recipients, addressesOf(remote[:remoteHeartbeats])...)
 	}
 	isAlone := len(d.members.Alive(now)) == 0
+	unknownSeeds := d.members.SampleUnknown(now, d.seedAddresses())
 	message := siblings.Message{Kind: siblings.Heartbeat, View: d.viewSummary(now)}
 	d.mu.Unlock()
 	for _, c := range expired {
@@ -82,6 +84,10 @@
 		message.Kind = siblings.Hello
 	}
 	d.send(message, recipients)
+	if !isAlone && len(unknownSeeds) > 0 {
+		message.Kind = siblings.Hello
+		d.send(message, unknownSeeds)
+	}
 }
 
 // announce sends the view and recent changes to some VMs of this VM's domain. If the view was
--- a/front/seeds_test.go
+++ b/front/seeds_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -39,3 +40,21 @@
 	is.NoErr(err)
 	is.True(n > 0)
 }
+
+// A VM that receives a Hello knows its sender, and so does the sender by the reply. It also hears of more VMs.
+func TestHelloMakesVMsKnowEachOther(t *testing.T) {
+	is := is.New(t)
+	seed, other := newDaemon(t, Options{}), newDaemon(t, Options{})
+	third := siblings.Contact{Address: netip.MustParseAddrPort("127.0.0.8:7"), Domain: "a"}
+	hello := &siblings.Message{Kind: siblings.Hello, From: other.members.Self(), Contacts: []siblings.Contact{third}}
+	seed.receive(context.Background(), hello)
+	is.Equal(len(seed.members.Alive(seed.clock.Now())), 2)
+	is.NoErr(other.sockets.messages.SetReadDeadline(time.Now().Add(time.Second)))
+	buffer := make([]byte, siblings.MaxMessageBytes)
+	n, source, err := other.sockets.messages.ReadFromUDPAddrPort(buffer)
+	is.NoErr(err)
+	reply, err := decodeFrom(buffer[:n], source)
+	is.NoErr(err)
+	other.receive(context.Background(), reply)
+	is.Equal(other.members.Alive(other.clock.Now())[0].Address, seed.members.Self().Address)
+}
--- a/siblings/members.go
+++ b/siblings/members.go
@@ -186,6 +186,23 @@
 	return sampled
 }
 
+// SampleUnknown returns one of the addresses whose VM is not known to be alive, but only in one of as many calls as
+// VMs are alive: if each of them calls it once, about one address results, however many they are.
+func (m *Members) SampleUnknown(now clock.Millis, addresses []netip.AddrPort) []netip.AddrPort {
+	alive := m.Alive(now)
+	var unknown []netip.AddrPort
+	for _, address := range addresses {
+		if !slices.ContainsFunc(alive, func(c Contact) bool { return c.Address == address }) {
+			unknown = append(unknown, address)
+		}
+	}
+	if len(unknown) == 0 || m.random.IntN(max(1, len(alive))) > 0 {
+		return nil
+	}
+	i := m.random.IntN(len(unknown))
+	return unknown[i : i+1]
+}
+
 // SampleContacts returns VMs that are alive, to be included in a message to a VM of the given
 // failure domain. These are the VMs that read the store first, which show the receiver its own
 // rank, then random VMs, those of its domain first, as it forwards views to them.
--- a/siblings/siblings_test.go
+++ b/siblings/siblings_test.go
@@ -157,3 +157,26 @@
 		}
 	})
 }
+
+// Pattern: a seed is down for long in a large deployment. All VMs together contact it about once per heartbeat
+// interval, so that a VM that starts there is soon known, and the messages do not grow with the deployment.
+func TestUnknownSeedsAreContactedByTheWholeDeployment(t *testing.T) {
+	for _, vms := range []int{2, 9, 300} {
+		is := is.New(t)
+		members := newMembers(contact(0, "a", 1))
+		for i := 1; i < vms; i++ {
+			members.MarkAlive(0, contact(i, "a", 1))
+		}
+		known, unknown := contact(1, "a", 1).Address, contact(vms+1, "a", 1).Address
+		const intervals = 60
+		sampled := 0
+		for range vms * intervals {
+			for _, address := range members.SampleUnknown(0, []netip.AddrPort{known, unknown}) {
+				is.Equal(address, unknown)
+				sampled++
+			}
+		}
+		is.True(sampled >= intervals/2 && sampled <= 2*intervals)
+		is.Equal(len(members.SampleUnknown(0, []netip.AddrPort{known})), 0)
+	}
+}
