Keep a drain that an older copy of the store lacks until it is written again

Cause: a complete list ended each drain that it lacks. A store that came back from an older copy has lost what was written since, so VMs sent new flows to a domain that the operator had drained and not taken back.

Ruled out: comparing revisions. A drain above the list's revision was lost for sure, but one below it may have been lost, too, as the list is read after others have written again, at numbers given out a second time.

Change: a list ends only drains of its own era. One of an earlier era stays until it is written again, or a sibling's tombstone ends it, or for 15 s (rewriteGrace) of a current view since the VM knew of the era; after an outage these begin anew. After that, a sibling's word of such a drain is no news. store_era counts the drains kept. Revisions in the text of a drain's change were shown without their era; they are shown as era/number now.

Tables and targets: tables never go back, and a target that left or was leaving does not come back by a copy (tests in era_test.go). A target that ended without notice does, as it may run.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -29,6 +29,7 @@
 	digest              uint64              // XOR of the hashes of all entries
 	changedIDs          map[string]struct{} // entries that changed since the last TakeChanged
 	expiryPossibleUntil clock.Millis        // until then, an entry that ends may have expired
+	rewriteUntil        clock.Millis        // until then, the operator may write drains again that the store lost
 }
 
 // New returns an empty catalog.
@@ -183,10 +184,15 @@
 	if c.isOfEarlierEra(revision) {
 		return
 	}
+	isNewEra := revision.Era() > c.revision.Era()
 	c.revision = max(c.revision, revision)
-	if c.isConfirmed && asOf-c.confirmedAt > staleViewAge {
+	wasStale := c.isConfirmed && asOf-c.confirmedAt > staleViewAge
+	if wasStale {
 		c.expiryPossibleUntil = asOf + expiryGrace
 	}
+	if isNewEra || wasStale {
+		c.rewriteUntil = asOf + rewriteGrace
+	}
 	if !c.isConfirmed || asOf > c.confirmedAt {
 		c.confirmedAt, c.isConfirmed = asOf, true
 	}
--- a/catalog/drains.go
+++ b/catalog/drains.go
@@ -7,6 +7,10 @@
 	"github.com/almondflow/almondflow/drain"
 )
 
+// rewriteGrace is how long a drain that an older copy of the store lacks stays in force, for the operator to write
+// it again.
+const rewriteGrace = 15 * clock.Second
+
 // Drains returns the drains in force, ordered by domain.
 func (c *Catalog) Drains() []drain.Mark { return c.drains.InForce() }
 
@@ -33,6 +37,25 @@
 	return merged
 }
 
+// EndLostDrains ends the drains of earlier eras that were not written again since the store came back, and returns
+// those. Without a current view it ends none, because they may have been written again meanwhile.
+func (c *Catalog) EndLostDrains(now clock.Millis) []Change {
+	if now < c.rewriteUntil || c.Age(now) > staleViewAge {
+		return nil
+	}
+	merged := c.mergeDrains(now, &Changes{Drains: c.drains.EndsOfEarlierEras(c.revision)})
+	if len(merged) > 0 {
+		c.generation++
+	}
+	return merged
+}
+
+// isOutdated reports whether a drain of an earlier era should have been written again by now. A sibling that was
+// alone for long may still tell of one that ended since.
+func (c *Catalog) isOutdated(now clock.Millis, m drain.Mark) bool {
+	return !m.HasEnded && c.isOfEarlierEra(m.Revision) && now >= c.rewriteUntil
+}
+
 // mergeDrains merges the drains of changes. A complete list also ends the drains that it lacks.
 func (c *Catalog) mergeDrains(now clock.Millis, changes *Changes) []Change {
 	marks := changes.Drains
@@ -43,7 +66,7 @@
 	var merged []Change
 	for _, m := range marks {
 		before := c.describeDrain(m.Domain)
-		if !c.drains.Merge(now, m) {
+		if c.isOutdated(now, m) || !c.drains.Merge(now, m) {
 			continue
 		}
 		merged = append(merged, Change{Subject: "domain " + m.Domain, Before: before, After: c.describeDrain(m.Domain), Drain: &m})
@@ -96,8 +119,8 @@
 	case !isKnown:
 		return "not drained"
 	case m.HasEnded:
-		return fmt.Sprintf("not drained since revision %d", m.Revision)
+		return fmt.Sprintf("not drained since revision %s", m.Revision)
 	default:
-		return fmt.Sprintf("drained since revision %d", m.Revision)
+		return fmt.Sprintf("drained since revision %s", m.Revision)
 	}
 }
--- a/drain/set.go
+++ b/drain/set.go
@@ -47,12 +47,24 @@
 
 // Missing returns the ends of the drains in force that a complete list lacks. The list was read at a
 // revision, so it says nothing about drains that began later. One that began at that very revision contradicts the
-// list, and stays: to place no flows is the safer error.
+// list, and stays: to place no flows is the safer error. A list that the store gave after it came back from an older
+// copy may lack drains that are in force, so it ends none of an earlier era.
 func (s *Set) Missing(complete []Mark, revision inband.Revision) []Mark {
 	var ends []Mark
 	for _, m := range s.InForce() {
 		isListed := slices.ContainsFunc(complete, func(other Mark) bool { return other.Domain == m.Domain })
-		if !isListed && m.Revision < revision {
+		if !isListed && m.Revision < revision && m.Revision.Era() == revision.Era() {
+			ends = append(ends, Mark{Domain: m.Domain, Revision: revision, HasEnded: true})
+		}
+	}
+	return ends
+}
+
+// EndsOfEarlierEras returns the ends, at a revision, of the drains in force that were last written before its era.
+func (s *Set) EndsOfEarlierEras(revision inband.Revision) []Mark {
+	var ends []Mark
+	for _, m := range s.InForce() {
+		if m.Revision.Era() < revision.Era() {
 			ends = append(ends, Mark{Domain: m.Domain, Revision: revision, HasEnded: true})
 		}
 	}
--- a/drain/set_test.go
+++ b/drain/set_test.go
@@ -100,6 +100,7 @@
 		{"begun after the list was read", []drain.Mark{begin("a", 7)}, nil, 6, nil},
 		{"begun at the revision of the list", []drain.Mark{begin("a", 7)}, nil, 7, nil},
 		{"ended before", []drain.Mark{begin("a", 7), end("a", 8)}, nil, 9, nil},
+		{"of an earlier era", []drain.Mark{begin("a", 7)}, nil, inband.NewRevision(1, 9), nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -108,6 +109,13 @@
 	}
 }
 
+func TestEndsOfEarlierEras(t *testing.T) {
+	is := is.New(t)
+	now := inband.NewRevision(2, 5)
+	s := merged(begin("a", inband.NewRevision(1, 7)), begin("b", inband.NewRevision(2, 4)), begin("c", 7), end("c", 8))
+	is.Equal(s.EndsOfEarlierEras(now), []drain.Mark{end("a", now)})
+}
+
 // newest is a revision above all marks.
 const newest inband.Revision = 100
 
--- a/front/era_test.go
+++ b/front/era_test.go
@@ -1,13 +1,16 @@
 package front
 
 import (
+	"bytes"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
 	"github.com/almondflow/almondflow/siblings"
 )
@@ -100,3 +103,38 @@
 	is.Equal(version, int64(5))
 	is.Equal(revision, inband.Revision(100))
 }
+
+// drainInEra returns a full read of the store in an era, with drains.
+func drainInEra(era uint64, marks ...drain.Mark) *catalog.Changes {
+	changes := storeContent(inband.NewRevision(era, 100))
+	for _, t := range changes.Targets {
+		t.Revision = inband.NewRevision(era, 90)
+	}
+	changes.Drains, changes.HasAllDrains = marks, true
+	return changes
+}
+
+// A store that came back without a drain has lost it. The domain stays drained for as long as the operator may write
+// it again; then the drain ends, and siblings are told.
+func TestLostDrainEndsAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	d, fake := daemonThatRead(t, drainInEra(1, drain.Mark{Domain: "a", Revision: inband.NewRevision(1, 95)}))
+	d.mergeChanges(0, 0, drainInEra(2), true, storeSource)
+	const limit = 60 // seconds, well after the end
+	ended := 0
+	for ended < limit && len(d.catalog.Drains()) > 0 {
+		is.Equal(d.newFlowDomains(), []string{"b"})
+		fake.Advance(clock.Second)
+		d.catalog.Confirm(fake.Now(), d.catalog.Revision())
+		d.runMaintenance(fake.Now())
+		ended++
+	}
+	is.True(ended > 11 && ended < limit) // longer than a change takes to be in force everywhere
+	is.Equal(d.newFlowDomains(), []string{"a", "b"})
+	is.Equal(d.announcement(fake.Now()).Drains, []drain.Mark{{Domain: "a", Revision: inband.NewRevision(2, 100), HasEnded: true}})
+	trail := d.auditTrail.list()
+	is.Equal(trail[len(trail)-1].Source, lostDrainSource)
+	var lines bytes.Buffer
+	is.NoErr(d.logWriter.flush(&lines))
+	is.True(strings.Contains(lines.String(), "msg=store_era at_ms=0 before=1 after=2 source=store drains_kept=1"))
+}
--- a/front/reading.go
+++ b/front/reading.go
@@ -207,7 +207,7 @@
 func (d *Daemon) noteEra(now clock.Millis, source string) {
 	era := d.catalog.Revision().Era()
 	if era != d.era {
-		d.log.Warn("store_era", "at_ms", now, "before", d.era, "after", era, "source", source)
+		d.log.Warn("store_era", "at_ms", now, "before", d.era, "after", era, "source", source, "drains_kept", d.countLostDrains())
 		d.era = era
 	}
 }
