Let the soak's store come back from an older copy

Cause: no run of real processes met a store that has lost what it had acknowledged.

Change: the stand-in of the store returns from a copy that lacks its newest changes, tells its era in all answers from the first return on, and answers 410 to a watch from a revision that it does not have. The soak's fault store_copy lets it be away for a moment, lose 1 to 8 changes, and be written again after some requests. What was checked is checked then, too: versions, drained domains, open flows. If a VM is starting, a lost drain counts as known to all once they show it again: it may have read the copy alone.

--- a/cmd/almondflow-entry/soak_drain_test.go
+++ b/cmd/almondflow-entry/soak_drain_test.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/almondflow/almondflow/drain"
-	"github.com/almondflow/almondflow/inband"
 )
 
 // soakDrain is the drain of a failure domain that the operator has published.
@@ -29,7 +28,7 @@
 	domain := soakDomains[s.random.IntN(len(soakDomains))]
 	s.requireNoError(s.store.PutDrain(domain))
 	s.mu.Lock()
-	s.drain = soakDrain{mark: drain.Mark{Domain: domain, Revision: inband.Revision(s.store.Revision())}}
+	s.drain = soakDrain{mark: drain.Mark{Domain: domain, Revision: s.store.Revision()}}
 	s.mu.Unlock()
 }
 
@@ -47,8 +46,7 @@
 
 // updateDrain notices when all VMs show the drain. VMs that start afterwards have to know it before they serve.
 func (s *soak) updateDrain() {
-	isUnaware := func(v *entryVM) bool { return !slices.Equal(v.drains, s.drain.marks()) }
-	if s.drain.mark.Domain == "" || slices.ContainsFunc(s.vms, isUnaware) {
+	if s.drain.mark.Domain == "" || !s.allShowDrain() {
 		return
 	}
 	s.mu.Lock()
@@ -56,6 +54,12 @@
 	s.mu.Unlock()
 }
 
+// allShowDrain reports whether all VMs showed the drain when they were last checked.
+func (s *soak) allShowDrain() bool {
+	isUnaware := func(v *entryVM) bool { return !slices.Equal(v.drains, s.drain.marks()) }
+	return !slices.ContainsFunc(s.vms, isUnaware)
+}
+
 // knownDrain returns the drain if all VMs know of it.
 func (s *soak) knownDrain() soakDrain {
 	s.mu.Lock()
--- a/cmd/almondflow-entry/soak_faults_test.go
+++ b/cmd/almondflow-entry/soak_faults_test.go
@@ -37,6 +37,7 @@
 	{"drain", func(s *soak, _ *entryVM) { s.drainDomain() }},
 	{"take_back", func(s *soak, _ *entryVM) { s.takeDrainBack() }},
 	{"change", func(s *soak, _ *entryVM) { s.store.SetFault(standin.Healthy); s.publishTables() }},
+	{"store_copy", (*soak).returnFromCopy},
 	{"clear", func(s *soak, _ *entryVM) { s.restoreLinks() }},
 }
 
@@ -161,6 +162,11 @@
 	s.mu.Lock()
 	delete(s.published, h.ID())
 	s.mu.Unlock()
+	s.withdraw(h)
+}
+
+// withdraw tells that a host leaves, and removes its entry.
+func (s *soak) withdraw(h *soakHost) {
 	s.requireNoError(s.store.PutHost(h.Host, "core", h.domain, true))
 	s.store.RemoveHost(h.Host)
 }
--- a/cmd/almondflow-entry/soak_test.go
+++ b/cmd/almondflow-entry/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"math/rand/v2"
 	"net"
@@ -19,7 +18,6 @@
 	"testing"
 	"time"
 
-	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/load"
 	"github.com/almondflow/almondflow/operator"
 	"github.com/almondflow/almondflow/platform/standin"
@@ -80,18 +78,6 @@
 	hasFailedLink bool // from then on, its flows may be reset
 }
 
-// entryVM is an entry VM, whose process is restarted by faults.
-type entryVM struct {
-	address   netip.Addr
-	domain    string
-	link      *standin.TCPLink // to the store
-	command   *exec.Cmd
-	version   int64        // of the tables, last seen since the process started
-	drains    []drain.Mark // as last seen since the process started
-	hearsLoad bool         // other VMs told it of their load lately
-	log       *os.File
-}
-
 func TestSoak(t *testing.T) {
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(*soakSeed, 1)), store: standin.NewStore(),
@@ -140,6 +126,7 @@
 		s.ports[i] = freePort(s.t)
 	}
 	s.requireNoError(s.store.PutTables(s.version, "core"))
+	s.store.ReturnFromCopy(0) // so that all answers tell an era
 	for i := range soakHosts {
 		s.addHost(soakDomains[i%len(soakDomains)])
 	}
@@ -196,35 +183,6 @@
 	return nil
 }
 
-// startVM starts the process of a VM with its own settings and log file.
-func (s *soak) startVM(v *entryVM) {
-	at := func(i int) string { return netip.AddrPortFrom(v.address, s.ports[i]).String() }
-	settings, err := json.Marshal(map[string]any{
-		"name": v.address.String(), "domain": v.domain, "packet_address": at(0), "readiness_address": at(1),
-		"operator_address": at(2), "sibling_address": at(3), "seeds": []string{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, 1}), s.ports[2]).String()},
-		"store_address": v.link.Address(), "policy": "local", "rules": "base,health", "log_lines_per_second": 20, "flow_lifetime_seconds": 60,
-		"stop_ms": 100, "max_flows": 1000, "cpu_share": 1, "link_mbps": 100,
-	})
-	s.requireNoError(err)
-	path := filepath.Join(s.t.TempDir(), "settings.json")
-	s.requireNoError(os.WriteFile(path, settings, 0o600))
-	v.log, err = os.CreateTemp(s.t.TempDir(), "log")
-	s.requireNoError(err)
-	s.logPaths = append(s.logPaths, v.log.Name())
-	v.command = exec.Command(s.binary) //nolint:gosec // the program under test
-	v.command.Env = []string{settingsVariable + "=" + path}
-	v.command.Stdout, v.command.Stderr = v.log, v.log
-	s.requireNoError(v.command.Start())
-	v.version, v.drains = 0, nil
-}
-
-// terminate sends a signal to the process of a VM and waits until it exits.
-func (s *soak) terminate(v *entryVM, signal syscall.Signal) {
-	s.requireNoError(v.command.Process.Signal(signal))
-	_ = v.command.Wait() // a killed process returns an error
-	_ = v.log.Close()
-}
-
 func (s *soak) stopAll() {
 	for _, v := range s.vms {
 		s.terminate(v, syscall.SIGKILL)
