--- a/siblings/sample.go
+++ b/siblings/sample.go
@@ -1,6 +1,7 @@
 package siblings
 
 import (
+	"net/netip"
 	"slices"
 
 	"github.com/almondflow/almondflow/clock"
@@ -43,6 +44,23 @@
 	return m.sample(now, probeWindow, count, func(known *member) bool { return known.contact.Domain == domain })
 }
 
+// SampleUnknown returns one of the addresses whose VM is unknown, but only in one of as many calls as VMs are
+// known: if each of them calls it once, about one address results, however many they are. A VM that
+// has not expired counts as known, because it still gets messages.
+func (m *Members) SampleUnknown(addresses []netip.AddrPort) []netip.AddrPort {
+	var unknown []netip.AddrPort
+	for _, address := range addresses {
+		if _, ok := m.members[address]; !ok {
+			unknown = append(unknown, address)
+		}
+	}
+	if len(unknown) == 0 || m.random.IntN(max(1, len(m.list))) > 0 {
+		return nil
+	}
+	i := m.random.IntN(len(unknown))
+	return unknown[i : i+1]
+}
+
 // SampleContacts returns VMs that are alive, to be included in a message to a VM of the given
 // failure domain. These are the VMs that read the store first, which show the receiver its own
 // rank, then random VMs, those of its domain first, as it forwards views to them.
