Do not take an own silent probe that comes back for that of a second VM

Cause: a VM whose link to one target fails has a silent probe and tells it to the others. When it reports the target again, they answer with what they know (KnownOutcomes), which is its own silence. It took that for the silence of a second VM, told all that it was confirmed, and every VM reset its flows of the living target. One failed link sufficed. Change: a report of silence says whether its sender only heard of it (relayed); such a one does not confirm. TestOwnSilenceThatComesBackConfirmsNothing fails without the change.

--- a/inband/probe.go
+++ b/inband/probe.go
@@ -64,6 +64,8 @@
 	AgeMS       clock.Millis `json:"age_ms"` // time since the probe was sent
 	// Confirmed is set if the probes of two VMs were silent.
 	Confirmed bool `json:"confirmed,omitempty"`
+	// Relayed is set if the sender of a report of silence only heard of it. It may come from its receiver.
+	Relayed bool `json:"relayed,omitempty"`
 }
 
 // probeState is what is known of the probes of one incarnation of a target.
@@ -74,8 +76,8 @@
 	contactInterval clock.Millis // time between attempts of the first contact
 	outcome         ProbeOutcome // of the newest conclusive probe, or empty
 	sentAt          clock.Millis // when that was sent
-	// While outcome is Silent: whether probes of this VM and of another one were, and whether those of two
-	// VMs were.
+	// While outcome is Silent: whether probes of this VM and of one that told so itself were, and whether those
+	// of two VMs were.
 	hasOwnSilence, hasToldSilence, isConfirmed bool
 	// Of a target of another domain: whether it did not answer this VM's newest probe, and when that was
 	// sent. A cut between the domains explains that as well as its death.
@@ -98,15 +100,14 @@
 	return p.outcome == Silent && now-p.sentAt <= outcomeLifetime
 }
 
-// recordSilence records that a probe of this VM or of another one was silent. isConfirmed is set if that
-// VM knows of the silent probe of yet another one.
-func (p *probeState) recordSilence(now clock.Millis, isOwn, isConfirmed bool) {
+// recordSilence records that a probe of this VM or of another one was silent.
+func (p *probeState) recordSilence(now clock.Millis, s shown) {
 	if !p.isSilent(now) {
 		p.hasOwnSilence, p.hasToldSilence, p.isConfirmed = false, false, false
 	}
-	p.hasOwnSilence = p.hasOwnSilence || isOwn
-	p.hasToldSilence = p.hasToldSilence || !isOwn
-	p.isConfirmed = p.isConfirmed || isConfirmed || p.hasOwnSilence && p.hasToldSilence
+	p.hasOwnSilence = p.hasOwnSilence || s.isOwn
+	p.hasToldSilence = p.hasToldSilence || !s.isOwn && !s.isRelayed
+	p.isConfirmed = p.isConfirmed || s.isConfirmed || p.hasOwnSilence && p.hasToldSilence
 }
 
 // refute forgets a probe that is older than a packet which the target answered.
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -60,7 +60,8 @@
 	outcome     ProbeOutcome
 	sentAt      clock.Millis
 	isOwn       bool // this VM sent the probe
-	isConfirmed bool // the VM that sent it knows of another VM's silent probe
+	isConfirmed bool // the VM that told it knows of the silent probes of two VMs
+	isRelayed   bool // the VM that told it did not send the probe, which may be this VM's
 }
 
 // IsSilent reports whether a recent probe of a target, of this VM or another one, was silent.
@@ -86,7 +87,7 @@
 		return
 	}
 	if s.outcome == Silent {
-		p.recordSilence(now, s.isOwn, s.isConfirmed)
+		p.recordSilence(now, s)
 	}
 	if s.sentAt >= p.sentAt || p.outcome == "" {
 		p.outcome, p.sentAt = s.outcome, s.sentAt
@@ -110,7 +111,7 @@
 			continue
 		}
 		wasConfirmed := b.probe.isSilent(now) && b.probe.isConfirmed
-		e.applyOutcome(now, b, shown{outcome: r.Outcome, sentAt: now - r.AgeMS, isConfirmed: r.Confirmed})
+		e.applyOutcome(now, b, shown{outcome: r.Outcome, sentAt: now - r.AgeMS, isConfirmed: r.Confirmed, isRelayed: r.Relayed})
 		if !wasConfirmed && !r.Confirmed && b.probe.isSilent(now) && b.probe.isConfirmed {
 			confirmed = append(confirmed, b.probeReport(now))
 		}
@@ -145,5 +146,6 @@
 	return ProbeReport{
 		ID: b.target.ID, StartedAtMS: b.target.StartedAtMS, Outcome: b.probe.outcome, AgeMS: now - b.probe.sentAt,
 		Confirmed: b.probe.isSilent(now) && b.probe.isConfirmed,
+		Relayed:   b.probe.isSilent(now) && !b.probe.hasOwnSilence,
 	}
 }
--- a/inband/probeoutcome_test.go
+++ b/inband/probeoutcome_test.go
@@ -117,3 +117,20 @@
 		})
 	}
 }
+
+// Guards against a failed link of one VM that makes all VMs reset the flows of a living target: the others tell
+// that VM of its own silent probe, which it must not take for that of a second VM.
+func TestOwnSilenceThatComesBackConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	prober, other := newEngine(target("i-1", "a")), newEngine(target("i-1", "a"))
+	makeSilent(prober, feedAddress)
+	probeSuspects(prober, 1300, inband.Silent)
+	report, _ := prober.ReportOf(1300, "i-1")
+	is.Equal(len(other.ReceiveProbes(1300, "a", []inband.ProbeReport{*report})), 0)
+
+	known := other.KnownOutcomes(1400, []inband.Suspicion{{ID: "i-1", DataTimeouts: 1}})
+	is.Equal(len(known), 1)
+	is.Equal(len(prober.ReceiveProbes(1400, "a", known)), 0)
+	report, _ = prober.ReportOf(1400, "i-1")
+	is.True(!report.Confirmed)
+}
