Notice a stall with the outcome of a probe, too

An outcome that came before these counted. The daemon's prober and its detector of pauses void it as well, so no daemon is known to have done so; the engine alone did. Change: RecordProbe notes activity. The test now has both orders, and fails without the change.

--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -12,6 +12,7 @@
 	if b == nil || b.target.StartedAtMS != r.Probe.StartedAtMS {
 		return Inconclusive // it left or started again meanwhile
 	}
+	e.recordActivity(now) // the outcome may be the first event after the process stood still
 	b.probe.isOut = false
 	outcome := e.interpret(b, r)
 	if !e.isLocal(b) && r.Outcome != Inconclusive {
--- a/inband/probeoutcome_test.go
+++ b/inband/probeoutcome_test.go
@@ -10,16 +10,21 @@
 	"github.com/almondflow/almondflow/inband"
 )
 
-// Guards against silence that is this VM's own: its process stood still while the probe was out.
+// Guards against silence that is this VM's own: its process stood still while the probe was out. The outcome may
+// be the first that it handles then.
 func TestProbesAcrossAStallShowNothing(t *testing.T) {
-	is := is.New(t)
-	e := newEngine(target("i-1", "a"))
-	openFlow(e, 9, holdAddress)
-	silenceClients(e, 2)
-	probe := e.StartProbe(1610, "i-1")
-	e.Sweep(2500)
-	is.Equal(e.RecordProbe(2500, inband.ProbeResult{Probe: probe, SentAt: 1610, Outcome: inband.Silent}), inband.Inconclusive)
-	is.Equal(len(e.EndFlowsOfLostTargets(2510)), 0)
+	for _, isSwept := range []bool{true, false} {
+		is := is.New(t)
+		e := newEngine(target("i-1", "a"))
+		openFlow(e, 9, holdAddress)
+		silenceClients(e, 2)
+		probe := e.StartProbe(1610, "i-1")
+		if isSwept {
+			e.Sweep(2500)
+		}
+		is.Equal(e.RecordProbe(2500, inband.ProbeResult{Probe: probe, SentAt: 1610, Outcome: inband.Silent}), inband.Inconclusive)
+		is.Equal(len(e.EndFlowsOfLostTargets(2510)), 0)
+	}
 }
 
 // Outcomes of other VMs count as own ones, from VMs that reach the target by the same path or are near
