--- a/inband/reset.go
+++ b/inband/reset.go
@@ -34,13 +34,13 @@
 }
 
 // isTargetLost reports whether a target will not answer the data that a flow waits for: it was
-// removed, is partitioned from this VM, or is dead. In a domain that seems partitioned, the flow
-// itself must have met silence, or its target a probe of this VM.
+// removed, is partitioned from this VM, or is dead. In a domain that seems partitioned, the target must have
+// been silent to packets and to a probe of this VM, as it may run while others there failed.
 func (e *Engine) isTargetLost(now clock.Millis, b *Backend, isTimedOut bool) bool {
 	if isTimedOut && b.isRemoved(now) || b.isDead(now) {
 		return true
 	}
-	return (isTimedOut || e.isUnreachable(now, b)) && e.IsPartitioned(now, b.target.Domain)
+	return e.isUnreachable(now, b) && e.IsPartitioned(now, b.target.Domain)
 }
 
 // EndFlowsOfLostTargets stops tracking the flows whose target is lost and returns them, at most
