--- a/front/announce.go
+++ b/front/announce.go
@@ -14,8 +14,7 @@
 const (
 	heartbeatTicks            = 4 // ticks per heartbeat
 	viewRequestTicks          = 2 // ticks per request for a first view
-	localHeartbeats           = 2 // VMs of this VM's domain that get a heartbeat
-	remoteHeartbeats          = 1 // VMs of all other domains together
+	localHeartbeats           = 2 // VMs of this VM's domain that get a heartbeat, beside one of another domain
 	maxLocalRecipients        = 12
 	remoteRecipientsPerDomain = 2
 	maxForwardRecipients      = 4
@@ -63,15 +62,15 @@
 }
 
 // sendHeartbeat reports to some VMs that this one is alive. A VM that knows no other VM contacts
-// the seeds again.
+// the seeds again. One that knows others contacts an unknown seed now and then, which may have
+// started without knowing anyone, or belong to VMs that know only each other.
 func (d *Daemon) sendHeartbeat(now clock.Millis) {
 	d.mu.Lock()
 	expired := d.members.RemoveExpired(now)
 	recipients := addressesOf(d.members.SampleLocal(now, localHeartbeats))
-	if remote := d.members.SampleRemote(now, 1); len(remote) > 0 {
-		recipients = append(recipients, addressesOf(remote[:remoteHeartbeats])...)
-	}
-	isAlone := len(d.members.Alive(now)) == 0
+	recipients = append(recipients, addressesOf(d.members.SampleOneRemote(now))...)
+	isAlone := d.members.CountAlive(now) == 0
+	unknownSeeds := d.members.SampleUnknown(d.seedAddresses())
 	message := siblings.Message{Kind: siblings.Heartbeat, View: d.viewSummary(now)}
 	d.mu.Unlock()
 	for _, c := range expired {
@@ -82,6 +81,10 @@
 		message.Kind = siblings.Hello
 	}
 	d.send(message, recipients)
+	if !isAlone && len(unknownSeeds) > 0 {
+		message.Kind = siblings.Hello
+		d.send(message, unknownSeeds)
+	}
 }
 
 // announce sends the view and recent changes to some VMs of this VM's domain. If the view was
--- a/front/reading.go
+++ b/front/reading.go
@@ -53,7 +53,7 @@
 // before. The caller holds the lock.
 func (d *Daemon) updateRank(now clock.Millis) {
 	due := d.nextRead(now)
-	d.readScheduler.SetRank(d.discovery.Rank(now, d.members.Rank(now)), 1+len(d.members.Alive(now)))
+	d.readScheduler.SetRank(d.discovery.Rank(now, d.members.Rank(now)), 1+d.members.CountAlive(now))
 	if d.nextRead(now) < due {
 		d.wakeReader()
 	}
@@ -207,7 +207,7 @@
 func (d *Daemon) noteEra(now clock.Millis, source string) {
 	era := d.catalog.Revision().Era()
 	if era != d.era {
-		d.log.Warn("store_era", "at_ms", now, "before", d.era, "after", era, "source", source)
+		d.log.Warn("store_era", "at_ms", now, "before", d.era, "after", era, "source", source, "drains_kept", d.countLostDrains())
 		d.era = era
 	}
 }
