--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/samber/oops"
@@ -24,8 +25,11 @@
 		Commands: []*cli.Command{
 			{Name: "status", Usage: "show view, siblings and targets", Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontStatus},
 			{
-				Name: "explain", Usage: "show where a flow goes and why", ArgsUsage: "CLIENT:PORT SERVICE:PORT",
-				Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontExplain,
+				Name:      "explain",
+				Usage:     "show where a flow goes and why",
+				ArgsUsage: "CLIENT:PORT SERVICE:PORT",
+				Flags:     []cli.Flag{daemonFlag(), jsonFlag()},
+				Action:    runFrontExplain,
 			},
 			{Name: "audit", Usage: "list the state changes that the daemon recorded", Flags: []cli.Flag{daemonFlag(), jsonFlag()}, Action: runFrontAudit},
 			newFrontTraceCommand(),
@@ -42,10 +46,7 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		return writeJSON(command.Root().Writer, status)
-	}
-	return writeFrontStatus(command.Root().Writer, &status)
+	return writeAnswer(command, &status, writeFrontStatus)
 }
 
 func writeFrontStatus(w io.Writer, s *front.Status) error {
@@ -57,6 +58,7 @@
 	for _, m := range s.Drains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained since revision %d\n", m.Domain, m.Revision)
 	}
+	writeBoundRoutes(t, s.Bound)
 	writeAdmissions(t, s.Admissions)
 	for _, c := range s.Siblings {
 		_, _ = fmt.Fprintf(t, "sibling %s\t%s, heard %d ms ago\n", c.Address, c.Domain, c.AgeMS)
@@ -72,6 +74,13 @@
 	return t.Flush()
 }
 
+// writeBoundRoutes writes the routes whose flows may go to some regions only.
+func writeBoundRoutes(w io.Writer, routes []inband.BoundRoute) {
+	for _, r := range routes {
+		_, _ = fmt.Fprintf(w, "route %s\tbound to %s, %d targets\n", r.Name, strings.Join(r.AllowedRegions, ", "), r.Targets)
+	}
+}
+
 // writeAdmissions writes the refused share of each priority of the pools.
 func writeAdmissions(w io.Writer, pools []inband.AdmissionStatus) {
 	for _, a := range pools {
@@ -91,11 +100,7 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		err = writeJSON(command.Root().Writer, explanation)
-	} else {
-		err = writeFrontExplanation(command.Root().Writer, &explanation)
-	}
+	err = writeAnswer(command, &explanation, writeFrontExplanation)
 	if err == nil && explanation.Route == "" {
 		return oops.Code(result.NotFound).Errorf("no route to %s", key.Destination)
 	}
@@ -115,6 +120,9 @@
 func writeFrontExplanation(w io.Writer, explanation *inband.Explanation) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\npriority\t%d\n", explanation.Route, explanation.Target, explanation.State, explanation.Priority)
+	if len(explanation.AllowedRegions) > 0 {
+		_, _ = fmt.Fprintf(t, "regions\tbound to %s\n", strings.Join(explanation.AllowedRegions, ", "))
+	}
 	for _, domain := range explanation.DrainedDomains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained\n", domain)
 	}
@@ -130,10 +138,11 @@
 	if err != nil {
 		return err
 	}
-	if command.Bool("json") {
-		return writeJSON(command.Root().Writer, records)
-	}
-	t := tabwriter.NewWriter(command.Root().Writer, 0, 0, 2, ' ', 0)
+	return writeAnswer(command, records, writeFrontAudit)
+}
+
+func writeFrontAudit(w io.Writer, records []front.AuditRecord) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "at_ms\tsubject\tbefore\tafter\tsource")
 	for _, r := range records {
 		_, _ = fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\n", r.AtMS, r.Subject, r.Before, r.After, r.Source)
--- a/inband/tables.go
+++ b/inband/tables.go
@@ -20,6 +20,8 @@
 	Repeatable bool           `json:"repeatable"` // clients repeat a request after any failure
 	Priority   int            `json:"priority"`   // 0 is the most urgent
 	Shares     []Share        `json:"shares"`
+	// AllowedRegions are the regions whose targets new flows may go to. They may go to all if there are none.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 	// TargetLatencyMS is the time in which callers want the answer, and TimeoutMS the one after which they
 	// give up. Zero if the tables do not say.
 	TargetLatencyMS clock.Millis `json:"target_latency_ms,omitempty"`
@@ -49,7 +51,7 @@
 	Name           string       `json:"name"`
 	MaxConnections int          `json:"max_connections,omitempty"` // flows that one target holds
 	SlowStartMS    clock.Millis `json:"slow_start_ms,omitempty"`   // how long a target is in slow start after its start
-	SlowStartRate  float64      `json:"slow_start_rate,omitempty"` // new flows per second that a target bears in slow start, from all VMs
+	SlowStartRate  float64      `json:"slow_start_rate,omitempty"` // requests per second that a target bears in slow start, from all VMs
 }
 
 // Tables holds one version of the routes and the settings of their flows. It is immutable.
