Let faults meet in worlds that planted faults cannot pass

The model lacked links of one VM to one target, targets that start again under their id, with and without a port, messages that come twice, and VMs whose probers trust late timeouts; its check forgave all resets within 4 s of a target's fault and in cuts.

--- /dev/null
+++ b/experiment/meetings_test.go
@@ -0,0 +1,218 @@
+package experiment_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/experiment"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// meeting is a world in which faults meet that a VM could mistake for the death of a target or for a cut.
+type meeting struct {
+	name     string
+	seeds    uint64
+	size     func(*experiment.Size)
+	faults   func(seed clock.Millis) []experiment.Fault
+	isTimely bool // no request waits for a lost target until its deadline
+}
+
+// meetingSize returns the size that the worlds vary. By the sixth second VMs know which targets accept
+// connections.
+func meetingSize() experiment.Size {
+	return experiment.Size{
+		Domains: 1, VMs: 3, Targets: 4, Feeds: 24, FeedInterval: clock.Second, ProcessingTime: 16,
+		RotationLag: 300, Deadline: clock.Second, Duration: 12 * clock.Second,
+	}
+}
+
+// otherEntry makes VMs of one domain carry flows of targets of the other, once clients are shifted.
+func otherEntry(s *experiment.Size) { s.Domains, s.VMs, s.FeedInterval = 2, 2, 1500 }
+
+var meetingsOfFaults = []meeting{
+	{
+		"a link of one VM fails", 20, nil,
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{{Kind: experiment.CutLinks, At: 6000, For: 3000, Share: 0.25}}
+		}, false,
+	},
+	{
+		"a link of one VM fails and messages come twice", 20, nil,
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.CutLinks, At: 6000, For: 3000, Share: 0.25},
+				{Kind: experiment.RepeatMessages, At: 6000, For: 3000},
+			}
+		}, false,
+	},
+	{
+		"a link of one VM fails after clients were silent", 40, nil,
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.DeafClients, At: 6000, For: 400, Share: 0.5},
+				{Kind: experiment.CutLinks, At: 7200, For: 1500, Share: 0.25},
+			}
+		}, false,
+	},
+	{
+		"a link of one VM fails long after clients were silent", 80,
+		func(s *experiment.Size) { s.FeedInterval, s.Feeds = 8*clock.Second, 40 },
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.PauseVMs, At: 6000, For: 4500, Share: 0.67},
+				{Kind: experiment.DeafClients, At: 6300, For: 1500, Share: 0.5},
+				{Kind: experiment.CutLinks, At: 10300, For: 1500, Share: 0.5},
+			}
+		}, false,
+	},
+	{
+		"a link of one VM fails while another is frozen", 150,
+		func(s *experiment.Size) {
+			s.Feeds, s.FeedInterval, s.Synchronized, s.ProcessingTime, s.RotationLag, s.Deadline = 16, 380, true, 25, 590, 2000
+		},
+		func(seed clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.PauseVMs, At: 6460 + seed, For: 4000, Share: 0.34},
+				{Kind: experiment.CutLinks, At: 6860 + seed, For: 1500, Share: 0.25},
+			}
+		}, false,
+	},
+	{
+		"VMs stand still while probes are out", 60,
+		func(s *experiment.Size) { s.NoLateGuard, s.Synchronized = true, true },
+		func(seed clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.LateProbes, At: 5000, For: 7000, Share: 1},
+				{Kind: experiment.DeafClients, At: 7000, For: 500, Share: 0.5},
+				{Kind: experiment.PauseVMs, At: 7200 + 5*seed, For: 700, Share: 0.67},
+			}
+		}, false,
+	},
+	{
+		"targets flap", 60,
+		func(s *experiment.Size) { s.FeedInterval, s.ProcessingTime = 400, 40 },
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{{Kind: experiment.FlapTargets, At: 6000, For: 4000, Share: 0.5}}
+		}, false,
+	},
+	{
+		"targets flap while flows move", 100,
+		func(s *experiment.Size) { s.FeedInterval, s.Feeds = 400, 40 },
+		func(seed clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.FlapTargets, At: 6000, For: 3000, Share: 0.5},
+				{Kind: experiment.RestartVMs, At: 6500 + 5*seed, For: 500, Share: 0.34},
+				{Kind: experiment.RestartVMs, At: 7500 + 5*seed, For: 500, Share: 0.34},
+			}
+		}, false,
+	},
+	{
+		"targets start again, slow at first, and flows move", 100,
+		func(s *experiment.Size) { s.VMs, s.Feeds, s.FeedInterval = 4, 40, 600 },
+		func(seed clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.StoreDown, At: 5000, For: 5000},
+				{Kind: experiment.RestartTargets, At: 6000, For: 300, Share: 0.5},
+				{Kind: experiment.SlowTargets, At: 6300, For: 3000, Share: 1},
+				{Kind: experiment.RestartVMs, At: 6600 + 5*seed, For: 1000, Share: 0.5},
+			}
+		}, false,
+	},
+	{
+		"targets start again without a port, and clients are silent later", 20, nil,
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.RestartWithoutPort, At: 5500, For: 300, Share: 0.5},
+				{Kind: experiment.DeafClients, At: 10000, For: 700, Share: 0.5},
+			}
+		}, false,
+	},
+	{
+		"a domain with flows of another's VMs is cut off", 30, otherEntry,
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
+				{Kind: experiment.PartitionDomain, At: 6000, For: 3000, Domain: 1},
+			}
+		}, true,
+	},
+	{
+		"targets crash while clients of others are silent", 60, otherEntry,
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
+				{Kind: experiment.CrashTargets, At: 6000, For: 4000, Share: 0.4},
+				{Kind: experiment.DeafClients, At: 6300, For: 700, Share: 0.5},
+			}
+		}, false,
+	},
+	{
+		"targets left, and VMs are frozen while clients are silent", 100, otherEntry,
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
+				{Kind: experiment.CrashTargets, At: 6000, For: 1000, Share: 0.4},
+				{Kind: experiment.PauseVMs, At: 8000, For: 3500, Share: 0.5},
+				{Kind: experiment.DeafClients, At: 8500, For: 700, Share: 0.5},
+			}
+		}, false,
+	},
+	{
+		"targets crash and VMs are frozen while others are busy", 100,
+		func(s *experiment.Size) { otherEntry(s); s.ProcessingTime = 120 },
+		func(clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
+				{Kind: experiment.PauseVMs, At: 5900, For: 4000, Share: 0.5},
+				{Kind: experiment.CrashTargets, At: 6000, For: 5000, Share: 0.4},
+			}
+		}, false,
+	},
+}
+
+// Flags to print what happens in one world of TestMeetingsOfFaults, which is selected with -run.
+var (
+	printWorld = flag.Bool("world.trace", false, "print what happens in the world with -world.seed")
+	worldSeed  = flag.Uint64("world.seed", 0, "seed of the world to print")
+)
+
+// play runs the world of a seed.
+func (m *meeting) play(t *testing.T, seed uint64) experiment.Report {
+	size := meetingSize()
+	if m.size != nil {
+		m.size(&size)
+	}
+	if *printWorld && seed == *worldSeed {
+		size.Trace = func(line string) { t.Log(line) }
+	}
+	pattern := experiment.Pattern{Name: m.name, Faults: m.faults(clock.Millis(seed))}
+	return experiment.Run(size, pattern, "local", inband.Local{}, seed)
+}
+
+// TestMeetingsOfFaults guards against resets of living targets' flows where faults meet.
+func TestMeetingsOfFaults(t *testing.T) {
+	for _, m := range meetingsOfFaults {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			wrong, first := 0, ""
+			for seed := range m.seeds {
+				r := m.play(t, seed)
+				problem := r.FirstUnexplained + r.FirstRefuted
+				if m.isTimely && r.LateFailures > 0 {
+					problem = fmt.Sprintf("%d requests waited for a lost target until their deadline", r.LateFailures)
+				}
+				if problem == "" {
+					continue
+				}
+				wrong++
+				first = cmp.Or(first, fmt.Sprintf("seed %d: %s", seed, problem))
+			}
+			if wrong > 0 {
+				t.Errorf("%d of %d worlds, %s", wrong, m.seeds, first)
+			}
+		})
+	}
+}
--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -7,33 +7,37 @@
 
 // Kinds of faults. Each ends after the duration of the fault.
 const (
-	PartitionDomain     FaultKind = "cut_domain"    // one domain and the others cannot reach each other
-	PartitionOneWay     FaultKind = "cut_one_way"   // packets from VMs of other domains into one domain are lost
-	DrainDomain         FaultKind = "drain_domain"  // the operator drains one domain
-	CrashTargets        FaultKind = "dark_targets"  // targets stop permanently and leave the store when the fault ends
-	ReuseAddresses      FaultKind = "reuse_targets" // as CrashTargets, and new targets start at once to take their addresses
-	SlowTargets         FaultKind = "grey_targets"  // targets take ten times as long to process a request
-	FailTargets         FaultKind = "fail_targets"  // targets answer half of their requests with an error
-	UnresponsiveTargets FaultKind = "mute_targets"  // targets process half of their requests without answering
-	FlapTargets         FaultKind = "flap_targets"  // targets alternate between down and up every half second
-	DrainTargets        FaultKind = "drain_targets" // targets are drained and replaced by new ones
-	CutVMs              FaultKind = "cut_vms"       // VMs do not reach the targets of their own domain
-	KillVMs             FaultKind = "kill_vms"      // VMs crash, and start again without state
-	PauseVMs            FaultKind = "freeze_vms"    // VMs are suspended, and then process what arrived meanwhile
-	RestartVMs          FaultKind = "restart_vms"   // VMs shut down gracefully, and start again without state
-	DeafClients         FaultKind = "deaf_clients"  // what targets send to a share of the clients is lost
-	MuteClients         FaultKind = "mute_clients"  // what a share of the clients sends is lost
-	HangTargets         FaultKind = "hang_targets"  // targets accept connections and answer no packet
-	FullTargets         FaultKind = "full_targets"  // targets answer no openings and serve their flows
-	LateProbes          FaultKind = "late_probes"   // targets take long to accept connections
-	LoseProbes          FaultKind = "lose_probes"   // connections to targets time out
-	LosePackets         FaultKind = "lose_packets"  // a share of all packets is lost
-	LoadBurst           FaultKind = "burst"         // clients send more requests
-	QueryBurst          FaultKind = "query_burst"   // clients send more queries, which are less urgent
-	DomainBurst         FaultKind = "domain_burst"  // clients of one domain send more requests
-	StoreDown           FaultKind = "store_down"    // VMs do not learn of changed targets
-	LoseMessages        FaultKind = "lose_messages" // a share of the messages between VMs is lost
-	ShiftClients        FaultKind = "shift"         // clients of one domain enter through another
+	PartitionDomain     FaultKind = "cut_domain"       // one domain and the others cannot reach each other
+	PartitionOneWay     FaultKind = "cut_one_way"      // packets from VMs of other domains into one domain are lost
+	DrainDomain         FaultKind = "drain_domain"     // the operator drains one domain
+	CrashTargets        FaultKind = "dark_targets"     // targets stop permanently and leave the store when the fault ends
+	ReuseAddresses      FaultKind = "reuse_targets"    // as CrashTargets, and new targets start at once to take their addresses
+	SlowTargets         FaultKind = "grey_targets"     // targets take ten times as long to process a request
+	FailTargets         FaultKind = "fail_targets"     // targets answer half of their requests with an error
+	UnresponsiveTargets FaultKind = "mute_targets"     // targets process half of their requests without answering
+	FlapTargets         FaultKind = "flap_targets"     // targets alternate between down and up every half second
+	DrainTargets        FaultKind = "drain_targets"    // targets are drained and replaced by new ones
+	CutVMs              FaultKind = "cut_vms"          // VMs do not reach the targets of their own domain
+	KillVMs             FaultKind = "kill_vms"         // VMs crash, and start again without state
+	PauseVMs            FaultKind = "freeze_vms"       // VMs are suspended, and then process what arrived meanwhile
+	RestartVMs          FaultKind = "restart_vms"      // VMs shut down gracefully, and start again without state
+	DeafClients         FaultKind = "deaf_clients"     // what targets send to a share of the clients is lost
+	MuteClients         FaultKind = "mute_clients"     // what a share of the clients sends is lost
+	HangTargets         FaultKind = "hang_targets"     // targets accept connections and answer no packet
+	FullTargets         FaultKind = "full_targets"     // targets answer no openings and serve their flows
+	LateProbes          FaultKind = "late_probes"      // targets take long to accept connections
+	LoseProbes          FaultKind = "lose_probes"      // connections to targets time out
+	CutLinks            FaultKind = "cut_links"        // targets are out of reach of one VM of their domain each
+	RestartTargets      FaultKind = "restart_targets"  // targets stop, and start again under their id when the fault ends
+	RestartWithoutPort  FaultKind = "restart_portless" // as RestartTargets, and the new start refuses connections
+	RepeatMessages      FaultKind = "repeat_messages"  // reports of probes arrive twice
+	LosePackets         FaultKind = "lose_packets"     // a share of all packets is lost
+	LoadBurst           FaultKind = "burst"            // clients send more requests
+	QueryBurst          FaultKind = "query_burst"      // clients send more queries, which are less urgent
+	DomainBurst         FaultKind = "domain_burst"     // clients of one domain send more requests
+	StoreDown           FaultKind = "store_down"       // VMs do not learn of changed targets
+	LoseMessages        FaultKind = "lose_messages"    // a share of the messages between VMs is lost
+	ShiftClients        FaultKind = "shift"            // clients of one domain enter through another
 )
 
 // Fault is a fault or change of load in a pattern.
@@ -94,23 +98,25 @@
 	Domains          int
 	VMs              int
 	Targets          int
-	Feeds            int          // clients that send repeatable requests on one long-lived flow
-	FeedInterval     clock.Millis // mean time between requests of a feed
-	HoldsPerSecond   float64      // rate of non-repeatable requests, each on its own flow
-	QueriesPerSecond float64      // rate of repeatable requests, each on its own flow
-	Bookings         int          // clients that send non-repeatable requests on one long-lived flow
-	SharedClients    bool         // holds are sent by the clients that have feeds
-	OneAddress       bool         // all clients of a domain have the same address, as behind address translation
-	EndsShedFlows    bool         // clients end the flow of a request that its target rejects; otherwise they leave it
-	NoProbes         bool         // targets refuse connections from the start
-	Synchronized     bool         // clients that keep their flow send their requests at nearly the same times
-	RotationLag      clock.Millis // how long the router keeps sending packets to a VM that stopped; 1 s if zero
-	Deadline         clock.Millis // when a client gives up a request; 1 s if zero
-	TargetLatency    clock.Millis // in which clients want the answer; 100 ms if zero
-	ProcessingTime   clock.Millis // mean time that a target takes for a request
-	SharesLoad       bool         // VMs tell each other what they have under way
-	RefusesByUrgency bool         // VMs refuse less urgent openings by that
-	Duration         clock.Millis // length of the run in virtual time
+	Feeds            int               // clients that send repeatable requests on one long-lived flow
+	FeedInterval     clock.Millis      // mean time between requests of a feed
+	HoldsPerSecond   float64           // rate of non-repeatable requests, each on its own flow
+	QueriesPerSecond float64           // rate of repeatable requests, each on its own flow
+	Bookings         int               // clients that send non-repeatable requests on one long-lived flow
+	SharedClients    bool              // holds are sent by the clients that have feeds
+	OneAddress       bool              // all clients of a domain have the same address, as behind address translation
+	EndsShedFlows    bool              // clients end the flow of a request that its target rejects; otherwise they leave it
+	NoProbes         bool              // targets refuse connections from the start
+	NoLateGuard      bool              // VMs take a probe for silent though they noticed late that it timed out
+	Synchronized     bool              // clients that keep their flow send their requests at nearly the same times
+	RotationLag      clock.Millis      // how long the router keeps sending packets to a VM that stopped; 1 s if zero
+	Deadline         clock.Millis      // when a client gives up a request; 1 s if zero
+	TargetLatency    clock.Millis      // in which clients want the answer; 100 ms if zero
+	ProcessingTime   clock.Millis      // mean time that a target takes for a request
+	SharesLoad       bool              // VMs tell each other what they have under way
+	RefusesByUrgency bool              // VMs refuse less urgent openings by that
+	Duration         clock.Millis      // length of the run in virtual time
+	Trace            func(line string) // gets what happens, if set
 }
 
 // DefaultSize returns a size similar to the users' smaller deployment.
--- a/experiment/probe.go
+++ b/experiment/probe.go
@@ -61,7 +61,11 @@
 // runProbe simulates a probe and passes on its outcome. A process that stood still does not trust a timeout.
 func (v *vm) runProbe(probe *inband.TargetProbe) {
 	s, incarnation, sentAt := v.sim, v.incarnation, v.sim.now
-	outcome, delay := v.connect(s.byID[probe.ID])
+	probed := s.byID[probe.ID]
+	outcome, delay := v.connect(probed)
+	if outcome != inband.Answered {
+		probed.unansweredAt = s.now
+	}
 	if outcome == inband.Silent && !v.hasControl(probe) {
 		outcome = inband.Inconclusive
 	}
@@ -70,14 +74,26 @@
 			if v.incarnation != incarnation {
 				return
 			}
-			if outcome == inband.Silent && s.now-sentAt > connectTimeout+maxTimeoutDelay {
-				outcome = inband.Inconclusive
+			if s.now-sentAt > connectTimeout+maxTimeoutDelay {
+				outcome = v.lateOutcome(outcome)
 			}
 			v.finishProbe(probe, sentAt, outcome)
 		})
 	})
 }
 
+// lateOutcome returns what the VM takes a probe for if it stood still until after the timeout.
+func (v *vm) lateOutcome(outcome inband.ProbeOutcome) inband.ProbeOutcome {
+	switch {
+	case v.sim.size.NoLateGuard:
+		return inband.Silent
+	case outcome == inband.Silent:
+		return inband.Inconclusive
+	default:
+		return outcome
+	}
+}
+
 // connect returns the outcome of a connection to a target, and the time until it is known.
 func (v *vm) connect(t *target) (inband.ProbeOutcome, clock.Millis) {
 	s := v.sim
@@ -85,7 +101,7 @@
 	switch {
 	case !v.reaches(t) || s.isLost(t.domain, v.domain):
 		return inband.Silent, connectTimeout
-	case t.isDown && t.hasMachine, s.size.NoProbes:
+	case t.isDown && t.hasMachine, t.isPortless, s.size.NoProbes:
 		return inband.Refused, roundTrip
 	case t.isDown, t.fault == LoseProbes:
 		return inband.Silent, connectTimeout
@@ -114,6 +130,7 @@
 // finishProbe records the outcome of a probe and tells it to the other VMs.
 func (v *vm) finishProbe(probe *inband.TargetProbe, sentAt clock.Millis, outcome inband.ProbeOutcome) {
 	s := v.sim
+	s.trace("vm%d probe %s cause=%s sent=%d outcome=%s suspected=%d", v.number, probe.ID, probe.Cause, sentAt, outcome, probe.SuspectedFor)
 	shown := v.engine.RecordProbe(s.now, inband.ProbeResult{Probe: probe, SentAt: sentAt, Outcome: outcome})
 	if report, _ := v.engine.ReportOf(s.now, probe.ID); report != nil && shown.IsConclusive() && probe.Cause != inband.CauseFirstContact {
 		v.tellProbes(s.vms, []inband.ProbeReport{*report})
@@ -128,19 +145,27 @@
 		if recipient == v || len(reports) == 0 || s.isLost(v.domain, recipient.domain) {
 			continue
 		}
-		s.schedule(latencyBetween(v.domain, recipient.domain), func() {
-			recipient.do(func() {
-				confirmed := recipient.engine.ReceiveProbes(s.now, domainName(v.domain), reports)
-				recipient.tellProbes(s.vms, confirmed)
-				recipient.startProbes()
-				recipient.resetFlowsOfLostTargets()
-			})
-		})
+		receive := func() { recipient.do(func() { recipient.receiveProbes(v, reports) }) }
+		s.schedule(latencyBetween(v.domain, recipient.domain), receive)
+		if s.repeatsMessages {
+			s.schedule(latencyBetween(v.domain, recipient.domain), receive)
+		}
 	}
 }
 
+// receiveProbes takes in outcomes of another VM's probes.
+func (v *vm) receiveProbes(from *vm, reports []inband.ProbeReport) {
+	s := v.sim
+	confirmed := v.engine.ReceiveProbes(s.now, domainName(from.domain), reports)
+	s.trace("vm%d told by vm%d %+v confirmed=%v", v.number, from.number, reports, confirmed)
+	v.tellProbes(s.vms, confirmed)
+	v.startProbes()
+	v.resetFlowsOfLostTargets()
+}
+
 // receiveSuspicions takes in suspicions of another VM and answers with what probes have shown.
 func (v *vm) receiveSuspicions(from *vm, suspicions []inband.Suspicion) {
+	v.sim.trace("vm%d suspicions from vm%d %+v", v.number, from.number, suspicions)
 	v.engine.ReceiveSuspicions(v.sim.now, from.peerAddress(), domainName(from.domain), suspicions)
 	v.tellProbes([]*vm{from}, v.engine.KnownOutcomes(v.sim.now, suspicions))
 	v.startProbes()
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -24,15 +24,17 @@
 	InTime            int          `json:"in_time"`       // requests answered within the latency target
 	Late              int          `json:"late"`          // requests answered after the latency target
 	Failed            int          `json:"failed"`
-	Credit            float64      `json:"credit"`                 // mean credit per request; 1 if all were answered in time
-	P99               clock.Millis `json:"p99_ms"`                 // 99th percentile latency of answered requests
-	Resets            int          `json:"resets"`                 // of open flows
-	UnexplainedResets int          `json:"broken"`                 // resets of open flows that no fault explains
-	FirstUnexplained  string       `json:"first_broken,omitempty"` // what the first of them was
-	Refused           int          `json:"refused"`                // openings reset for lack of a target or because of overload
-	LateFailures      int          `json:"late_failures"`          // repeatable requests that failed at a target lost long before
-	Shed              int          `json:"shed"`                   // requests rejected by a target with a full queue
-	ShedBesideRoom    int          `json:"shed_beside_room"`       // those of them while another target had a free slot
+	Credit            float64      `json:"credit"`                  // mean credit per request; 1 if all were answered in time
+	P99               clock.Millis `json:"p99_ms"`                  // 99th percentile latency of answered requests
+	Resets            int          `json:"resets"`                  // of open flows
+	UnexplainedResets int          `json:"broken"`                  // resets of open flows that no fault explains
+	FirstUnexplained  string       `json:"first_broken,omitempty"`  // what the first of them was
+	RefutedResets     int          `json:"refuted"`                 // resets of flows that a living target has, against what the VM saw
+	FirstRefuted      string       `json:"first_refuted,omitempty"` // what the first of them was
+	Refused           int          `json:"refused"`                 // openings reset for lack of a target or because of overload
+	LateFailures      int          `json:"late_failures"`           // repeatable requests that failed at a target lost long before
+	Shed              int          `json:"shed"`                    // requests rejected by a target with a full queue
+	ShedBesideRoom    int          `json:"shed_beside_room"`        // those of them while another target had a free slot
 	Pressed           Pressed      `json:"pressed"`
 	Dropped           int          `json:"dropped"`          // packets that an entry VM dropped
 	DrainedOpenings   int          `json:"drained_openings"` // flows that targets of a drained domain accepted, once all VMs knew
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -88,6 +88,7 @@
 
 // inject starts a fault and schedules its end.
 func (s *simulation) inject(f Fault) {
+	s.trace("inject %+v", f)
 	if s.injectLoad(f) {
 		return
 	}
@@ -110,6 +111,9 @@
 		s.drainDomain(f.Domain, f.For)
 	case KillVMs, PauseVMs, RestartVMs, CutVMs:
 		s.injectVMFault(f)
+	case RepeatMessages:
+		s.repeatsMessages = true
+		s.schedule(f.For, func() { s.repeatsMessages = false })
 	case DeafClients:
 		s.injectClientFault(f, s.deaf)
 	case MuteClients:
@@ -187,6 +191,12 @@
 			s.schedule(f.For, func() { t.fault, t.disturbedAt = "", s.now })
 		case FlapTargets:
 			s.flap(t, s.now+f.For)
+		case CutLinks:
+			s.cutLink(t, f.For)
+		case RestartTargets, RestartWithoutPort:
+			t.crash(true)
+			t.hasMachine = true
+			s.schedule(f.For, func() { t.startAgain(f.Kind == RestartTargets) })
 		case DrainTargets:
 			s.replace(t, f.For)
 		default:
@@ -195,6 +205,13 @@
 	}
 }
 
+// cutLink puts a target out of reach of one random VM of its domain for a while.
+func (s *simulation) cutLink(t *target, duration clock.Millis) {
+	l := vmLink{vm: t.domain*s.size.VMs + s.random.IntN(s.size.VMs), target: t}
+	s.trace("cut vm%d from %s", l.vm, t.spec.ID)
+	s.cutUntil[l] = max(s.cutUntil[l], s.now+duration)
+}
+
 // flap alternately stops and restores a target until a point in time.
 func (s *simulation) flap(t *target, until clock.Millis) {
 	const phase = 500 * clock.Millisecond
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -70,6 +70,8 @@
 	queryFactor       float64         // on the rate of queries, besides loadFactor
 	domainFactors     map[int]float64 // on the rate of requests of a domain, besides loadFactor
 	messageLossRate   float64
+	repeatsMessages   bool                    // reports of probes arrive twice
+	cutUntil          map[vmLink]clock.Millis // links of one VM to one target that are cut, or were
 	isStoreDown       bool
 	shiftedDomain     int          // domain whose clients enter through the next domain, or none
 	partitionedAt     clock.Millis // when the domain was partitioned
@@ -78,6 +80,12 @@
 	targetsStarted    int // for ids and addresses of targets
 }
 
+// vmLink is the way from a VM to a target.
+type vmLink struct {
+	vm     int
+	target *target
+}
+
 // none stands for no domain.
 const none = -1
 
@@ -85,7 +93,7 @@
 	s := &simulation{
 		size: size, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*target{}, byTag: map[inband.Tag]*target{},
 		drainedUntil: map[int]clock.Millis{}, drainedSince: map[int]clock.Millis{},
-		clientOf: map[inband.Key]*client{}, deaf: map[netip.Addr]bool{}, mute: map[netip.Addr]bool{},
+		cutUntil: map[vmLink]clock.Millis{}, clientOf: map[inband.Key]*client{}, deaf: map[netip.Addr]bool{}, mute: map[netip.Addr]bool{},
 		partitioned: none, oneWayPartitioned: none, shiftedDomain: none, loadFactor: 1, queryFactor: 1, domainFactors: map[int]float64{}, healedAt: -resetGracePeriod,
 	}
 	s.size.RotationLag = cmp.Or(size.RotationLag, defaultRotationLag)
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -43,20 +43,22 @@
 
 // target is a simulated host.
 type target struct {
-	sim         *simulation
-	domain      int
-	spec        inband.Target // its properties, which do not change
-	listed      inband.Target // as the store lists it
-	isUp        bool          // not down when it last received a packet or was restored
-	isDown      bool          // does not answer
-	slowdown    float64       // factor on the processing time
-	fault       FaultKind     // of the target's answers or of connections to it, or empty
-	hasMachine  bool          // its machine runs without it, and refuses connections
-	inProgress  int           // requests that occupy a slot
-	queue       []*targetFlow
-	flows       map[inband.Key]*targetFlow
-	requests    int          // received so far
-	disturbedAt clock.Millis // when a fault last started or ended
+	sim          *simulation
+	domain       int
+	spec         inband.Target // its properties, which do not change
+	listed       inband.Target // as the store lists it
+	isUp         bool          // not down when it last received a packet or was restored
+	isDown       bool          // does not answer
+	slowdown     float64       // factor on the processing time
+	fault        FaultKind     // of the target's answers or of connections to it, or empty
+	isPortless   bool          // this start refuses connections
+	unansweredAt clock.Millis  // when the newest probe was sent that it did not accept
+	hasMachine   bool          // its machine runs without it, and refuses connections
+	inProgress   int           // requests that occupy a slot
+	queue        []*targetFlow
+	flows        map[inband.Key]*targetFlow
+	requests     int          // received so far
+	disturbedAt  clock.Millis // when a fault last started or ended
 }
 
 // receive processes a client's packet.
@@ -203,6 +205,17 @@
 	t.isDown, t.isUp, t.disturbedAt = false, true, t.sim.now
 }
 
+// startAgain starts a stopped target under its id, unless it has left meanwhile.
+func (t *target) startAgain(acceptsConnections bool) {
+	if t.listed.State != inband.Serving || !t.isDown {
+		return
+	}
+	t.restore()
+	t.isPortless = !acceptsConnections
+	t.listed.StartedAtMS = int64(t.sim.now)
+	t.sim.publish()
+}
+
 // unlist marks the target's entry in the store as gone.
 func (t *target) unlist() {
 	t.listed.State = inband.Gone
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"fmt"
 	"net/netip"
 
 	"github.com/almondflow/almondflow/clock"
@@ -31,7 +30,8 @@
 	isUp        bool
 	inRotation  bool
 	paused      bool
-	isCut       bool     // it does not reach the targets of its own domain
+	isCut       bool // it does not reach the targets of its own domain
+	seen        seenPackets
 	deferred    []func() // calls that arrived while it was paused
 	reportedAt  clock.Millis
 	startedAt   clock.Millis
@@ -50,6 +50,7 @@
 		SharesLoad: s.size.SharesLoad, RefusesByUrgency: s.size.RefusesByUrgency,
 	})
 	v.engine.SetLocalVMs(s.size.VMs)
+	v.seen = newSeenPackets()
 	v.isUp, v.inRotation = true, true
 	v.updateView()
 	v.startedAt = s.now
@@ -137,11 +138,20 @@
 // handle processes a client's packet and carries out the engine's verdict.
 func (v *vm) handle(c *client, p inband.Packet) {
 	s := v.sim
+	if !p.IsOpening() {
+		v.seen.observe(s.now, &p, s.byTag[p.Tag])
+	}
 	verdict := v.engine.Handle(s.now, &p)
+	if verdict.Backend != nil {
+		s.trace("vm%d %v seq=%d ack=%d len=%d -> %s %v", v.number, p.Key.Client, p.Seq, p.Ack, p.DataLength, verdict.Backend.Target().ID, verdict.Reason)
+	}
 	switch verdict.Action {
 	case inband.Forward:
 		t := s.byID[verdict.Backend.Target().ID]
 		p.Tag = verdict.Tag()
+		if p.IsOpening() {
+			v.seen.observeOpening(s.now, &p, t)
+		}
 		if v.reaches(t) {
 			s.schedule(latencyBetween(v.domain, t.domain), func() { t.receive(c, p) })
 		}
@@ -158,7 +168,7 @@
 
 // reaches reports whether a packet of the VM reaches a target.
 func (v *vm) reaches(t *target) bool {
-	isCutOff := v.isCut && v.domain == t.domain
+	isCutOff := v.isCut && v.domain == t.domain || v.sim.now < v.sim.cutUntil[vmLink{v.number, t}]
 	return !isCutOff && !v.sim.isLost(v.domain, t.domain)
 }
 
@@ -229,26 +239,3 @@
 func (v *vm) peerAddress() netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(v.domain), 255, byte(v.number)}), 7720)
 }
-
-// countReset counts a reset sent to a client. It is unexplained if the flow was open on a
-// running target and no recent fault explains the reset.
-func (s *simulation) countReset(v *vm, key inband.Key, backend *inband.Backend) {
-	if backend == nil {
-		s.report.Refused++
-		return
-	}
-	s.report.Resets++
-	t := s.byID[backend.Target().ID]
-	isDisturbed := t.isDegraded() || s.lossRate > 0 || s.now-s.healedAt < resetGracePeriod || s.isAffectedByPartition(v, t)
-	if t.isUp && t.flows[key] != nil && !isDisturbed && s.now-t.disturbedAt >= resetGracePeriod {
-		if s.report.UnexplainedResets == 0 {
-			s.report.FirstUnexplained = fmt.Sprintf("at %v by VM %d of %s: %v at %s", s.now, v.number, domainName(v.domain), key.Client, t.spec.ID)
-		}
-		s.report.UnexplainedResets++
-	}
-}
-
-// isAffectedByPartition reports whether a partition separates a VM from a target.
-func (s *simulation) isAffectedByPartition(v *vm, t *target) bool {
-	return v.domain != t.domain && (s.partitioned == v.domain || s.partitioned == t.domain || s.oneWayPartitioned == t.domain)
-}
--- a/experiment/worlds_test.go
+++ b/experiment/worlds_test.go
@@ -102,6 +102,9 @@
 		if report.UnexplainedResets > 0 {
 			t.Fatalf("%d of %d resets hit open flows of undisturbed targets, the first: %s", report.UnexplainedResets, report.Resets, report.FirstUnexplained)
 		}
+		if report.RefutedResets > 0 {
+			t.Fatalf("%d of %d resets went against what the VM saw, the first: %s", report.RefutedResets, report.Resets, report.FirstRefuted)
+		}
 	})
 }
 
