Probe a target that VMs of another domain report

Cause: docs/decisions/probes.md says that VMs of other domains ask the two probers of a target's own domain. These dropped such reports, since reports from a domain that may be cut off keep no new flows away. Change: such a report causes a probe by the target's domain and keeps no new flows away, as before. TestReportOfAnotherDomainCausesAProbe fails without the change.

--- a/inband/probestart_test.go
+++ b/inband/probestart_test.go
@@ -131,3 +131,14 @@
 func netip4(host byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 80)
 }
+
+// Guards against a dead target that nobody probes, as only VMs of other domains carry its flows. Their report causes a
+// probe, but keeps no new flows away, as the way from there may be cut.
+func TestReportOfAnotherDomainCausesAProbe(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"), target("i-2", "b"))
+	suspicions := []inband.Suspicion{{ID: "i-1", OpeningTimeouts: 1}, {ID: "i-2", OpeningTimeouts: 1}}
+	e.ReceiveSuspicions(1000, sibling, "c", suspicions)
+	is.Equal(e.SuspectsToProbe(1000, always), []string{"i-1"}) // VMs of its own domain probe the other
+	is.Equal(e.Handle(1001, opening(1, feedAddress, 0)).Backend.Target().ID, "i-1")
+}
--- a/inband/suspicion.go
+++ b/inband/suspicion.go
@@ -86,19 +86,23 @@
 	return all
 }
 
-// ReceiveSuspicions adds suspicions reported by a VM of the given failure domain. They are
-// ignored unless that VM is in this VM's own domain, and so reaches the target by the same path,
-// or in the target's domain.
+// ReceiveSuspicions adds suspicions reported by a VM of the given failure domain. They keep new flows away
+// if that VM is in this VM's own domain, and so reaches the target by the same path, or in the target's domain.
+// Those of other VMs about targets of this VM's domain cause a probe only; the rest are ignored.
 func (e *Engine) ReceiveSuspicions(now clock.Millis, from netip.AddrPort, domain string, suspicions []Suspicion) {
 	for _, s := range suspicions {
 		b := e.byID[s.ID]
 		if b == nil || b.target.StartedAtMS != s.StartedAtMS {
 			continue
 		}
-		if domain == e.options.Domain || domain == b.target.Domain {
-			b.evidence.mergeReport(s.report(now, from), e.jitter())
-			e.watchTarget(b)
+		isNear := domain == e.options.Domain || domain == b.target.Domain
+		if !isNear && !e.isLocal(b) {
+			continue
 		}
+		r := s.report(now, from)
+		r.hasOpening = r.hasOpening && isNear
+		b.evidence.mergeReport(r, e.jitter())
+		e.watchTarget(b)
 	}
 }
 
