--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -111,6 +111,7 @@
 	Synchronized     bool              // clients that keep their flow send their requests at nearly the same times
 	RotationLag      clock.Millis      // how long the router keeps sending packets to a VM that stopped; 1 s if zero
 	Deadline         clock.Millis      // when a client gives up a request; 1 s if zero
+	LeaveTime        clock.Millis      // how long after the loss of a target its flows are reset at the latest; 1 s if zero
 	TargetLatency    clock.Millis      // in which clients want the answer; 100 ms if zero
 	ProcessingTime   clock.Millis      // mean time that a target takes for a request
 	SharesLoad       bool              // VMs tell each other what they have under way
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -6,9 +6,9 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
-// leaveTime is how long after a target is lost its flows are reset at the latest, so that no repeatable
+// defaultLeaveTime is how long after a target is lost its flows are reset at the latest, so that no repeatable
 // request that is sent later waits there until its deadline.
-const leaveTime = clock.Second
+const defaultLeaveTime = clock.Second
 
 // lateCredit is the credit for a response after the target latency; one in time counts 1.
 const lateCredit = 0.3
@@ -33,6 +33,7 @@
 	FirstRefuted      string       `json:"first_refuted,omitempty"` // what the first of them was
 	Refused           int          `json:"refused"`                 // openings reset for lack of a target or because of overload
 	LateFailures      int          `json:"late_failures"`           // repeatable requests that failed at a target lost long before
+	RemoteOpenings    int          `json:"remote_openings"`         // openings that VMs sent to another domain, but for those that CutVMs hit
 	Shed              int          `json:"shed"`                    // requests rejected by a target with a full queue
 	ShedBesideRoom    int          `json:"shed_beside_room"`        // those of them while another target had a free slot
 	Pressed           Pressed      `json:"pressed"`
--- a/experiment/reset.go
+++ b/experiment/reset.go
@@ -67,7 +67,7 @@
 		return ""
 	case !f.isWaiting && f.seenAt > max(t.unansweredAt, v.seen.repeatedAt[t]):
 		return "it waits for nothing and was seen later than each sign"
-	case v.domain == t.domain && f.firstAt > t.unansweredAt && !f.isRepeated:
+	case f.isWaiting && v.domain == t.domain && f.firstAt > t.unansweredAt && !f.isRepeated:
 		return "it came later than each silent or refused probe and has met no silence"
 	default:
 		return ""
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -136,7 +136,7 @@
 		v := s.vms[i]
 		switch {
 		case f.Kind == CutVMs:
-			v.isCut = true
+			v.isCut, v.wasCut = true, true
 			s.schedule(f.For, func() { v.isCut = false })
 		case !v.isUp || v.paused: // another fault ends later
 		case f.Kind == PauseVMs:
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -98,6 +98,7 @@
 	}
 	s.size.RotationLag = cmp.Or(size.RotationLag, defaultRotationLag)
 	s.size.Deadline = cmp.Or(size.Deadline, defaultDeadline)
+	s.size.LeaveTime = cmp.Or(size.LeaveTime, defaultLeaveTime)
 	s.size.TargetLatency = cmp.Or(size.TargetLatency, defaultTargetLatency)
 	for domain := range size.Domains {
 		for range size.Targets {
--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -31,6 +31,7 @@
 	inRotation  bool
 	paused      bool
 	isCut       bool // it does not reach the targets of its own domain
+	wasCut      bool // it did not at some time
 	seen        seenPackets
 	deferred    []func() // calls that arrived while it was paused
 	reportedAt  clock.Millis
@@ -151,6 +152,10 @@
 		p.Tag = verdict.Tag()
 		if p.IsOpening() {
 			v.seen.observeOpening(s.now, &p, t)
+			if v.domain != t.domain && !v.wasCut {
+				s.report.RemoteOpenings++
+				s.trace("vm%d opens elsewhere: %s", v.number, t.spec.ID)
+			}
 		}
 		if v.reaches(t) {
 			s.schedule(latencyBetween(v.domain, t.domain), func() { t.receive(c, p) })
@@ -198,6 +203,11 @@
 // resetFlowsOfLostTargets resets the clients of the flows that the engine ends.
 func (v *vm) resetFlowsOfLostTargets() {
 	s := v.sim
+	for domain := range s.size.Domains {
+		if v.engine.IsPartitioned(s.now, domainName(domain)) {
+			s.trace("vm%d takes %s for cut off", v.number, domainName(domain))
+		}
+	}
 	for _, f := range v.engine.EndFlowsOfLostTargets(s.now) {
 		s.countReset(v, f.Key, f.Backend)
 		s.schedule(clientLatency, func() { s.clientOf[f.Key].handleReset(f.Key) })
@@ -220,6 +230,7 @@
 // probe sends a probe to every VM of a domain. Each answer marks the domain as reachable.
 func (v *vm) probe(domain string) {
 	s := v.sim
+	s.trace("vm%d asks the VMs of %s", v.number, domain)
 	v.engine.MarkProbed(s.now, domain, s.size.VMs)
 	for _, sibling := range s.vms {
 		if domainName(sibling.domain) != domain || s.isLost(v.domain, sibling.domain) {
