Play links of one VM, targets that start again and repeated messages in random worlds

Change: TestLiveTargetsKeepTheirFlows has four more kinds of faults; TestLinksOfOneVMFail plays failing links among faults that silence no client.

--- a/experiment/run.go
+++ b/experiment/run.go
@@ -205,9 +205,13 @@
 	}
 }
 
-// cutLink puts a target out of reach of one random VM of its domain for a while.
+// cutLink puts a target out of reach of one random VM of its domain for a while. Later cuts hit the same VM, as
+// the silence of two VMs' probes counts as a death.
 func (s *simulation) cutLink(t *target, duration clock.Millis) {
-	l := vmLink{vm: t.domain*s.size.VMs + s.random.IntN(s.size.VMs), target: t}
+	if t.cutVM == none {
+		t.cutVM = t.domain*s.size.VMs + s.random.IntN(s.size.VMs)
+	}
+	l := vmLink{vm: t.cutVM, target: t}
 	s.trace("cut vm%d from %s", l.vm, t.spec.ID)
 	s.cutUntil[l] = max(s.cutUntil[l], s.now+duration)
 }
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -138,7 +138,7 @@
 	s.targetsStarted++
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(domain), byte(s.targetsStarted >> 8), byte(s.targetsStarted)}), 80)
 	t := &target{
-		sim: s, domain: domain, slowdown: 1, disturbedAt: -resetGracePeriod, flows: map[inband.Key]*targetFlow{},
+		sim: s, domain: domain, cutVM: none, slowdown: 1, disturbedAt: -resetGracePeriod, flows: map[inband.Key]*targetFlow{},
 		spec: inband.Target{
 			ID: fmt.Sprintf("i-%04x", s.targetsStarted), Identity: uint64(s.targetsStarted), Service: service,
 			Address: address, Domain: domainName(domain), Slots: 2,
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -53,6 +53,7 @@
 	fault        FaultKind     // of the target's answers or of connections to it, or empty
 	isPortless   bool          // this start refuses connections
 	unansweredAt clock.Millis  // when the newest probe was sent that it did not accept
+	cutVM        int           // the VM whose links to it CutLinks fails, or none
 	hasMachine   bool          // its machine runs without it, and refuses connections
 	inProgress   int           // requests that occupy a slot
 	queue        []*targetFlow
--- a/experiment/worlds_test.go
+++ b/experiment/worlds_test.go
@@ -18,8 +18,9 @@
 func TestMain(m *testing.M) { seedtest.MainWithChecks(m, randomWorlds) }
 
 // drawWorld draws a deployment and its faults. Most deployments are quiet, as few other answers then
-// refute a wrong suspicion. faults names the kinds that may occur.
-func drawWorld(t *rapid.T, kinds []experiment.FaultKind) (experiment.Size, experiment.Pattern) {
+// refute a wrong suspicion. Few of the kinds occur in one world, which makes it likely that they meet, or those of one of
+// the meetings.
+func drawWorld(t *rapid.T, kinds []experiment.FaultKind, meetings ...[]experiment.FaultKind) (experiment.Size, experiment.Pattern) {
 	size := experiment.Size{
 		Domains: rapid.IntRange(2, 4).Draw(t, "domains"),
 		VMs:     rapid.IntRange(1, 3).Draw(t, "vms"),
@@ -34,9 +35,11 @@
 		Duration:       14 * clock.Second,
 	}
 	pattern := experiment.Pattern{Name: "random"}
-	// Few kinds in one world make it likely that they meet.
-	few := rapid.SliceOfNDistinct(rapid.SampledFrom(kinds), 1, 4, rapid.ID[experiment.FaultKind])
-	kinds = rapid.OneOf(few, rapid.SampledFrom(meetings)).Draw(t, "kinds")
+	choices := []*rapid.Generator[[]experiment.FaultKind]{rapid.SliceOfNDistinct(rapid.SampledFrom(kinds), 1, 4, rapid.ID[experiment.FaultKind])}
+	if len(meetings) > 0 {
+		choices = append(choices, rapid.SampledFrom(meetings))
+	}
+	kinds = rapid.OneOf(choices...).Draw(t, "kinds")
 	clientDomain := rapid.IntRange(0, size.Domains-1).Draw(t, "domain of the client")
 	for range rapid.IntRange(1, 12).Draw(t, "faults") {
 		f := experiment.Fault{
@@ -95,19 +98,37 @@
 		experiment.SlowTargets, experiment.FailTargets, experiment.UnresponsiveTargets, experiment.FlapTargets,
 		experiment.HangTargets, experiment.FullTargets, experiment.LateProbes, experiment.LoseProbes,
 		experiment.PartitionDomain, experiment.PartitionOneWay, experiment.LoadBurst, experiment.ShiftClients,
+		experiment.RestartTargets, experiment.RestartWithoutPort, experiment.RepeatMessages, experiment.StoreDown,
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		size, pattern := drawWorld(t, kinds)
-		report := experiment.Run(size, pattern, "local", inband.Local{}, rapid.Uint64().Draw(t, "seed"))
-		if report.UnexplainedResets > 0 {
-			t.Fatalf("%d of %d resets hit open flows of undisturbed targets, the first: %s", report.UnexplainedResets, report.Resets, report.FirstUnexplained)
-		}
-		if report.RefutedResets > 0 {
-			t.Fatalf("%d of %d resets went against what the VM saw, the first: %s", report.RefutedResets, report.Resets, report.FirstRefuted)
-		}
+		checkWorld(t, kinds, meetings...)
 	})
 }
 
+// TestLinksOfOneVMFail guards against resets by all VMs because one of them does not reach a target. No fault of clients
+// or targets is among these, as the probe of that VM and silence from another cause are the two signs of a death.
+func TestLinksOfOneVMFail(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		checkWorld(t, []experiment.FaultKind{
+			experiment.CutLinks, experiment.RepeatMessages, experiment.RestartVMs, experiment.DrainTargets, experiment.LoadBurst,
+			experiment.LateProbes, experiment.PartitionOneWay, experiment.ShiftClients, experiment.StoreDown,
+		})
+	})
+}
+
+// checkWorld draws a world and checks the resets in it.
+func checkWorld(t *rapid.T, kinds []experiment.FaultKind, meetings ...[]experiment.FaultKind) {
+	size, pattern := drawWorld(t, kinds, meetings...)
+	report := experiment.Run(size, pattern, "local", inband.Local{}, rapid.Uint64().Draw(t, "seed"))
+	if report.UnexplainedResets > 0 {
+		t.Fatalf("%d of %d resets hit open flows of undisturbed targets, the first: %s", report.UnexplainedResets, report.Resets, report.FirstUnexplained)
+	}
+	if report.RefutedResets > 0 {
+		t.Fatalf("%d of %d resets went against what the VM saw, the first: %s", report.RefutedResets, report.Resets, report.FirstRefuted)
+	}
+}
+
 // TestRequestsLostInAFrozenVM guards against the fault of review/2 in the worlds in which it is likely:
 // a VM freezes while answers are on their way to its clients, and leaves the rotation just before
 // the targets repeat these answers for the second time.
