--- a/experiment/meetings_test.go
+++ b/experiment/meetings_test.go
@@ -193,10 +193,11 @@
 	},
 }
 
-// Flags to print what happens in one world of TestMeetingsOfFaults, which is selected with -run.
+// Flags to print what happens in a world: in the one of TestMeetingsOfFaults with the given seed, or in random worlds
+// that fail.
 var (
-	printWorld = flag.Bool("world.trace", false, "print what happens in the world with -world.seed")
-	worldSeed  = flag.Uint64("world.seed", 0, "seed of the world to print")
+	printWorld = flag.Bool("world.trace", false, "print what happens in a world")
+	worldSeed  = flag.Uint64("world.seed", 0, "seed of the world of TestMeetingsOfFaults to print")
 )
 
 // play runs the world of a seed.
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -173,12 +173,12 @@
 		t := s.targets[i]
 		switch f.Kind {
 		case CrashTargets:
-			t.crash(true)
+			t.end()
 			s.schedule(f.For, t.unlist)
 		case ReuseAddresses:
 			s.addTarget(t.domain).isUp = true // engines tell targets apart by id, so its address may differ
 			s.publish()
-			t.crash(true)
+			t.end()
 			s.schedule(f.For, t.unlist)
 		case SlowTargets:
 			t.slowdown, t.disturbedAt = 10, s.now
@@ -236,7 +236,7 @@
 	t.listed.State = inband.Leaving
 	s.publish()
 	s.schedule(drain, func() {
-		t.crash(true)
+		t.end()
 		t.unlist()
 	})
 }
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -48,6 +48,7 @@
 	spec         inband.Target // its properties, which do not change
 	listed       inband.Target // as the store lists it
 	isUp         bool          // not down when it last received a packet or was restored
+	hasEnded     bool          // stopped for good
 	isDown       bool          // does not answer
 	slowdown     float64       // factor on the processing time
 	fault        FaultKind     // of the target's answers or of connections to it, or empty
@@ -193,6 +194,7 @@
 // crash stops the target from answering. A permanent crash also discards its flows and queue;
 // the caller marks its entry in the store as gone later.
 func (t *target) crash(isPermanent bool) {
+	t.sim.trace("%s stops, permanently=%v", t.spec.ID, isPermanent)
 	t.isDown, t.disturbedAt = true, t.sim.now
 	t.hasMachine = t.sim.random.IntN(2) == 0
 	if isPermanent {
@@ -201,14 +203,24 @@
 	}
 }
 
-// restore makes the target answer again, with the flows that it had.
+// end stops the target for good.
+func (t *target) end() {
+	t.crash(true)
+	t.hasEnded = true
+}
+
+// restore makes the target answer again, with the flows that it had, unless it has ended.
 func (t *target) restore() {
+	if t.hasEnded {
+		return
+	}
+	t.sim.trace("%s answers again", t.spec.ID)
 	t.isDown, t.isUp, t.disturbedAt = false, true, t.sim.now
 }
 
-// startAgain starts a stopped target under its id, unless it has left meanwhile.
+// startAgain starts a stopped target under its id, unless it has ended.
 func (t *target) startAgain(acceptsConnections bool) {
-	if t.listed.State != inband.Serving || !t.isDown {
+	if t.hasEnded {
 		return
 	}
 	t.restore()
@@ -219,6 +231,7 @@
 
 // unlist marks the target's entry in the store as gone.
 func (t *target) unlist() {
+	t.sim.trace("%s leaves the store", t.spec.ID)
 	t.listed.State = inband.Gone
 	t.sim.publish()
 }
--- a/experiment/worlds_test.go
+++ b/experiment/worlds_test.go
@@ -120,7 +120,12 @@
 // checkWorld draws a world and checks the resets in it.
 func checkWorld(t *rapid.T, kinds []experiment.FaultKind, meetings ...[]experiment.FaultKind) {
 	size, pattern := drawWorld(t, kinds, meetings...)
-	report := experiment.Run(size, pattern, "local", inband.Local{}, rapid.Uint64().Draw(t, "seed"))
+	seed := rapid.Uint64().Draw(t, "seed")
+	report := experiment.Run(size, pattern, "local", inband.Local{}, seed)
+	if *printWorld && report.UnexplainedResets+report.RefutedResets > 0 {
+		size.Trace = func(line string) { t.Log(line) }
+		experiment.Run(size, pattern, "local", inband.Local{}, seed)
+	}
 	if report.UnexplainedResets > 0 {
 		t.Fatalf("%d of %d resets hit open flows of undisturbed targets, the first: %s", report.UnexplainedResets, report.Resets, report.FirstUnexplained)
 	}
