--- a/experiment/run.go
+++ b/experiment/run.go
@@ -88,6 +88,7 @@
 
 // inject starts a fault and schedules its end.
 func (s *simulation) inject(f Fault) {
+	s.trace("inject %+v", f)
 	if s.injectLoad(f) {
 		return
 	}
@@ -110,6 +111,9 @@
 		s.drainDomain(f.Domain, f.For)
 	case KillVMs, PauseVMs, RestartVMs, CutVMs:
 		s.injectVMFault(f)
+	case RepeatMessages:
+		s.repeatsMessages = true
+		s.schedule(f.For, func() { s.repeatsMessages = false })
 	case DeafClients:
 		s.injectClientFault(f, s.deaf)
 	case MuteClients:
@@ -132,7 +136,7 @@
 		v := s.vms[i]
 		switch {
 		case f.Kind == CutVMs:
-			v.isCut = true
+			v.isCut, v.wasCut = true, true
 			s.schedule(f.For, func() { v.isCut = false })
 		case !v.isUp || v.paused: // another fault ends later
 		case f.Kind == PauseVMs:
@@ -169,12 +173,12 @@
 		t := s.targets[i]
 		switch f.Kind {
 		case CrashTargets:
-			t.crash(true)
+			t.end()
 			s.schedule(f.For, t.unlist)
 		case ReuseAddresses:
 			s.addTarget(t.domain).isUp = true // engines tell targets apart by id, so its address may differ
 			s.publish()
-			t.crash(true)
+			t.end()
 			s.schedule(f.For, t.unlist)
 		case SlowTargets:
 			t.slowdown, t.disturbedAt = 10, s.now
@@ -187,6 +191,12 @@
 			s.schedule(f.For, func() { t.fault, t.disturbedAt = "", s.now })
 		case FlapTargets:
 			s.flap(t, s.now+f.For)
+		case CutLinks:
+			s.cutLink(t, f.For)
+		case RestartTargets, RestartWithoutPort:
+			t.crash(true)
+			t.hasMachine = true
+			s.schedule(f.For, func() { t.startAgain(f.Kind == RestartTargets) })
 		case DrainTargets:
 			s.replace(t, f.For)
 		default:
@@ -195,6 +205,17 @@
 	}
 }
 
+// cutLink puts a target out of reach of one random VM of its domain for a while. Later cuts hit the same VM, as
+// the silence of two VMs' probes counts as a death.
+func (s *simulation) cutLink(t *target, duration clock.Millis) {
+	if t.cutVM == none {
+		t.cutVM = t.domain*s.size.VMs + s.random.IntN(s.size.VMs)
+	}
+	l := vmLink{vm: t.cutVM, target: t}
+	s.trace("cut vm%d from %s", l.vm, t.spec.ID)
+	s.cutUntil[l] = max(s.cutUntil[l], s.now+duration)
+}
+
 // flap alternately stops and restores a target until a point in time.
 func (s *simulation) flap(t *target, until clock.Millis) {
 	const phase = 500 * clock.Millisecond
@@ -215,7 +236,7 @@
 	t.listed.State = inband.Leaving
 	s.publish()
 	s.schedule(drain, func() {
-		t.crash(true)
+		t.end()
 		t.unlist()
 	})
 }
--- a/experiment/target.go
+++ b/experiment/target.go
@@ -43,20 +43,24 @@
 
 // target is a simulated host.
 type target struct {
-	sim         *simulation
-	domain      int
-	spec        inband.Target // its properties, which do not change
-	listed      inband.Target // as the store lists it
-	isUp        bool          // not down when it last received a packet or was restored
-	isDown      bool          // does not answer
-	slowdown    float64       // factor on the processing time
-	fault       FaultKind     // of the target's answers or of connections to it, or empty
-	hasMachine  bool          // its machine runs without it, and refuses connections
-	inProgress  int           // requests that occupy a slot
-	queue       []*targetFlow
-	flows       map[inband.Key]*targetFlow
-	requests    int          // received so far
-	disturbedAt clock.Millis // when a fault last started or ended
+	sim          *simulation
+	domain       int
+	spec         inband.Target // its properties, which do not change
+	listed       inband.Target // as the store lists it
+	isUp         bool          // not down when it last received a packet or was restored
+	hasEnded     bool          // stopped for good
+	isDown       bool          // does not answer
+	slowdown     float64       // factor on the processing time
+	fault        FaultKind     // of the target's answers or of connections to it, or empty
+	isPortless   bool          // this start refuses connections
+	unansweredAt clock.Millis  // when the newest probe was sent that it did not accept
+	cutVM        int           // the VM whose links to it CutLinks fails, or none
+	hasMachine   bool          // its machine runs without it, and refuses connections
+	inProgress   int           // requests that occupy a slot
+	queue        []*targetFlow
+	flows        map[inband.Key]*targetFlow
+	requests     int          // received so far
+	disturbedAt  clock.Millis // when a fault last started or ended
 }
 
 // receive processes a client's packet.
@@ -190,6 +194,7 @@
 // crash stops the target from answering. A permanent crash also discards its flows and queue;
 // the caller marks its entry in the store as gone later.
 func (t *target) crash(isPermanent bool) {
+	t.sim.trace("%s stops, permanently=%v", t.spec.ID, isPermanent)
 	t.isDown, t.disturbedAt = true, t.sim.now
 	t.hasMachine = t.sim.random.IntN(2) == 0
 	if isPermanent {
@@ -198,13 +203,35 @@
 	}
 }
 
-// restore makes the target answer again, with the flows that it had.
+// end stops the target for good.
+func (t *target) end() {
+	t.crash(true)
+	t.hasEnded = true
+}
+
+// restore makes the target answer again, with the flows that it had, unless it has ended.
 func (t *target) restore() {
+	if t.hasEnded {
+		return
+	}
+	t.sim.trace("%s answers again", t.spec.ID)
 	t.isDown, t.isUp, t.disturbedAt = false, true, t.sim.now
 }
 
+// startAgain starts a stopped target under its id, unless it has ended.
+func (t *target) startAgain(acceptsConnections bool) {
+	if t.hasEnded {
+		return
+	}
+	t.restore()
+	t.isPortless = !acceptsConnections
+	t.listed.StartedAtMS = int64(t.sim.now)
+	t.sim.publish()
+}
+
 // unlist marks the target's entry in the store as gone.
 func (t *target) unlist() {
+	t.sim.trace("%s leaves the store", t.spec.ID)
 	t.listed.State = inband.Gone
 	t.sim.publish()
 }
