Let callers compete for room in the soak, and lose drains with the store

Change: the fault lost_drain drains a domain, lets the store come back without it and waits until VMs have noticed. TestPressureSoak has two routes of different priority, hosts of one slot (the stand-in queues requests) and requests that take 50 ms at times. It checks that no urgent opening is refused for lack of room and that refusals end with the load. Refused openings and flows without an answer are counted apart.

Clients draw a VM for each flow now.

--- a/cmd/almondflow-entry/soak_client_test.go
+++ b/cmd/almondflow-entry/soak_client_test.go
@@ -18,37 +18,58 @@
 	resetWindow = 76800
 )
 
+// soakClient is a client of one service.
+type soakClient struct {
+	*standin.Client
+	service netip.AddrPort
+	random  *rand.Rand
+	vm      int // that the fabric hands its packets to
+}
+
+// serviceOf returns the service of a client. Every second one is a more urgent one's.
+func serviceOf(number int) netip.AddrPort {
+	if number%2 == 0 {
+		return feedAddress
+	}
+	return bookingAddress
+}
+
 // runClient opens flows and sends requests on them, each packet through a random VM.
 func (s *soak) runClient(number int, done <-chan struct{}) {
-	client, err := standin.NewClient(netip.AddrFrom4([4]byte{127, 2, 0, byte(number + 1)}), s.ports[0])
+	socket, err := standin.NewClient(netip.AddrFrom4([4]byte{127, 2, 0, byte(number + 1)}), s.ports[0])
 	if err != nil {
 		s.t.Error(err)
 		return
 	}
-	defer func() { _ = client.Close() }()
-	random := rand.New(rand.NewPCG(*soakSeed, uint64(number)+2))
+	defer func() { _ = socket.Close() }()
+	client := &soakClient{Client: socket, service: serviceOf(number), random: rand.New(rand.NewPCG(*soakSeed, uint64(number)+2))}
 	for port := uint16(2000); ; port++ {
 		select {
 		case <-done:
 			return
 		default:
-			s.runFlow(client, random, port, done)
+			s.runFlow(client, port, done)
 		}
 	}
 }
 
 // runFlow opens a flow and sends its requests.
-func (s *soak) runFlow(client *standin.Client, random *rand.Rand, port uint16, done <-chan struct{}) {
+func (s *soak) runFlow(client *soakClient, port uint16, done <-chan struct{}) {
+	client.vm = client.random.IntN(len(s.vms))
 	forbidden := s.knownDrain()
-	opened, host, ok := s.exchange(client, random, port, inband.Packet{Flags: inband.Opening, Seq: initialSequence}, done)
-	if !ok || !opened.Flags.Has(inband.Opening) {
+	opened, host, ok := s.exchange(client, port, inband.Packet{Flags: inband.Opening, Seq: initialSequence}, done)
+	switch {
+	case !ok:
 		s.abandoned.Add(1)
 		return
+	case !opened.Flags.Has(inband.Opening):
+		s.refused.Add(1)
+		return
 	}
 	s.checkOpening(host, forbidden)
 	for i := range uint32(requestsPerFlow) {
 		request := inband.Packet{Flags: inband.Acknowledging, Seq: initialSequence + 1 + 10*i, Ack: opened.Seq + i, Tag: opened.Tag, DataLength: 10}
-		response, responder, ok := s.exchange(client, random, port, request, done)
+		response, responder, ok := s.exchange(client, port, request, done)
 		switch {
 		case !ok:
 			s.abandoned.Add(1)
@@ -62,6 +83,17 @@
 		}
 		s.served.Add(1)
 	}
+	s.endFlow(client, port, opened)
+}
+
+// endFlow acknowledges the last response and ends the flow. Hosts don't answer that.
+func (s *soak) endFlow(client *soakClient, port uint16, opened inband.Packet) {
+	ending := inband.Packet{
+		Flags: inband.Acknowledging | inband.Ending, Seq: initialSequence + 1 + 10*requestsPerFlow,
+		Ack: opened.Seq + requestsPerFlow, Tag: opened.Tag,
+	}
+	vm := netip.AddrPortFrom(s.route(client, false).address, s.ports[0])
+	_ = client.Send(vm, port, client.service, ending) // the VM may be down; nothing waits for it
 }
 
 // checkReset checks that a flow was reset only because the link of its host failed.
@@ -86,17 +118,25 @@
 	return p.IsOpening() || distance >= -resetWindow && distance <= resetWindow
 }
 
-// exchange sends a packet repeatedly, through random VMs, until its response arrives.
-func (s *soak) exchange(client *standin.Client, random *rand.Rand, port uint16, p inband.Packet, done <-chan struct{}) (inband.Packet, string, bool) {
-	for range maxAttempts {
+// route chooses the VM of the next packet: a random one, or where flows stay at a VM the same one until it fails.
+func (s *soak) route(client *soakClient, isRetry bool) *entryVM {
+	if isRetry || !s.keepsFlowsAtVMs {
+		client.vm = client.random.IntN(len(s.vms))
+	}
+	return s.vms[client.vm]
+}
+
+// exchange sends a packet repeatedly until its response arrives.
+func (s *soak) exchange(client *soakClient, port uint16, p inband.Packet, done <-chan struct{}) (inband.Packet, string, bool) {
+	for attempt := range maxAttempts {
 		select {
 		case <-done:
 			return inband.Packet{}, "", false
 		default:
 		}
 		s.sent.Add(1)
-		vm := s.vms[random.IntN(len(s.vms))].address
-		if err := client.Send(netip.AddrPortFrom(vm, s.ports[0]), port, feedAddress, p); err != nil {
+		vm := s.route(client, attempt > 0).address
+		if err := client.Send(netip.AddrPortFrom(vm, s.ports[0]), port, client.service, p); err != nil {
 			continue // the VM is down
 		}
 		deadline := time.Now().Add(retryInterval)
--- a/cmd/almondflow-entry/soak_copy_test.go
+++ b/cmd/almondflow-entry/soak_copy_test.go
@@ -3,12 +3,27 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/almondflow/almondflow/platform/standin"
 )
 
-// maxLostChanges is the maximum number of changes that an older copy of the store lacks.
-const maxLostChanges = 8
+const (
+	// maxLostChanges is the maximum number of changes that an older copy of the store lacks.
+	maxLostChanges = 8
+	// maxEraTime bounds the wait for VMs to notice the store's return, well below the time for which they keep a drain that
+	// the copy lacks.
+	maxEraTime = 5 * time.Second
+)
+
+// loseDrain lets the store come back from a copy that lacks the newest drain.
+func (s *soak) loseDrain(v *entryVM) {
+	s.store.SetFault(standin.Healthy)
+	s.restoreLinks()
+	s.drainDomain()
+	s.checkUntilAll(maxIdleChecks, func(v *entryVM) bool { return slices.Equal(v.drains, s.drain.marks()) })
+	s.returnFromCopy(v)
+}
 
 // returnFromCopy lets the store be away for a moment and come back from an older copy. After another while, the
 // operator and the hosts write theirs again.
@@ -21,14 +36,21 @@
 	s.mu.Unlock()
 	s.store.ReturnFromCopy(1 + s.random.IntN(maxLostChanges))
 	s.store.SetFault(standin.Healthy)
+	s.awaitEra()
 	s.awaitProgress()
 	s.checkVersions()
 	s.writeAgain()
 }
 
+// awaitEra waits until all VMs have noticed the store's return.
+func (s *soak) awaitEra() {
+	era, deadline := s.store.Revision().Era(), time.Now().Add(maxEraTime)
+	s.checkUntilAll(maxIdleChecks, func(v *entryVM) bool { return v.era == era || time.Now().After(deadline) })
+}
+
 // writeAgain writes what the operator and the hosts have written before.
 func (s *soak) writeAgain() {
-	s.requireNoError(s.store.PutTables(s.version, "core"))
+	s.requireNoError(s.store.PutTablesWithPriorities(s.version, "core"))
 	for _, domain := range soakDomains {
 		if domain == s.drain.mark.Domain {
 			s.drainAgain()
--- a/cmd/almondflow-entry/soak_faults_test.go
+++ b/cmd/almondflow-entry/soak_faults_test.go
@@ -38,6 +38,7 @@
 	{"take_back", func(s *soak, _ *entryVM) { s.takeDrainBack() }},
 	{"change", func(s *soak, _ *entryVM) { s.store.SetFault(standin.Healthy); s.publishTables() }},
 	{"store_copy", (*soak).returnFromCopy},
+	{"lost_drain", (*soak).loseDrain},
 	{"clear", func(s *soak, _ *entryVM) { s.restoreLinks() }},
 }
 
@@ -45,7 +46,7 @@
 // replaces them or endFaults ends them, so that they coincide with later faults.
 func (s *soak) injectFault() {
 	v := s.vms[s.random.IntN(len(s.vms))]
-	f := soakFaults[s.random.IntN(len(soakFaults))]
+	f := s.kinds[s.random.IntN(len(s.kinds))]
 	s.faults[f.name]++
 	f.inject(s, v)
 }
@@ -80,7 +81,7 @@
 func (s *soak) publishStaleTables(_ *entryVM) {
 	s.store.SetFault(standin.Healthy)
 	s.restoreLinks()
-	s.requireNoError(s.store.PutTables(s.version-50, "nobody"))
+	s.requireNoError(s.store.PutTablesWithPriorities(s.version-50, "nobody"))
 	calls := s.store.Calls() + staleTablesCalls
 	for range maxIdleChecks * maxIdleChecks {
 		s.checkVersions()
@@ -93,7 +94,7 @@
 // publishTables publishes the next version of the tables.
 func (s *soak) publishTables() {
 	s.version++
-	s.requireNoError(s.store.PutTables(s.version, "core"))
+	s.requireNoError(s.store.PutTablesWithPriorities(s.version, "core"))
 }
 
 // failHostLink lets the link of a host fail for a while. Afterwards it replaces the host, because
@@ -152,6 +153,7 @@
 	s.faults["end_faults"]++
 	s.store.SetFault(standin.Healthy)
 	s.restoreLinks()
+	s.setWorkTime(0)
 	s.publishTables()
 }
 
--- a/cmd/almondflow-entry/soak_test.go
+++ b/cmd/almondflow-entry/soak_test.go
@@ -50,6 +50,8 @@
 type soak struct {
 	t       *testing.T
 	random  *rand.Rand
+	kinds   []fault
+	rules   string // of the VMs' settings
 	store   *standin.Store
 	address string // of the store
 	binary  string
@@ -62,12 +64,17 @@
 	drain     soakDrain
 	hostCount uint64 // hosts started so far
 	version   int64
-	served    atomic.Int64
-	abandoned atomic.Int64
-	resets    atomic.Int64
-	sent      atomic.Int64 // packets that clients sent
-	faults    map[string]int
-	logPaths  []string // log files of all processes, including terminated ones
+	pressure  soakPressure
+	// keepsFlowsAtVMs is set if the fabric hands all packets of a flow to one VM until that fails to answer, instead of
+	// each to a random VM.
+	keepsFlowsAtVMs bool
+	served          atomic.Int64
+	refused         atomic.Int64 // openings
+	abandoned       atomic.Int64 // flows without an answer
+	resets          atomic.Int64
+	sent            atomic.Int64 // packets that clients sent
+	faults          map[string]int
+	logPaths        []string // log files of all processes, including terminated ones
 }
 
 // soakHost is a host with its own link.
@@ -78,11 +85,18 @@
 	hasFailedLink bool // from then on, its flows may be reset
 }
 
-func TestSoak(t *testing.T) {
-	s := &soak{
-		t: t, random: rand.New(rand.NewPCG(*soakSeed, 1)), store: standin.NewStore(),
+func TestSoak(t *testing.T) { newSoak(t).run() }
+
+func newSoak(t *testing.T) *soak {
+	t.Helper()
+	return &soak{
+		t: t, random: rand.New(rand.NewPCG(*soakSeed, 1)), store: standin.NewStore(), kinds: soakFaults, rules: "base,health",
 		hosts: map[string]*soakHost{}, published: map[string]bool{}, version: 100, faults: map[string]int{},
 	}
+}
+
+// run serves clients and injects faults until enough of both have been, and checks that all VMs recover.
+func (s *soak) run() {
 	server := httptest.NewServer(s.store)
 	defer server.Close()
 	s.address = strings.TrimPrefix(server.URL, "http://")
@@ -95,7 +109,7 @@
 	}
 	idleChecks := 0 // checks since requests were served
 	injected := int64(0)
-	for nextFaultAt := int64(requestsPerFault); injected < *soakRequests/requestsPerFault && !t.Failed(); idleChecks++ {
+	for nextFaultAt := int64(requestsPerFault); injected < *soakRequests/requestsPerFault && !s.t.Failed(); idleChecks++ {
 		if s.served.Load() >= nextFaultAt {
 			nextFaultAt = s.served.Load() + requestsPerFault
 			idleChecks = 0
@@ -112,8 +126,8 @@
 	s.checkConverged()
 	close(done)
 	clients.Wait()
-	t.Logf("seed %d: %d requests served, %d flows given up, %d reset, faults %v",
-		*soakSeed, s.served.Load(), s.abandoned.Load(), s.resets.Load(), s.faults)
+	s.t.Logf("seed %d: %d requests served, %d flows given up, %d reset, %d openings refused, %d of them for lack of room, faults %v",
+		*soakSeed, s.served.Load(), s.abandoned.Load(), s.resets.Load(), s.refused.Load(), s.pressure.refused, s.faults)
 }
 
 // prepare builds the program and starts all hosts and VMs.
@@ -125,7 +139,7 @@
 	for i := range s.ports {
 		s.ports[i] = freePort(s.t)
 	}
-	s.requireNoError(s.store.PutTables(s.version, "core"))
+	s.requireNoError(s.store.PutTablesWithPriorities(s.version, "core"))
 	s.store.ReturnFromCopy(0) // so that all answers tell an era
 	for i := range soakHosts {
 		s.addHost(soakDomains[i%len(soakDomains)])
@@ -159,6 +173,7 @@
 func (s *soak) addHost(domain string) {
 	s.hostCount++
 	host := startHost(s.t, s.hostCount, s.ports[0])
+	s.limitRoom(host)
 	link := s.addLink(host)
 	s.mu.Lock()
 	s.hosts[host.ID()] = &soakHost{Host: host, domain: domain, link: link}
@@ -203,7 +218,7 @@
 		text, err := os.ReadFile(name) //nolint:gosec // a file of this test
 		s.requireNoError(err)
 		for line := range strings.Lines(string(text)) {
-			for _, word := range []string{"target_dead", "no_target", "overloaded", "no_route", "after=gone", "after=leaving"} {
+			for _, word := range []string{"target_dead", "no_target", "overloaded", "no_route", "refusal_", "after=gone", "after=leaving"} {
 				if strings.Contains(line, word) {
 					s.t.Logf("process %d: %s", i, strings.TrimSpace(line))
 				}
@@ -218,6 +233,7 @@
 	hasConverged := func(v *entryVM) bool { return v.version == s.version && slices.Equal(v.drains, s.drain.marks()) }
 	s.checkUntilAll(maxIdleChecks*maxIdleChecks, hasConverged)
 	s.checkUntilAll(maxLoadChecks, func(v *entryVM) bool { return v.hearsLoad })
+	s.checkUntilAll(maxLoadChecks, func(v *entryVM) bool { return len(v.refusing) == 0 })
 	for _, v := range s.vms {
 		if !hasConverged(v) {
 			s.t.Errorf("seed %d: %s uses version %d of the tables and drains %v, want %d and %v",
@@ -226,6 +242,9 @@
 		if !v.hearsLoad {
 			s.t.Errorf("seed %d: %s hears of no load", *soakSeed, v.address)
 		}
+		if len(v.refusing) > 0 {
+			s.t.Errorf("seed %d: %s refuses openings though there is room: %+v", *soakSeed, v.address, v.refusing)
+		}
 	}
 }
 
@@ -253,8 +272,9 @@
 		if status.View.Version < v.version {
 			s.t.Errorf("seed %d: version of the tables is %d after %d", *soakSeed, status.View.Version, v.version)
 		}
-		v.version, v.drains = status.View.Version, status.Drains
+		v.version, v.drains, v.era = status.View.Version, status.Drains, status.View.Revision.Era()
 		isFresh := func(p load.DomainPool) bool { return p.Age < load.ReportLifetime }
 		v.hearsLoad = slices.ContainsFunc(status.Pools, isFresh)
+		s.checkAdmissions(v, status.Admissions)
 	}
 }
