Let a soak whose process ends or hangs say so

Cause: a soak that didn't come to its end once left a register dump and no other trace. Found by reading: a process that ends by itself, or hangs, was only seen by 250,000 checks of all VMs that don't agree. That this is what happened then is not shown.

Change: the soak fails at once when a process ended by itself, with the end of its log. A process that leaves 30 checks after each other unanswered gets SIGQUIT, and its goroutines are shown. VMs that don't agree after 25,000 checks fail. Clients are stopped on each way out.

--- a/cmd/almondflow-entry/soak_faults_test.go
+++ b/cmd/almondflow-entry/soak_faults_test.go
@@ -83,7 +83,7 @@
 	s.restoreLinks()
 	s.requireNoError(s.store.PutTablesWithPriorities(s.version-50, "nobody"))
 	calls := s.store.Calls() + staleTablesCalls
-	for range maxIdleChecks * maxIdleChecks {
+	for range maxConvergenceChecks {
 		s.checkVersions()
 		if s.store.Calls() >= calls || s.t.Failed() {
 			return
--- a/cmd/almondflow-entry/soak_test.go
+++ b/cmd/almondflow-entry/soak_test.go
@@ -14,7 +14,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -32,15 +31,16 @@
 )
 
 const (
-	soakClients      = 12
-	soakHosts        = 6
-	maxIdleChecks    = 500                // checks of all VMs, or packets sent, after which no more progress is expected
-	maxLoadChecks    = 20 * maxIdleChecks // checks of all VMs after which they should have heard of load
-	requestsPerFault = 20                 // served requests between two faults
-	retryInterval    = 200 * time.Millisecond
-	maxAttempts      = 100 // attempts after which a flow is abandoned
-	requestsPerFlow  = 8
-	staleTablesCalls = 4 // store calls after which VMs have read older tables; one call may have been in progress
+	soakClients          = 12
+	soakHosts            = 6
+	maxIdleChecks        = 500                // checks of all VMs, or packets sent, after which no more progress is expected
+	maxConvergenceChecks = 50 * maxIdleChecks // checks of all VMs after which they should agree; go test allows more time
+	maxLoadChecks        = 20 * maxIdleChecks // checks of all VMs after which they should have heard of load
+	requestsPerFault     = 20                 // served requests between two faults
+	retryInterval        = 200 * time.Millisecond
+	maxAttempts          = 100 // attempts after which a flow is abandoned
+	requestsPerFlow      = 8
+	staleTablesCalls     = 4 // store calls after which VMs have read older tables; one call may have been in progress
 )
 
 // soakDomains are the failure domains, to which VMs and hosts belong in turn.
@@ -107,6 +107,11 @@
 	for i := range soakClients {
 		clients.Go(func() { s.runClient(i, done) })
 	}
+	stopClients := sync.OnceFunc(func() {
+		close(done)
+		clients.Wait()
+	})
+	defer stopClients()
 	idleChecks := 0 // checks since requests were served
 	injected := int64(0)
 	for nextFaultAt := int64(requestsPerFault); injected < *soakRequests/requestsPerFault && !s.t.Failed(); idleChecks++ {
@@ -124,8 +129,7 @@
 	}
 	s.endFaults()
 	s.checkConverged()
-	close(done)
-	clients.Wait()
+	stopClients()
 	s.t.Logf("seed %d: %d requests served, %d flows given up, %d reset, %d openings refused, %d of them for lack of room, faults %v",
 		*soakSeed, s.served.Load(), s.abandoned.Load(), s.resets.Load(), s.refused.Load(), s.pressure.refused, s.faults)
 }
@@ -200,7 +204,7 @@
 
 func (s *soak) stopAll() {
 	for _, v := range s.vms {
-		s.terminate(v, syscall.SIGKILL)
+		s.kill(v)
 		_ = v.link.Close() // its process has exited
 	}
 	for _, h := range s.hosts {
@@ -231,7 +235,7 @@
 // faults have ended.
 func (s *soak) checkConverged() {
 	hasConverged := func(v *entryVM) bool { return v.version == s.version && slices.Equal(v.drains, s.drain.marks()) }
-	s.checkUntilAll(maxIdleChecks*maxIdleChecks, hasConverged)
+	s.checkUntilAll(maxConvergenceChecks, hasConverged)
 	s.checkUntilAll(maxLoadChecks, func(v *entryVM) bool { return v.hearsLoad })
 	s.checkUntilAll(maxLoadChecks, func(v *entryVM) bool { return len(v.refusing) == 0 })
 	for _, v := range s.vms {
@@ -263,9 +267,11 @@
 func (s *soak) checkVersions() {
 	defer s.updateDrain()
 	for _, v := range s.vms {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		s.checkRuns(v)
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 		status, err := operator.NewFrontClient(netip.AddrPortFrom(v.address, s.ports[2]).String()).Status(ctx)
 		cancel()
+		s.noteCheck(v, err)
 		if err != nil || status.View == nil {
 			continue // it is starting
 		}
