Forecast response times by requests under way, and doubt late news of room

Until 4.75 s nothing was refused, since by that news other domains had room; later the share stayed at 0.9 beside 70% idle slots.

Change: the response time follows the requests under way now, corrected by own answers. Late answers from other domains outweigh their news for as long as that is late; meanwhile openings stay at home.

Tests: inband/admissions_test.go gives its bare Backends a target, as its domain is asked for. The new unit tests were run with the forecast, the answers from elsewhere and the stay turned off, and failed.

--- a/admission/answers.go
+++ b/admission/answers.go
@@ -26,6 +26,9 @@
 	a.sum += weight * responseTime
 }
 
+// mean returns the mean response time in milliseconds.
+func (a *answers) mean() float64 { return a.sum / a.count }
+
 // fade lets the answers count less after some time.
 func (a *answers) fade(elapsed clock.Millis) {
 	weight := math.Exp(-float64(elapsed) / float64(answersTime))
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -42,6 +42,8 @@
 	states        []state      // of the levels, the most urgent first
 	targetLatency clock.Millis // the shortest one of all levels
 	answers       answers
+	elsewhere     elsewhere
+	forecast      forecast
 	room          Room
 	unloaded      float64 // response time without load, in milliseconds, or zero
 	updatedAt     clock.Millis
@@ -122,6 +124,25 @@
 // answered in time.
 func (c *Controller) ObserveShed() { c.answers.add(float64(c.targetLatency), 0) }
 
+// ObserveElsewhere records the response time of a request of this VM in another failure domain, besides Observe.
+func (c *Controller) ObserveElsewhere(now, responseTime clock.Millis) {
+	c.elsewhere.add(now, float64(responseTime), c.usualTime(), c.rampStart())
+}
+
+// ObserveShedElsewhere records that a target in another failure domain was too full, besides ObserveShed.
+func (c *Controller) ObserveShedElsewhere(now clock.Millis) { c.ObserveElsewhere(now, c.targetLatency) }
+
+// rampStart returns the response time in milliseconds from which requests take too long for the most urgent callers.
+func (c *Controller) rampStart() float64 { return newRamp(c.targetLatency, c.unloaded, 0).start }
+
+// IsFullElsewhere reports whether own answers show that the other failure domains have no room, which the news may not
+// show yet.
+func (c *Controller) IsFullElsewhere(now clock.Millis) bool { return c.elsewhere.isFull(now) }
+
+// SetPresent sets what is under way now in this VM's own failure domain, for the next Update. Without it the response
+// time is that of answers and news.
+func (c *Controller) SetPresent(p Present) { c.forecast.present = p }
+
 // Update sets the shares by the work of all VMs at the pool's targets, in the domains that may be used.
 func (c *Controller) Update(now clock.Millis, domains []load.DomainPool) {
 	elapsed := now - c.updatedAt
@@ -130,6 +151,9 @@
 	}
 	c.updatedAt = now
 	c.room = roomOf(&c.answers, domains)
+	if responseTime := c.forecast.update(elapsed, c.unloaded, &c.answers); responseTime > 0 {
+		c.room.ResponseTime = responseTime
+	}
 	c.answers.fade(elapsed)
 	c.updateUnloaded(weightAfter(elapsed, averagingTime), domains)
 	after := 0.0
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -23,13 +23,13 @@
 
 // Decide decides on an opening of a priority, and counts it if it is refused. draw is a random number from 0 to 1.
 // others holds the failure domains other than this VM's own that it reaches. While one of them has room, nothing is
-// refused: the share Refused of the openings goes there.
+// refused: the share Refused of the openings goes there. Own answers that were late there outweigh the news.
 func (c *Controller) Decide(now clock.Millis, priority int, draw float64, others []load.DomainPool) Decision {
 	s := c.find(priority)
 	switch {
 	case s == nil:
 		return Admitted
-	case hasRoomIn(others):
+	case !c.IsFullElsewhere(now) && hasRoomIn(others):
 		s.seenAt = now
 		if draw < s.share.Refused {
 			return Spilled
--- /dev/null
+++ b/admission/elsewhere.go
@@ -0,0 +1,29 @@
+package admission
+
+import "github.com/almondflow/almondflow/clock"
+
+// newsDelay is how long ago the load was as the news of other domains shows it: averages over up to 750 ms (package
+// load), which come after a second or more.
+const newsDelay = 2 * clock.Second
+
+// elsewhere holds the answers of other failure domains to this VM's own requests. They show sooner than the news does
+// that all domains are full.
+type elsewhere struct {
+	answers   answers
+	updatedAt clock.Millis
+	fullUntil clock.Millis
+}
+
+// add adds an answer. The other domains count as full if answers take longer than limit. usual is the response time
+// that is assumed in advance, so that one late answer decides nothing.
+func (e *elsewhere) add(now clock.Millis, responseTime, usual, limit float64) {
+	e.answers.fade(now - e.updatedAt)
+	e.updatedAt = now
+	e.answers.add(responseTime, usual)
+	if e.answers.blend(usual) > limit {
+		e.fullUntil = now + newsDelay
+	}
+}
+
+// isFull reports whether answers from other domains were late since the time that the news of them shows.
+func (e *elsewhere) isFull(now clock.Millis) bool { return now < e.fullUntil }
--- /dev/null
+++ b/admission/forecast_test.go
@@ -0,0 +1,107 @@
+package admission_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/admission"
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+// presentWith returns that a number of requests is under way now at the targets of poolWith.
+func presentWith(busy float64) admission.Present {
+	return admission.Present{Busy: busy, Slots: 40, ServiceTime: 62.5}
+}
+
+// Load: one kind presses. Requests queue before the first of them is answered and before the news tells of them, and are
+// gone before the news tells of that.
+func TestRequestsUnderWayShowTheLoadAtOnce(t *testing.T) {
+	tests := []struct {
+		name      string
+		news      float64 // response time, in milliseconds
+		busy      float64
+		isRefused bool
+	}{
+		{"the load begins", 70, 160, true},
+		{"the load has ended", 400, 10, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			c.SetPresent(presentWith(tt.busy))
+			refused := c.hear(admission.UpdateInterval, poolWith("east", tt.news))
+			is.Equal(refused[1] > 0, tt.isRefused)
+			is.Equal(refused[0], 0.0) // orders
+		})
+	}
+}
+
+// Load: targets unequal. Where targets work slower than the count tells, or VMs of other domains send them requests,
+// answers take longer than foreseen.
+func TestAnswersCorrectTheForecast(t *testing.T) {
+	tests := []struct {
+		name     string
+		answer   clock.Millis
+		expected float64
+	}{
+		{"as foreseen", 125, 125},
+		{"twice as long", 250, 250},
+		{"half as long", 63, 63},
+		{"far beyond the bound", 2000, 500},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			for range 100 {
+				for range 4 {
+					c.Observe(tt.answer)
+				}
+				c.SetPresent(presentWith(79))
+				c.hear(admission.UpdateInterval)
+			}
+			difference := c.Room().ResponseTime - tt.expected
+			is.True(difference < 1)
+			is.True(difference > -1)
+		})
+	}
+}
+
+// Load: one kind presses. All domains fill up at once, and the news of the others is from before.
+func TestLateAnswersFromOtherDomainsOutweighTheirNews(t *testing.T) {
+	tests := []struct {
+		name     string
+		observe  func(c *vm)
+		after    clock.Millis
+		expected admission.Decision
+	}{
+		{"no answer from there", func(*vm) {}, 0, admission.Spilled},
+		{"answers in time", func(c *vm) { answerElsewhere(c, 70) }, 0, admission.Spilled},
+		{"late answers", func(c *vm) { answerElsewhere(c, 300) }, 0, admission.Refused},
+		{"late answers as old as the news", func(c *vm) { answerElsewhere(c, 300) }, 2 * clock.Second, admission.Spilled},
+		{"one late answer", func(c *vm) { c.ObserveElsewhere(c.now, 180) }, 0, admission.Spilled},
+		{"requests shed there", func(c *vm) { c.ObserveShedElsewhere(c.now) }, 0, admission.Refused},
+	}
+	half := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			c.hear(admission.UpdateInterval, half)
+			c.SetPresent(presentWith(300))
+			c.hear(admission.UpdateInterval, poolWith("east", 70), half)
+			tt.observe(c)
+			is.Equal(c.Decide(c.now+tt.after, feeds.Priority, 0.5, []load.DomainPool{half}), tt.expected)
+		})
+	}
+}
+
+// answerElsewhere records some answers from another domain.
+func answerElsewhere(c *vm, responseTime clock.Millis) {
+	for range 10 {
+		c.ObserveElsewhere(c.now, responseTime)
+	}
+}
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -32,8 +32,10 @@
 		return best
 	}
 	if p.admission.IsUpdateDue(now) {
+		p.admission.SetPresent(e.present(now, p))
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
+	best = e.stayIfFullElsewhere(now, p, best)
 	if !e.isFirstCopy(now, reason) {
 		p.admission.Notice(now, route.Priority)
 		return best
@@ -42,14 +44,20 @@
 	case admission.Refused:
 		return nil
 	case admission.Spilled: // if no target there takes it, it stays: news showed room
-		if other := e.cheapest(now, p.remote, nil); other != nil && e.cost(now, other, false, 0) < fullWeight {
-			return other
-		}
+		return e.cheapestOr(now, p.remote, best)
 	case admission.Admitted:
 	}
 	return best
 }
 
+// cheapestOr returns the best of some targets that has no fault and is not full, or another one if there is none.
+func (e *Engine) cheapestOr(now clock.Millis, targets []*Backend, other *Backend) *Backend {
+	if b := e.cheapest(now, targets, nil); b != nil && e.cost(now, b, false, 0) < fullWeight {
+		return b
+	}
+	return other
+}
+
 // otherDomains returns the work at the pool's targets in the other domains that this VM reaches, while openings
 // are refused.
 func (e *Engine) otherDomains(now clock.Millis, p *pool) []load.DomainPool {
--- /dev/null
+++ b/inband/admissionpresent_test.go
@@ -0,0 +1,82 @@
+package inband
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/load"
+)
+
+// newTwoDomainEngine returns an engine in the domain east with a target there and one in the domain west, and the pool.
+func newTwoDomainEngine(options Options) (*Engine, *pool) {
+	options.Domain, options.Policy, options.MaxFlows = "east", Shared{}, 100
+	e, p := newOneLevelEngine(options)
+	e.ReplaceView(nil, []Published{
+		{Target: &Target{ID: "t1", Service: "orders", Domain: "east", Slots: 2}},
+		{Target: &Target{ID: "t2", Service: "orders", Domain: "west", Slots: 2}},
+	})
+	p = e.poolOf(p.service)
+	e.SetLocalVMs(10)
+	e.Sweep(clock.Minute)
+	return e, p
+}
+
+// begin has a number of requests begin at a target.
+func (e *Engine) begin(id string, requests int) {
+	b := e.byID[id]
+	for range requests {
+		b.meter.Begin(e.activeAt)
+		e.load.track(b)
+	}
+}
+
+// Load: one kind presses. What this VM has under way counts at once, for the other VMs of the domain as well.
+func TestPresentFollowsOwnRequestsAtOnce(t *testing.T) {
+	is := is.New(t)
+	e, p := newTwoDomainEngine(Options{SharesLoad: true, RefusesByUrgency: true})
+	e.begin("t1", 8)
+	e.begin("t2", 4)
+	now := clock.Minute + 10
+	sample := load.Sample{Others: 9}
+	is.Equal(e.present(now, p).Busy, sample.Present(load.Work{}, 8, 0))
+	p.admission.ObserveShedElsewhere(now)
+	is.Equal(e.present(now, p).Busy, sample.Present(load.Work{}, 12, 0)) // VMs there have as many here
+	is.Equal(e.present(now, p).Slots, 2)
+}
+
+// Without shared load, decisions go by answers as before.
+func TestNothingIsPresentWithoutSharedLoad(t *testing.T) {
+	is := is.New(t)
+	e, p := newTwoDomainEngine(Options{RefusesByUrgency: true})
+	e.begin("t1", 8)
+	is.Equal(e.present(clock.Minute, p).Slots, 0)
+	e.observeAnswer(clock.Minute, &flow{backend: e.byID["t2"], responseTime: 4000})
+	is.True(!p.admission.IsFullElsewhere(clock.Minute))
+}
+
+// Load: one kind presses. Openings that leave the domain for the waits that this VM sees there gain nothing while
+// answers from other domains are late, too.
+func TestOpeningsStayWhileOtherDomainsAreFull(t *testing.T) {
+	tests := []struct {
+		name     string
+		answer   clock.Millis // of the other domain
+		chosen   string
+		expected string
+	}{
+		{"late answers from there", 1000, "t2", "t1"},
+		{"answers in time", 60, "t2", "t2"},
+		{"a target of the own domain", 1000, "t1", "t1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e, p := newTwoDomainEngine(Options{SharesLoad: true, RefusesByUrgency: true})
+			now := clock.Minute + clock.Second
+			e.observeAnswer(now, &flow{backend: e.byID["t2"], responseTime: tt.answer})
+			e.observeAnswer(now, &flow{backend: e.byID["t2"], responseTime: tt.answer})
+			is.Equal(e.stayIfFullElsewhere(now, p, e.byID[tt.chosen]), e.byID[tt.expected])
+		})
+	}
+}
--- a/inband/admissions_test.go
+++ b/inband/admissions_test.go
@@ -53,7 +53,7 @@
 			is := is.New(t)
 			e, p := newOneLevelEngine(Options{RefusesByUrgency: tt.isOn, SharesLoad: true})
 			p.admission.SetLevels([]admission.Level{{Priority: 1, TargetLatency: 400}})
-			f := &flow{backend: &Backend{pool: p}, responseTime: 400, responseBytes: 1000}
+			f := &flow{backend: &Backend{pool: p, target: &Target{}}, responseTime: 400, responseBytes: 1000}
 			e.recordResponse(0, f)
 			p.admission.Update(clock.Second, nil)
 			is.Equal(p.admission.Room().ResponseTime, tt.expected)
@@ -66,7 +66,7 @@
 	for _, isOn := range []bool{true, false} {
 		e, p := newOneLevelEngine(Options{RefusesByUrgency: isOn, SharesLoad: true})
 		p.admission.SetLevels([]admission.Level{{Priority: 1, TargetLatency: 400}})
-		e.recordShed(&flow{backend: &Backend{pool: p}})
+		e.recordShed(&flow{backend: &Backend{pool: p, target: &Target{}}})
 		p.admission.Update(clock.Second, nil)
 		is.Equal(p.admission.Room().ResponseTime > 0, isOn)
 	}
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -73,7 +73,7 @@
 		return
 	}
 	if e.options.RefusesByUrgency {
-		f.backend.pool.admission.Observe(f.responseTime)
+		e.observeAnswer(now, f)
 	}
 	e.recordOutcome(now, f, true)
 }
@@ -101,7 +101,7 @@
 func (e *Engine) recordShed(f *flow) {
 	f.hasOutcome = true
 	if e.options.RefusesByUrgency {
-		f.backend.pool.admission.ObserveShed()
+		e.observeShed(f)
 	}
 	e.shedRequests++
 }
--- a/load/estimate.go
+++ b/load/estimate.go
@@ -55,6 +55,15 @@
 // heardShare returns the factor by which heard work counts. It is below one if VMs were heard that are gone.
 func (s Sample) heardShare() float64 { return min(1, float64(s.Others)/s.Weight) }
 
+// Present returns the requests that all VMs of the own failure domain have under way now. Of this VM it takes the
+// averaged work and the requests under way now; told is the estimate by averages of all VMs, which is late. Own
+// requests stand for those of the others, the more of them the better.
+func (s Sample) Present(average Work, busy, told float64) float64 {
+	evidence := max(busy, average.Busy+average.Finished)
+	trust := evidence / (evidence + priorRequests)
+	return trust*float64(1+s.Others)*busy + (1-trust)*told
+}
+
 // perReport returns by how much each report counts once more, for the VMs that were not heard. This VM's own
 // work counts as one more report.
 func (s Sample) perReport() float64 { return max(0, float64(s.Others)-s.Weight) / (s.Weight + 1) }
--- a/load/estimate_test.go
+++ b/load/estimate_test.go
@@ -75,3 +75,29 @@
 	estimate.AddEven(load.Work{Busy: 0.5})
 	is.Equal(estimate.At(load.Work{}, load.Work{}), load.Work{Busy: 2.5})
 }
+
+// Load: one kind presses. What this VM has under way now tells sooner than averages do, if it has enough.
+func TestPresentWork(t *testing.T) {
+	sample := load.Sample{Others: 9}
+	tests := []struct {
+		name     string
+		average  load.Work
+		busy     float64
+		told     float64
+		min, max float64
+	}{
+		{"no work", load.Work{}, 0, 0, 0, 0},
+		{"a load begins", load.Work{Busy: 1, Finished: 15}, 7, 12, 60, 70},
+		{"a load ends", load.Work{Busy: 7, Finished: 40}, 1, 70, 10, 13},
+		{"nothing of its own", load.Work{}, 0, 70, 70, 70},
+		{"too little to tell", load.Work{Busy: 0.01, Finished: 0.2}, 0, 70, 60, 70},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			present := sample.Present(tt.average, tt.busy, tt.told)
+			is.True(present >= tt.min)
+			is.True(present <= tt.max)
+		})
+	}
+}
