Count no free slots of a drained domain as room in TestPressure

New flows may not go to a drained domain, so its free slots are no room that the decisions could use. The check was wrong there.

Change: countShed asks whether the target may get flows: it serves, and its domain is not drained. Nothing else is narrowed; a shed request beside a free slot of any other domain counts as before, and so does every bound.

--- a/experiment/target.go
+++ b/experiment/target.go
@@ -112,7 +112,8 @@
 func (s *simulation) countShed() {
 	s.report.Shed++
 	hasRoom := func(t *target) bool {
-		return !t.isDown && t.fault == "" && t.listed.State == inband.Serving && t.inProgress < t.spec.Slots
+		mayGetFlows := t.listed.State == inband.Serving && !s.isDrained(t.domain)
+		return !t.isDown && t.fault == "" && mayGetFlows && t.inProgress < t.spec.Slots
 	}
 	if slices.ContainsFunc(s.targets, hasRoom) {
 		s.report.ShedBesideRoom++
