Send openings to another domain while it has a free slot

By news 24 requests were under way there for 24 slots, queued ones included, and an opening went there only below three quarters of the slots. That part stood for the lateness of the news, which own answers from there now show sooner.

Change: a domain with fewer requests under way than slots has room; the part is gone.

Tests: "another domain has a free slot" failed with the part.

--- a/admission/decision.go
+++ b/admission/decision.go
@@ -17,10 +17,6 @@
 	Refused                  // reset: no failure domain has room
 )
 
-// roomPart is the part of a domain's slots that may be occupied while the domain has room. The rest is left for what
-// other VMs send there before the news of it comes.
-const roomPart = 0.75
-
 // Decide decides on an opening of a priority, and counts it if it is refused. draw is a random number from 0 to 1.
 // others holds the failure domains other than this VM's own that it reaches. While one of them has room, nothing is
 // refused: the share Refused of the openings goes there. Own answers that were late there outweigh the news.
@@ -42,10 +38,10 @@
 	}
 }
 
-// hasRoomIn reports whether one of the domains has room, as fresh news shows. Response times do not tell: targets that
-// reject what they have no room for answer soon.
+// hasRoomIn reports whether one of the domains has a free slot, as fresh news shows. Response times do not tell: targets
+// that reject what they have no room for answer soon.
 func hasRoomIn(others []load.DomainPool) bool {
 	return slices.ContainsFunc(others, func(d load.DomainPool) bool {
-		return d.Age <= maxNewsAge && d.Work.Finished > 0 && d.Work.Busy <= roomPart*float64(d.Slots)
+		return d.Age <= maxNewsAge && d.Work.Finished > 0 && d.Work.Busy < float64(d.Slots)
 	})
 }
--- a/admission/decision_test.go
+++ b/admission/decision_test.go
@@ -15,6 +15,7 @@
 func TestRefusedShareGoesToAnotherDomainWithRoom(t *testing.T) {
 	full := poolWith("west", 1000)
 	half := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
+	last := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 39, Finished: 600}}
 	// Targets that reject what they have no room for answer soon.
 	rejecting := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 160, Finished: 4000}}
 	tests := []struct {
@@ -26,6 +27,7 @@
 		{"no other domain", nil, feeds.Priority, admission.Refused},
 		{"another domain is full", []load.DomainPool{full}, feeds.Priority, admission.Refused},
 		{"another domain has room", []load.DomainPool{half}, feeds.Priority, admission.Spilled},
+		{"another domain has a free slot", []load.DomainPool{last}, feeds.Priority, admission.Spilled},
 		{"one of two has room", []load.DomainPool{full, half}, feeds.Priority, admission.Spilled},
 		{"news of the other domain is old", []load.DomainPool{withAge(half, clock.Minute)}, feeds.Priority, admission.Refused},
 		{"another domain rejects most", []load.DomainPool{rejecting}, feeds.Priority, admission.Refused},
