Defer openings that may be copies, and see a load before any answer

Until 4.4 s none may refuse, as what they read may be copies that waited. From 3.25 s on the queues of 27 to 45 of 60 targets were full and 1,000 requests were shed each 250 ms, urgent ones as well as others. And until 3.75 s no share rose: no request had finished, so the forecast knew no service time; the averages of new meters rose from zero; and as they showed next to no work, the targets counted as idle, beside which nothing is refused.

Change: an opening that is not admitted and may be a copy is dropped, as copies were already under overload by own count; its client sends it again. Openings that move on from a silent target are admitted as before. Until a request has finished, one is taken to last for a third of the target latency. The first window of a meter makes its averages alone. Targets count as idle only where requests finish.

Tests: TestOpeningsThatMayBeCopiesAreDeferred, TestLoadIsSeenBeforeAnyAnswer, TestFirstWindowCountsFully failed without their part of it.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -66,7 +66,7 @@
 	Refused         float64 `json:"refused"`          // share of the requests whose callers try triesPerRequest times, 0 to 1
 	RefusedOpenings float64 `json:"refused_openings"` // share of the openings, which is that of callers that try once, 0 to 1
 	Hopeless        bool    `json:"hopeless"`         // answers would come after the timeout: all but one opening a second at each VM are refused
-	Count           int     `json:"count"`            // openings refused so far
+	Count           int     `json:"count"`            // openings refused or deferred so far
 }
 
 // IsRefusing reports whether the share is above zero or the priority is hopeless. Its openings may go to other failure
@@ -151,7 +151,7 @@
 	}
 	c.updatedAt = now
 	c.room = roomOf(&c.answers, domains)
-	if responseTime := c.forecast.update(elapsed, c.unloaded, &c.answers); responseTime > 0 {
+	if responseTime := c.forecast.update(elapsed, c.unloaded, rampStart*float64(c.targetLatency), &c.answers); responseTime > 0 {
 		c.room.ResponseTime = responseTime
 	}
 	c.answers.fade(elapsed)
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -33,19 +33,19 @@
 }
 
 // uncorrected returns the response time in milliseconds without the correction, or zero if nothing is known.
-// serviceTime is the time that a request takes without load, or zero.
-func (f *forecast) uncorrected(serviceTime float64) float64 {
+// unloaded is the response time without load, or zero, and assumed the one until either is known.
+func (f *forecast) uncorrected(unloaded, assumed float64) float64 {
 	if f.present.Slots == 0 {
 		return 0
 	}
-	return cmp.Or(serviceTime, f.present.ServiceTime) * max(1, (f.present.Busy+1)/float64(f.present.Slots))
+	return cmp.Or(unloaded, f.present.ServiceTime, assumed) * max(1, (f.present.Busy+1)/float64(f.present.Slots))
 }
 
 // update compares the forecasts with own answers and returns the new forecast in milliseconds, or zero if nothing is
 // known.
-func (f *forecast) update(elapsed clock.Millis, serviceTime float64, own *answers) float64 {
+func (f *forecast) update(elapsed clock.Millis, unloaded, assumed float64, own *answers) float64 {
 	f.predicted.fade(elapsed)
-	responseTime := f.uncorrected(serviceTime)
+	responseTime := f.uncorrected(unloaded, assumed)
 	if responseTime == 0 {
 		return 0
 	}
--- a/admission/forecast_test.go
+++ b/admission/forecast_test.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// Load: a crowd comes back. While no request has finished since the start, a request is taken to last for a third of the
+// target latency, and the news says nothing of idle targets.
+func TestLoadIsSeenBeforeAnyAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newVM(orders, feeds)
+	c.SetPresent(admission.Present{Busy: 79, Slots: 40})
+	refused := c.hear(admission.UpdateInterval, load.DomainPool{Targets: 20, Slots: 40})
+	is.True(refused[1] > 0.5)
+	is.Equal(refused[0], 0.0) // orders
+}
+
 // Load: targets unequal. Where targets work slower than the count tells, or VMs of other domains send them requests,
 // answers take longer than foreseen.
 func TestAnswersCorrectTheForecast(t *testing.T) {
--- a/admission/room.go
+++ b/admission/room.go
@@ -19,6 +19,7 @@
 	Busy         float64      // requests under way there
 	Age          clock.Millis // of the news of the domain with the newest
 	hasFreeSlots bool         // in a domain with fresh news
+	hasAnswers   bool         // requests finish in such a domain
 }
 
 // IsOwnView reports whether there is no fresh news of other VMs, so that only this VM's own requests count.
@@ -31,6 +32,7 @@
 		if d.Age <= maxNewsAge {
 			r.Slots += d.Slots
 			r.Busy += d.Work.Busy
+			r.hasAnswers = r.hasAnswers || d.Work.Finished > 0
 			r.hasFreeSlots = r.hasFreeSlots || d.Work.Busy < float64(d.Slots)
 		}
 	}
@@ -71,10 +73,11 @@
 }
 
 // isIdle reports whether fresh news shows that most slots are free: then long response times of this VM's own
-// requests have another cause.
+// requests have another cause. While no request finishes, as after a start, little is under way by the news of a load
+// that has just begun, too.
 func (r Room) isIdle() bool {
 	const busyPart = 0.25
-	return !r.IsOwnView() && r.Busy <= busyPart*float64(r.Slots)
+	return !r.IsOwnView() && r.hasAnswers && r.Busy <= busyPart*float64(r.Slots)
 }
 
 // isLightlyLoaded reports whether at most half of the slots are occupied, so that hardly any request waits.
--- a/front/packets.go
+++ b/front/packets.go
@@ -128,7 +128,7 @@
 // isRoutine reports whether log lines with this reason may be suppressed under load.
 func isRoutine(reason inband.Reason) bool {
 	switch reason {
-	case inband.Placed, inband.PlacedLate, inband.MovedUnavailable, inband.Repeated, inband.NoRoute, inband.NoTarget, inband.Overloaded:
+	case inband.Placed, inband.PlacedLate, inband.MovedUnavailable, inband.Repeated, inband.NoRoute, inband.NoTarget, inband.Overloaded, inband.Deferred:
 		return true
 	default:
 		return false
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -36,7 +36,7 @@
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
 	best = e.stayIfFullElsewhere(now, p, best)
-	if !e.isFirstCopy(now, reason) {
+	if reason != Placed && reason != PlacedLate { // its client has waited for a target that took it
 		p.admission.Notice(now, route.Priority)
 		return best
 	}
@@ -50,6 +50,15 @@
 	return best
 }
 
+// refuse returns the verdict on an opening that is not admitted. Its client is told by a reset, so that it tries again at
+// once, unless another VM may have forwarded a copy: then the opening is only dropped.
+func (e *Engine) refuse(now clock.Millis, p *Packet, reason Reason) Verdict {
+	if e.options.RefusesByUrgency && !e.isFirstCopy(now, reason) {
+		return Verdict{Action: Drop, Reason: Deferred}
+	}
+	return Verdict{Action: Reset, Reason: Overloaded, Seq: p.Seq}
+}
+
 // cheapestOr returns the best of some targets that has no fault and is not full, or another one if there is none.
 func (e *Engine) cheapestOr(now clock.Millis, targets []*Backend, other *Backend) *Backend {
 	if b := e.cheapest(now, targets, nil); b != nil && e.cost(now, b, false, 0) < fullWeight {
--- a/inband/admission_test.go
+++ b/inband/admission_test.go
@@ -1,6 +1,7 @@
 package inband_test
 
 import (
+	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
@@ -70,6 +71,7 @@
 
 func TestOpeningsAreRefusedByUrgency(t *testing.T) {
 	feed := func(client int) *inband.Packet { return opening(client, feedAddress, 0) }
+	again := func(client int) *inband.Packet { return opening(client, feedAddress, 1) }
 	tests := []struct {
 		name      string
 		isPartOn  bool
@@ -78,7 +80,7 @@
 	}{
 		{"less urgent", true, feed, true},
 		{"urgent", true, func(client int) *inband.Packet { return opening(client, holdAddress, 0) }, false},
-		{"a copy, whose earlier one another VM may have forwarded", true, func(client int) *inband.Packet { return opening(client, feedAddress, 1) }, false},
+		{"a copy, whose earlier one another VM may have forwarded", true, again, false},
 		{"without the part", false, feed, false},
 	}
 	for _, tt := range tests {
@@ -90,6 +92,51 @@
 	}
 }
 
+// Load: a crowd comes back. An opening that may be a copy is no refusal: it is dropped, and its client sends it again.
+func TestOpeningsThatMayBeCopiesAreDeferred(t *testing.T) {
+	tests := []struct {
+		name       string
+		age        clock.Millis // of the process
+		address    netip.AddrPort
+		copyNumber uint32
+		expected   inband.Reason // of some openings
+	}{
+		{"first copy long after the start", 2 * clock.Second, feedAddress, 0, inband.Overloaded},
+		{"copy that another VM may have had", 2 * clock.Second, feedAddress, 1, inband.Deferred},
+		{"first copy after the start", clock.Second, feedAddress, 0, inband.Deferred},
+		{"copy after the start", clock.Second, feedAddress, 2, inband.Deferred},
+		{"urgent copy", 2 * clock.Second, holdAddress, 1, inband.PlacedLate},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newUrgencyEngine(true)
+			now := answerLate(e, sweepUntil(e, clock.Minute, clock.Minute+tt.age-slowAnswer))
+			actions := map[inband.Reason]inband.Action{}
+			for client := range 100 {
+				v := e.Handle(now, opening(100+client, tt.address, tt.copyNumber))
+				actions[v.Reason] = v.Action
+			}
+			action, ok := actions[tt.expected]
+			is.True(ok)
+			is.Equal(action == inband.Drop, tt.expected == inband.Deferred)
+		})
+	}
+}
+
+// A copy whose target did not answer goes to another one, however full they are: its client has waited long.
+func TestMovedOpeningsAreNotDeferred(t *testing.T) {
+	is := is.New(t)
+	e, now := newFullEngine(true)
+	e.UpdateTargets(published(target("i-2", "a")))
+	for client := range 100 {
+		if e.Handle(now, opening(100+client, feedAddress, 0)).Action != inband.Forward {
+			continue
+		}
+		is.Equal(e.Handle(now+200, opening(100+client, feedAddress, 1)).Reason, inband.MovedUnresponsive)
+	}
+}
+
 // What waited while the process stood still may have been forwarded as a copy by another VM meanwhile.
 func TestOpeningsThatWaitedInThisProcessAreNotRefused(t *testing.T) {
 	is := is.New(t)
--- a/inband/admissionpresent.go
+++ b/inband/admissionpresent.go
@@ -45,9 +45,12 @@
 // not tell each other.
 func (e *Engine) present(now clock.Millis, p *pool) admission.Present {
 	d := p.ownDomainPool()
-	if !e.options.SharesLoad || d == nil || d.slots == 0 {
+	if !e.options.SharesLoad || d == nil {
 		return admission.Present{}
 	}
+	if !d.isCounted { // targets changed since the last sweep
+		d.count(now)
+	}
 	average, told := load.Work{}, 0.0
 	if d.hasWork {
 		average, told = d.own, d.fromOwnDomain.Busy
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -188,7 +188,7 @@
 		return Verdict{Action: Reset, Reason: NoTarget, Seq: p.Seq}
 	}
 	if b = e.admit(now, reason, route, pool, b); b == nil {
-		return Verdict{Action: Reset, Reason: Overloaded, Seq: p.Seq}
+		return e.refuse(now, p, reason)
 	}
 	if b.evidence.isSuspect(now) {
 		b.evidence.scheduleRetry(now, e.jitter())
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -27,6 +27,7 @@
 	UnknownTag                      // the packet names a target that is not known here
 	TargetDead                      // the flow's target is lost
 	Unanswered                      // packet of an existing flow that was retransmitted because the target did not answer
+	Deferred                        // opening that may be a copy, dropped in favor of more urgent flows: its client sends it again
 	reasonCount
 )
 
@@ -35,7 +36,7 @@
 
 var reasonNames = [...]string{
 	"carried", "placed", "placed_late", "repeated", "moved_silent", "moved_unavailable",
-	"no_route", "no_target", "overloaded", "unknown_tag", "target_dead", "unanswered",
+	"no_route", "no_target", "overloaded", "unknown_tag", "target_dead", "unanswered", "deferred",
 }
 
 // String returns the name of the reason in logs and metrics.
--- a/load/meter.go
+++ b/load/meter.go
@@ -20,7 +20,7 @@
 	busyTime  clock.Millis // time that requests were under way in this window, summed over them
 	average   float32      // requests under way
 	rate      float32      // requests finished per second
-	isNew     bool         // nothing was measured before this window
+	hasWindow bool         // a window was measured before this one
 }
 
 // Begin records that a request begins.
@@ -44,14 +44,14 @@
 	if elapsed > 0 {
 		m.average += m.weightOf(elapsed, busySmoothingTime) * (float32(m.busyTime)/float32(elapsed) - m.average)
 		m.rate += m.weightOf(elapsed, rateSmoothingTime) * (float32(m.finished)*float32(clock.Second)/float32(elapsed) - m.rate)
-		m.isNew = false
+		m.hasWindow = true
 	}
 	m.startWindow(now)
 }
 
-// weightOf returns the weight of a window in the averages. The first one after Forget makes them alone.
+// weightOf returns the weight of a window in the averages. The first one, or the first after Forget, makes them alone.
 func (m *Meter) weightOf(elapsed, smoothingTime clock.Millis) float32 {
-	if m.isNew {
+	if !m.hasWindow {
 		return 1
 	}
 	return float32(elapsed) / float32(elapsed+smoothingTime)
@@ -63,7 +63,7 @@
 }
 
 // Forget forgets what was measured. Requests under way remain counted until they end.
-func (m *Meter) Forget() { *m = Meter{busy: m.busy, changedAt: m.changedAt, isNew: true} }
+func (m *Meter) Forget() { *m = Meter{busy: m.busy, changedAt: m.changedAt} }
 
 // Restart forgets what was measured and starts a new window, as the length of this one says nothing if the
 // process stood still meanwhile.
--- a/load/meter_test.go
+++ b/load/meter_test.go
@@ -61,3 +61,14 @@
 	is.Equal(m.Average(0), load.Work{})
 	is.Equal(m.Busy(), 1)
 }
+
+// Load: a crowd comes back. What a VM measures first after its start is not averaged with the time before.
+func TestFirstWindowCountsFully(t *testing.T) {
+	is := is.New(t)
+	var m load.Meter
+	m.Begin(0)
+	m.Begin(0)
+	m.AddFinished()
+	m.CloseWindow(window, window)
+	is.Equal(m.Average(0), load.Work{Busy: 2, Finished: 4})
+}
