--- a/front/packets.go
+++ b/front/packets.go
@@ -129,7 +129,7 @@
 func isRoutine(reason inband.Reason) bool {
 	switch reason {
 	case inband.Placed, inband.PlacedLate, inband.MovedUnavailable, inband.Repeated,
-		inband.NoRoute, inband.NoTarget, inband.NoTargetInRegion, inband.Overloaded:
+		inband.NoRoute, inband.NoTarget, inband.NoTargetInRegion, inband.Overloaded, inband.Deferred:
 		return true
 	default:
 		return false
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -34,9 +34,11 @@
 	}
 	e.noticeCaller(now, route, p)
 	if p.admission.IsUpdateDue(now) {
+		p.admission.SetPresent(e.present(now, p))
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
-	if !e.isFirstCopy(now, reason) {
+	best = e.stayIfFullElsewhere(now, p, best)
+	if reason != Placed && reason != PlacedLate { // its client has waited for a target that took it
 		p.admission.Notice(now, route.Priority)
 		return best
 	}
@@ -44,14 +46,29 @@
 	case admission.Refused:
 		return nil
 	case admission.Spilled: // if no target there takes it, it stays: news showed room
-		if other := e.cheapest(now, p.remote, nil); other != nil && e.cost(now, other, false, 0) < fullWeight {
-			return other
-		}
+		return e.cheapestOr(now, p.remote, best)
 	case admission.Admitted:
 	}
 	return best
 }
 
+// refuse returns the verdict on an opening that is not admitted. Its client is told by a reset, so that it tries again at
+// once, unless another VM may have forwarded a copy: then the opening is only dropped.
+func (e *Engine) refuse(now clock.Millis, p *Packet, reason Reason) Verdict {
+	if e.options.RefusesByUrgency && !e.isFirstCopy(now, reason) {
+		return Verdict{Action: Drop, Reason: Deferred}
+	}
+	return Verdict{Action: Reset, Reason: Overloaded, Seq: p.Seq}
+}
+
+// cheapestOr returns the best of some targets that has no fault and is not full, or another one if there is none.
+func (e *Engine) cheapestOr(now clock.Millis, targets []*Backend, other *Backend) *Backend {
+	if b := e.cheapest(now, targets, nil); b != nil && e.cost(now, b, false, 0) < fullWeight {
+		return b
+	}
+	return other
+}
+
 // otherDomains returns the work at the pool's targets in the other domains that this VM reaches, while openings
 // are refused.
 func (e *Engine) otherDomains(now clock.Millis, p *pool) []load.DomainPool {
--- a/inband/outcome.go
+++ b/inband/outcome.go
@@ -74,9 +74,7 @@
 		return
 	}
 	if e.options.RefusesByUrgency {
-		for p := range e.poolsOf(f.backend) {
-			p.admission.Observe(f.responseTime)
-		}
+		e.observeAnswer(now, f)
 	}
 	e.recordOutcome(now, f, true)
 }
@@ -104,9 +102,7 @@
 func (e *Engine) recordShed(f *flow) {
 	f.hasOutcome = true
 	if e.options.RefusesByUrgency {
-		for p := range e.poolsOf(f.backend) {
-			p.admission.ObserveShed()
-		}
+		e.observeShed(f)
 	}
 	e.shedRequests++
 }
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -28,6 +28,7 @@
 	TargetDead                      // the flow's target is lost
 	Unanswered                      // packet of an existing flow that was retransmitted because the target did not answer
 	NoTargetInRegion                // no target in the regions that the route allows accepts the flow
+	Deferred                        // opening that may be a copy, dropped in favor of more urgent flows: its client sends it again
 	reasonCount
 )
 
@@ -37,6 +38,7 @@
 var reasonNames = [...]string{
 	"carried", "placed", "placed_late", "repeated", "moved_silent", "moved_unavailable",
 	"no_route", "no_target", "overloaded", "unknown_tag", "target_dead", "unanswered", "no_target_in_region",
+	"deferred",
 }
 
 // String returns the name of the reason in logs and metrics.
