Remember slow targets, and send them less than what they finish

Three reasons: the draw in proportion to what targets finish sends them 6% though others have free slots; the slowdown was believed to be 1.1 to 1.7 at the choice, as little work counted for little and faded in a second; and the usual service time was the mean, which rose from 72 to 97-124 ms by the slow targets themselves. Ruled out: the sample of 16, as ier has 30 targets in a domain and scans them all.

Change: spread.Pace remembers the last twenty service times and fades without requests only within seconds; the usual time leaves out targets slower than twice the mean; the cost rises by the square of the slowdown over the pool's mean response time, so slow targets get their part again when others are as busy as they are slow.

Test changed: TestSlowTargetsGetWhatTheyFinish asked for half of their proportional share also while usual targets had free slots. That makes callers wait, so the bound was wrong there.

--- a/inband/backend.go
+++ b/inband/backend.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
+	"github.com/almondflow/almondflow/spread"
 )
 
 // Backend is a target together with what this entry VM observes of it.
@@ -27,6 +28,7 @@
 	domainPool     *domainPool   // the part of the pool in the target's failure domain
 	meter          load.Meter    // of this VM's own work
 	heard          load.Work     // work that other VMs of this VM's failure domain reported
+	pace           spread.Pace   // of the target, where flows are placed by shared load
 	isActive       bool          // listed as one with work of this VM
 	stats          requestStats  // outcomes of its requests, seen here and reported by other VMs
 	isFailing      bool          // as of the last TakeStatusChanges
@@ -41,6 +43,7 @@
 		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, requestStats{}, outcomeCounts{}
 		b.heard = load.Work{}
 		b.meter.Forget()
+		b.pace = spread.Pace{}
 		b.slowStart = slowStartShare{}
 	}
 	b.target, b.slowStartUntil = p.Target, p.SlowStartUntil
--- a/inband/explain.go
+++ b/inband/explain.go
@@ -83,7 +83,7 @@
 		c.Work = &work
 	}
 	if e.options.Policy.UsesSharedLoad() {
-		c.ResponseMS = b.responseTime() * b.pool.serviceTime
+		c.ResponseMS = b.responseTime(now) * b.pool.serviceTime
 	}
 	return c
 }
--- a/inband/shared.go
+++ b/inband/shared.go
@@ -13,8 +13,8 @@
 // Cost combines the expected response time, this VM's own flows and latency, the limit on flows, distance,
 // slow start and expiry.
 func (Shared) Cost(now clock.Millis, from Location, b *Backend, draw float64) float64 {
-	t := b.spreadTarget()
-	cost := spread.Cost(t.ResponseTime(b.pool.serviceTime), b.ownLoad(from.VMs), draw)
+	t := b.spreadTarget(now)
+	cost := t.Cost(b.domainPool.responseTime(), b.ownLoad(from.VMs), draw)
 	if t.IsFull() {
 		cost += fullWeight
 	}
@@ -36,9 +36,52 @@
 func (Shared) UsesSharedLoad() bool { return true }
 
 // spreadTarget returns what this VM believes of the target.
-func (b *Backend) spreadTarget() spread.Target {
-	return spread.Target{Work: b.work(), Slots: b.target.Slots, MaxConnections: b.pool.maxConnections}
+func (b *Backend) spreadTarget(now clock.Millis) spread.Target {
+	return spread.Target{
+		Work: b.work(), Slots: b.target.Slots, MaxConnections: b.pool.maxConnections,
+		Slowdown: b.pace.Slowdown(now, b.pool.serviceTime),
+	}
 }
 
 // responseTime returns the expected time until one more request is answered, in the pool's usual service times.
-func (b *Backend) responseTime() float64 { return b.spreadTarget().ResponseTime(b.pool.serviceTime) }
+func (b *Backend) responseTime(now clock.Millis) float64 { return b.spreadTarget(now).ResponseTime() }
+
+// responseTime returns the same of the targets of the pool, if requests are spread evenly and none is slow.
+func (d *domainPool) responseTime() float64 {
+	if !d.hasWork {
+		return 1
+	}
+	busy := d.fromOwnDomain.Busy + d.foreign.Busy
+	return max(1, (busy+float64(d.targets))/float64(max(1, d.slots)))
+}
+
+// observePaces observes how fast the targets with work finish requests.
+func (e *Engine) observePaces(now clock.Millis) {
+	if !e.options.Policy.UsesSharedLoad() {
+		return
+	}
+	for _, b := range e.load.active {
+		b.observePace(now)
+	}
+	for _, b := range e.load.reported {
+		b.observePace(now)
+	}
+}
+
+// observePace observes how fast the target finishes requests. Calls at the same time count once.
+func (b *Backend) observePace(now clock.Millis) {
+	seen := b.meter.Average(b.flows).Add(b.heard)
+	b.pace.Add(now, seen, b.work(), b.target.Slots, b.pool.serviceTime)
+}
+
+// usualServiceTime returns the usual service time in milliseconds of the targets in the VM's own failure domain, or
+// zero while it is unknown.
+func (p *pool) usualServiceTime() float64 {
+	return spread.UsualServiceTime(func(yield func(*spread.Pace) bool) {
+		for _, b := range p.local {
+			if !yield(&b.pace) {
+				return
+			}
+		}
+	})
+}
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -64,7 +64,7 @@
 	var s selection
 	if len(targets) > maxSharedScan {
 		e.considerSample(now, &s, targets, sharedSamples, avoid)
-		if s.best != nil && s.best.spreadTarget().IsFull() {
+		if s.best != nil && s.best.spreadTarget(now).IsFull() {
 			e.considerSample(now, &s, targets, sharedSamples, avoid)
 		}
 		if s.best != nil && s.cost < suspectWeight {
@@ -99,7 +99,7 @@
 	own, others := e.compareDomains(now, p)
 	if !own.Work.IsStalled() {
 		p.responseTime = own.ResponseTime()
-		p.serviceTime = own.Work.ServiceTime(own.Slots)
+		p.serviceTime = p.usualServiceTime()
 	}
 	p.spill.Update(now, own, others, spread.Margin(p.targetLatency, p.serviceTime))
 	return own
--- a/inband/sweep.go
+++ b/inband/sweep.go
@@ -67,6 +67,7 @@
 		e.removeFlow(f)
 	}
 	e.updateLoad(now)
+	e.observePaces(now)
 	e.updateSpills(now)
 }
 
--- a/spread/loads_test.go
+++ b/spread/loads_test.go
@@ -22,12 +22,15 @@
 	leaves := w.random.Float64() < m.spill.Share()
 	return w.cheapest(func(i int) float64 {
 		target := w.targets[i]
-		t := spread.Target{Work: w.believed(v, i), Slots: slots, MaxConnections: target.maxConnections}
+		t := spread.Target{
+			Work: w.believed(v, i), Slots: slots, MaxConnections: target.maxConnections,
+			Slowdown: m.paces[i].Slowdown(w.now, m.serviceTime),
+		}
 		draw := w.random.ExpFloat64()
 		if p.takesCheapest {
 			draw = 1
 		}
-		cost := spread.Cost(t.ResponseTime(m.serviceTime), vmsPerDomain*target.busyOf[v], draw)
+		cost := t.Cost(max(1, m.responseTime), vmsPerDomain*target.busyOf[v], draw)
 		if t.IsFull() || leaves == (target.domain == m.domain) {
 			cost += 1e6
 		}
@@ -133,20 +136,52 @@
 	}
 }
 
-// TestSlowTargetsGetWhatTheyFinish guards against slow targets that get as much as the others, and against
-// ones that get nothing though they have room. Their share stays within a factor of 2 of what they can finish.
-func TestSlowTargetsGetWhatTheyFinish(t *testing.T) {
-	const slowQuarter, factor = 0.25 * 0.2, 2.0
-	fair := slowQuarter / (slowQuarter + 0.75)
-	isSlow := func(i int) bool { return i%4 == 0 }
-	for _, load := range []float64{0.4, 0.5, 0.7} {
+// slowShare is the share of what all targets finish that slow ones finish if all are busy.
+const slowShare = 0.25 * 0.2 / (0.25*0.2 + 0.75)
+
+func isSlow(i int) bool { return i%4 == 0 }
+
+// TestSlowTargetsMakeNoCallerWait guards callers against slow targets while others have room: 98% are answered within the
+// target latency, though most requests at a slow target take longer, whatever it has under way.
+func TestSlowTargetsMakeNoCallerWait(t *testing.T) {
+	const maxLate = 0.02
+	for _, load := range []float64{0.4, 0.5} {
 		is := is.New(t)
 		loads := [domains]float64{load, load}
-		share := play(sharedLoad{}, loads, (*world).slowDown).shareOf(isSlow)
-		is.True(share <= factor*fair)
-		is.True(share >= fair/factor)
+		shared, local := play(sharedLoad{}, loads, (*world).slowDown), play(ownCounts{}, loads, (*world).slowDown)
+		t.Logf("load %.1f: late or shed by domain: %.3f %.3f, by own counts %.3f %.3f", load,
+			shared.lateShare(0), shared.lateShare(1), local.lateShare(0), local.lateShare(1))
+		is.True(max(shared.lateShare(0), shared.lateShare(1)) <= maxLate)
+		is.True(max(local.lateShare(0), local.lateShare(1)) > maxLate)
+		is.True(shared.shareOf(isSlow) <= slowShare)
 	}
-	is.New(t).True(play(ownCounts{}, [domains]float64{0.4, 0.4}, (*world).slowDown).shareOf(isSlow) > factor*fair)
+}
+
+// TestSlowTargetsGetWhatTheyFinishWhenNeeded guards against room that stays unused while the usual targets are busy. The share
+// of slow targets stays within a factor of 2 of what they can finish.
+func TestSlowTargetsGetWhatTheyFinishWhenNeeded(t *testing.T) {
+	const factor = 2.0
+	is := is.New(t)
+	w := play(sharedLoad{}, [domains]float64{0.7, 0.7}, (*world).slowDown)
+	is.True(w.shareOf(isSlow) <= factor*slowShare)
+	is.True(w.shareOf(isSlow) >= slowShare/factor)
+	is.True(max(w.shedShare(0), w.shedShare(1)) <= maxShed)
+	is.True(play(ownCounts{}, [domains]float64{0.4, 0.4}, (*world).slowDown).shareOf(isSlow) > factor*slowShare)
+}
+
+// TestRecoveredTargetsGetTheirPart guards against targets that stay without flows after they have recovered: 10 s later they
+// get at least half of what the others do.
+func TestRecoveredTargetsGetTheirPart(t *testing.T) {
+	is := is.New(t)
+	w := play(sharedLoad{}, [domains]float64{0.4, 0.4}, (*world).slowDown)
+	for _, target := range w.targets {
+		target.slowdown = 1
+	}
+	w.run(10 * clock.Second)
+	w.forget()
+	w.run(4 * clock.Second)
+	part := w.shareOf(isSlow)
+	is.True(part/0.25 >= 0.5*(1-part)/0.75)
 }
 
 // TestEvenLoadStaysAtHome guards against a share that is above zero though no flow needs to cross domains.
--- a/spread/target_test.go
+++ b/spread/target_test.go
@@ -12,12 +12,11 @@
 )
 
 func ExampleTarget_ResponseTime() {
-	const usual = 50 // milliseconds
-	idle := spread.Target{Work: load.Work{Busy: 0.2, Finished: 4}, Slots: 2}
-	busy := spread.Target{Work: load.Work{Busy: 5, Finished: 40}, Slots: 2}
-	slow := spread.Target{Work: load.Work{Busy: 2, Finished: 4}, Slots: 2}
+	idle := spread.Target{Work: load.Work{Busy: 0.2}, Slots: 2, Slowdown: 1}
+	busy := spread.Target{Work: load.Work{Busy: 5}, Slots: 2, Slowdown: 1}
+	slow := spread.Target{Work: load.Work{Busy: 2}, Slots: 2, Slowdown: 3.6}
 	for _, t := range []spread.Target{idle, busy, slow} {
-		fmt.Printf("%.1f\n", t.ResponseTime(usual))
+		fmt.Printf("%.1f\n", t.ResponseTime())
 	}
 	// Output:
 	// 1.0
@@ -25,29 +24,12 @@
 	// 5.4
 }
 
-func TestSlowdown(t *testing.T) {
-	tests := []struct {
-		name     string
-		work     load.Work
-		usual    float64 // milliseconds
-		min, max float64
-	}{
-		{"nothing is known", load.Work{}, 0, 1, 1},
-		{"the usual time is unknown", load.Work{Busy: 2, Finished: 1}, 0, 1, 1},
-		{"no request yet", load.Work{}, 50, 1, 1},
-		{"one request that has not finished", load.Work{Busy: 1}, 50, 1, 5},
-		{"refuses its requests at once", load.Work{Busy: 0.1, Finished: 200}, 50, 1, 1},
-		{"a queue, at the usual pace", load.Work{Busy: 10, Finished: 40}, 50, 1, 1},
-		{"five times slower", load.Work{Busy: 2, Finished: 8}, 50, 2.5, 5},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			slowdown := spread.Target{Work: tt.work, Slots: 2}.Slowdown(tt.usual)
-			is.True(slowdown >= tt.min)
-			is.True(slowdown <= tt.max)
-		})
-	}
+// A slow target gets less than what it finishes, but for pools where requests wait about as long.
+func TestCostOfSlowTargets(t *testing.T) {
+	is := is.New(t)
+	usual, slow := spread.Target{Slots: 2, Slowdown: 1}, spread.Target{Slots: 2, Slowdown: 4}
+	is.Equal(slow.Cost(1, 0, 1)/usual.Cost(1, 0, 1), 64.0)
+	is.Equal(slow.Cost(4, 0, 1)/usual.Cost(4, 0, 1), 4.0)
 }
 
 func TestIsFull(t *testing.T) {
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -41,16 +41,19 @@
 // request is under way at a target.
 type request struct {
 	vm, domain int
+	arrivedAt  clock.Millis
 	endsAt     clock.Millis
 }
 
 // vm is an entry VM with what it last heard of the others.
 type vm struct {
-	domain      int
-	heard       []load.Work // of the other VMs, by target
-	serviceTime float64     // service time in milliseconds
-	spill       spread.Spill
-	isPaused    bool
+	domain       int
+	heard        []load.Work    // of the other VMs, by target
+	serviceTime  float64        // usual, in milliseconds
+	responseTime float64        // response time at the domain's targets, in usual service times
+	paces        []*spread.Pace // of the targets
+	spill        spread.Spill
+	isPaused     bool
 }
 
 // world holds the entry VMs and targets of two failure domains in virtual time.
@@ -64,6 +67,7 @@
 	newsLoss float64          // share of the reports that are lost
 	policy   policy
 	answered [domains]int // requests, by domain of the client
+	late     [domains]int // those of them that took longer than the target latency
 	shed     [domains]int // requests that targets shed, by domain of the client
 	crossed  int          // flows sent to the other domain
 	rejected int          // flows beyond the limit of a target
@@ -83,7 +87,11 @@
 		})
 	}
 	for i := range count {
-		w.vms = append(w.vms, &vm{domain: i / vmsPerDomain, heard: make([]load.Work, len(w.targets))})
+		m := &vm{domain: i / vmsPerDomain, heard: make([]load.Work, len(w.targets))}
+		for range w.targets {
+			m.paces = append(m.paces, &spread.Pace{})
+		}
+		w.vms = append(w.vms, m)
 	}
 	return w
 }
@@ -129,7 +137,7 @@
 		return
 	}
 	t.busyOf[v]++
-	t.queue = append(t.queue, request{vm: v, domain: domain})
+	t.queue = append(t.queue, request{vm: v, domain: domain, arrivedAt: w.now})
 	w.start(t)
 }
 
@@ -160,6 +168,9 @@
 		t.finishedOf[r.vm] += 1000 * smoothing
 		t.served++
 		w.answered[r.domain]++
+		if w.now-r.arrivedAt > targetLatency {
+			w.late[r.domain]++
+		}
 	}
 	w.start(t)
 }
@@ -179,10 +190,24 @@
 		w.hear(v)
 	}
 	own, others := w.pools(v)
-	m.serviceTime = own.Work.ServiceTime(own.Slots)
+	m.observePaces(w, v)
+	m.responseTime = (own.Work.Busy/float64(own.Targets) + 1) / slots
 	m.spill.Update(w.now, own, others, spread.Margin(targetLatency, m.serviceTime))
 }
 
+// observePaces updates what a VM believes of the speeds of the targets.
+func (m *vm) observePaces(w *world, v int) {
+	var own []*spread.Pace
+	for i, t := range w.targets {
+		seen := t.work(v).Add(m.heard[i])
+		m.paces[i].Add(w.now, seen, w.believed(v, i), slots, m.serviceTime)
+		if t.domain == m.domain {
+			own = append(own, m.paces[i])
+		}
+	}
+	m.serviceTime = spread.UsualServiceTime(slices.Values(own))
+}
+
 // hear updates what a VM believes of the others.
 func (w *world) hear(v int) {
 	for i, t := range w.targets {
@@ -224,6 +249,11 @@
 	return float64(w.shed[domain]) / float64(w.answered[domain]+w.shed[domain])
 }
 
+// lateShare returns the share of a domain's requests that targets shed or answered after the target latency.
+func (w *world) lateShare(domain int) float64 {
+	return float64(w.late[domain]+w.shed[domain]) / float64(w.answered[domain]+w.shed[domain])
+}
+
 // shareOf returns the share of the requests that some of the targets served.
 func (w *world) shareOf(isCounted func(i int) bool) float64 {
 	counted, total := 0, 0
@@ -238,7 +268,7 @@
 
 // forget forgets what was counted so far.
 func (w *world) forget() {
-	w.answered, w.shed = [domains]int{}, [domains]int{}
+	w.answered, w.shed, w.late = [domains]int{}, [domains]int{}, [domains]int{}
 	w.crossed, w.rejected = 0, 0
 	for _, t := range w.targets {
 		t.served = 0
