Let own answers tell when more flows have to leave the domain

Cause: the news of the own domain is 1 to 1.5 s old (each VM gets 6 reports a second from 16 others), on top of averages over half a second, and the share of flows that leave rose by at most a quarter in a second.

Change: Spill follows the work that would be here without the share, by the answers that this VM itself got in the last 300 ms if there are three, and by news otherwise. Own answers raise the share at twice the rate; it falls by news. It is at most 0.95, so that the own domain is still seen. A VM without news of others lets the share decline, as before.

--- a/inband/observe.go
+++ b/inband/observe.go
@@ -57,6 +57,7 @@
 	if f.isBusy && f.phase == open {
 		b.latency.add(now, now-f.sentAt)
 		f.responseTime = now - f.sentAt
+		e.observeResponseTime(f)
 	}
 	if l := e.linkTo(b); l != nil {
 		l.recordAnswer(f.sentAt)
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -96,15 +96,28 @@
 
 // updateSpill compares the load of failure domains for one pool, and returns that in the own one.
 func (e *Engine) updateSpill(now clock.Millis, p *pool) load.DomainPool {
-	own, others := e.compareDomains(now, p)
+	own, others, isKnown := e.compareDomains(now, p)
 	if !own.Work.IsStalled() {
 		p.responseTime = own.ResponseTime()
 		p.serviceTime = p.usualServiceTime()
 	}
+	if !isKnown {
+		p.spill.Decline(now)
+		return own
+	}
 	p.spill.Update(now, own, others, spread.Margin(p.targetLatency, p.serviceTime))
 	return own
 }
 
+// observeResponseTime records how long the answer to the flow's request took, if its target is in the VM's own
+// failure domain.
+func (e *Engine) observeResponseTime(f *flow) {
+	p := f.backend.pool
+	if e.options.Policy.UsesSharedLoad() && f.backend.domainPool.isLocal {
+		p.spill.Observe(f.responseTime, p.serviceTime)
+	}
+}
+
 // listCompared lists the pools to compare after they were added anew.
 func (e *Engine) listCompared() {
 	e.compared = nil
@@ -116,8 +129,8 @@
 }
 
 // compareDomains returns the load of a pool in the VM's own failure domain, and in the others that it reaches.
-// If none of them has told of its load lately, the others are taken to be loaded like the own one.
-func (e *Engine) compareDomains(now clock.Millis, p *pool) (own, others load.DomainPool) {
+// isKnown is false if none of them has told of its load lately.
+func (e *Engine) compareDomains(now clock.Millis, p *pool) (own, others load.DomainPool, isKnown bool) {
 	reachable := 0
 	for _, d := range p.domainPools {
 		if d.isLocal {
@@ -132,10 +145,7 @@
 			others = combine(others, p.load.summary(d))
 		}
 	}
-	if reachable > 0 && others.Targets == 0 {
-		return own, own
-	}
-	return own, others
+	return own, others, reachable == 0 || others.Targets > 0
 }
 
 // combine returns the load of two pools together.
--- a/spread/loads_test.go
+++ b/spread/loads_test.go
@@ -184,6 +184,22 @@
 	is.True(part/0.25 >= 0.5*(1-part)/0.75)
 }
 
+// TestFewRequestsAreShedAfterADomainBeginsToPress guards callers against a share that rises only with late news: a domain presses
+// for 9 s after a calm time.
+func TestFewRequestsAreShedAfterADomainBeginsToPress(t *testing.T) {
+	for _, newsLoss := range []float64{0, 0.5, 0.75} {
+		is := is.New(t)
+		w := newWorld(sharedLoad{}, [domains]float64{0.3 * capacity, 0.3 * capacity})
+		w.newsLoss = newsLoss
+		w.run(clock.Second)
+		w.rates = [domains]float64{1.3 * capacity, 0.4 * capacity}
+		w.forget()
+		w.run(9 * clock.Second)
+		t.Logf("%.2f of the news lost: shed by domain: %.3f %.3f", newsLoss, w.shedShare(0), w.shedShare(1))
+		is.True(max(w.shedShare(0), w.shedShare(1)) <= maxShed)
+	}
+}
+
 // TestEvenLoadStaysAtHome guards against a share that is above zero though no flow needs to cross domains.
 func TestEvenLoadStaysAtHome(t *testing.T) {
 	is := is.New(t)
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -168,6 +168,9 @@
 		t.finishedOf[r.vm] += 1000 * smoothing
 		t.served++
 		w.answered[r.domain]++
+		if t.domain == w.vms[r.vm].domain {
+			w.vms[r.vm].spill.Observe(w.now-r.arrivedAt, w.vms[r.vm].serviceTime)
+		}
 		if w.now-r.arrivedAt > targetLatency {
 			w.late[r.domain]++
 		}
