Move the share of a slow start into package slowstart

Cause: what a VM may open at a target in slow start was decided in inband/slowstart.go, of which package slowstart held one formula.

Ruled out: nothing; the state and its rules belong together.

Change: slowstart.Share holds both, with a test of the load that it answers: requests of open flows beside a crowd of new ones. Behaviour is the same. interval.go and its test are the former share.go, unchanged.

Tests of slowstart and inband pass, the older ones unchanged.

--- a/inband/backend.go
+++ b/inband/backend.go
@@ -4,6 +4,7 @@
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 	"github.com/almondflow/almondflow/outcome"
+	"github.com/almondflow/almondflow/slowstart"
 )
 
 // Backend is a target together with what this entry VM observes of it.
@@ -13,7 +14,7 @@
 	sharesTag      bool // its tag collides with another target's, so it gets no new flows
 	isDrained      bool // its failure domain is drained, so it gets no new flows
 	slowStartUntil clock.Millis
-	slowStart      slowStartShare
+	slowStart      slowstart.Share // of this VM
 	// Set while the target's store entry has expired but the target may still be running: until
 	// fallbackUntil it gets new flows if the other targets are busy, and until mayReturnUntil
 	// its flows are kept. Zero if the entry is current or the target was removed.
@@ -42,7 +43,7 @@
 		b.evidence, b.probe, b.stats, b.unreported = evidence{}, probeState{}, outcome.Stats{}, outcomeCounts{}
 		b.heard = load.Work{}
 		b.meter.Forget()
-		b.slowStart = slowStartShare{}
+		b.slowStart = slowstart.Share{}
 	}
 	b.target, b.slowStartUntil = p.Target, p.SlowStartUntil
 	b.fallbackUntil, b.mayReturnUntil = p.FallbackUntil, p.MayReturnUntil
--- a/inband/slowstart.go
+++ b/inband/slowstart.go
@@ -1,25 +1,6 @@
 package inband
 
-import (
-	"github.com/almondflow/almondflow/clock"
-	"github.com/almondflow/almondflow/slowstart"
-)
-
-// slowStartShareLifetime is how long a VM's share of a target's slow start is used before it is worked out
-// again from the VMs that are known then.
-const slowStartShareLifetime = 250 * clock.Millisecond
-
-// maxSlowStartWait limits how long new flows wait for requests that came before, so that they do not long after those
-// ended.
-const maxSlowStartWait = clock.Second
-
-// slowStartShare is what this VM may open at a target during its slow start.
-type slowStartShare struct {
-	interval  clock.Millis // least time between two requests
-	mayOpen   bool
-	expiresAt clock.Millis // of this share
-	nextAt    clock.Millis // when the next flow may be opened
-}
+import "github.com/almondflow/almondflow/clock"
 
 // hasSlowStartRoom reports whether the target takes one more flow of this VM now. A target whose service
 // limits new flows during the slow start gets them from the VMs of its own failure domain only, which share
@@ -32,23 +13,19 @@
 	if !e.isLocal(b) {
 		return false
 	}
-	s := &b.slowStart
-	if now >= s.expiresAt {
+	if b.slowStart.IsExpired(now) {
 		rank, vms := e.options.SlowStartRank(now, b.target.ID)
-		s.interval, s.mayOpen = slowstart.Interval(limit, rank, vms)
-		s.expiresAt = now + slowStartShareLifetime
+		b.slowStart.Renew(now, limit, rank, vms)
 	}
-	return s.mayOpen && now >= s.nextAt
+	return b.slowStart.HasRoom(now)
 }
 
 // recordSlowStart counts a request of this VM at a target, the first of a new flow or one of an open flow, against
-// its share of the slow start. Open flows are not held up, so new ones wait for what those take beyond the share.
+// its share of the slow start.
 func (e *Engine) recordSlowStart(now clock.Millis, b *Backend) {
-	if e.slowStartRate(now, b) == 0 {
-		return
+	if e.slowStartRate(now, b) > 0 {
+		b.slowStart.Count(now)
 	}
-	s := &b.slowStart
-	s.nextAt = min(max(s.nextAt, now), now+maxSlowStartWait) + s.interval
 }
 
 // slowStartRate returns the requests per second that the target bears now, from all VMs, or zero if there is
--- a/slowstart/share.go
+++ b/slowstart/share.go
@@ -1,28 +1,35 @@
-// Package slowstart shares the limit on new flows of a target that has just started among the entry VMs.
-// A limit holds for all VMs together, and there may be more VMs than flows per second. Each VM works out
-// its share by itself: VMs that know of the same VMs take shares whose sum is the limit.
 package slowstart
 
 import "github.com/almondflow/almondflow/clock"
 
-// Interval returns the least time between two new flows that one VM opens at the target, and false if the VM
-// may open none. limit is the flows per second that the target bears, rank is the place of the VM among
-// the VMs that may open flows there, in an order that differs by target. All VMs get the same whole number of
-// flows per second, and those of the lowest ranks get one more, so that no second holds more than the limit.
-func Interval(limit float64, rank, vms int) (clock.Millis, bool) {
-	if limit <= 0 || rank < 0 || rank >= vms {
-		return 0, false
-	}
-	if limit < 1 {
-		return clock.Millis(float64(clock.Second) / limit), rank == 0
-	}
-	flows := int(limit)
-	share := flows / vms
-	if rank < flows%vms {
-		share++
-	}
-	if share == 0 {
-		return 0, false
-	}
-	return (clock.Second + clock.Millis(share) - 1) / clock.Millis(share), true
+const (
+	// shareLifetime is how long a share is used before it is worked out again from the VMs that are known then.
+	shareLifetime = 250 * clock.Millisecond
+	// maxWait limits how long new flows wait for requests that came before, so that they do not long after those
+	// ended.
+	maxWait = clock.Second
+)
+
+// Share is what one VM may open at a target during its slow start. The zero value has expired.
+type Share struct {
+	interval  clock.Millis // least time between two requests
+	mayOpen   bool
+	expiresAt clock.Millis
+	nextAt    clock.Millis // when the next flow may be opened
+}
+
+// IsExpired reports whether the share has to be renewed before it is used.
+func (s *Share) IsExpired(now clock.Millis) bool { return now >= s.expiresAt }
+
+// Renew works the share out anew. Its arguments are those of Interval.
+func (s *Share) Renew(now clock.Millis, limit float64, rank, vms int) {
+	s.interval, s.mayOpen = Interval(limit, rank, vms)
+	s.expiresAt = now + shareLifetime
 }
+
+// HasRoom reports whether the VM may open a flow at the target now.
+func (s *Share) HasRoom(now clock.Millis) bool { return s.mayOpen && now >= s.nextAt }
+
+// Count counts a request of the VM at the target: the first of a new flow, or one of an open flow. Those are not held
+// up, so new flows wait for what they take beyond the share.
+func (s *Share) Count(now clock.Millis) { s.nextAt = min(max(s.nextAt, now), now+maxWait) + s.interval }
--- a/slowstart/share_test.go
+++ b/slowstart/share_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,88 +11,77 @@
 	"github.com/almondflow/almondflow/slowstart"
 )
 
-func ExampleInterval() {
-	interval, mayOpen := slowstart.Interval(5, 1, 3) // two flows per second for ranks 0 and 1, one for rank 2
-	fmt.Println(interval, mayOpen)
-	// Output: 500 true
+func ExampleShare() {
+	var s slowstart.Share
+	s.Renew(0, 4, 0, 2) // two of four requests per second, as there are two VMs
+	fmt.Println(s.HasRoom(0))
+	s.Count(0)
+	fmt.Println(s.HasRoom(499), s.HasRoom(500))
+	// Output:
+	// true
+	// false true
 }
 
-func TestInterval(t *testing.T) {
+func TestShareExpires(t *testing.T) {
+	is := is.New(t)
+	var s slowstart.Share
+	is.True(s.IsExpired(0))
+	s.Renew(0, 4, 0, 2)
+	is.True(!s.IsExpired(249))
+	is.True(s.IsExpired(250))
+	s.Count(0)
+	s.Renew(250, 4, 0, 2)
+	is.True(!s.HasRoom(250)) // what was counted before still counts
+	s.Renew(500, 4, 5, 2)
+	is.True(!s.HasRoom(1000)) // it is no more among the VMs that open flows there
+}
+
+// Load: requests of open flows come at some rate, and clients want to open more flows than the share of ten a second.
+// New flows get what the open ones leave, and wait for a second at most once these have ended.
+func TestNewFlowsGetWhatOpenOnesLeave(t *testing.T) {
+	const limit, end = 10, 5 * clock.Second
 	tests := []struct {
 		name     string
-		limit    float64
-		rank     int
-		vms      int
-		expected clock.Millis
-		mayOpen  bool
+		interval clock.Millis // between requests of open flows, or zero if there are none
+		want     int          // most new flows in a second
 	}{
-		{"one VM takes all", 8, 0, 1, 125, true},
-		{"less than a flow per second", 0.25, 0, 20, 4000, true},
-		{"less than a flow per second, another VM's turn", 0.25, 1, 20, 4000, false},
-		{"fewer flows than VMs, chosen", 3, 2, 20, 1000, true},
-		{"fewer flows than VMs, not chosen", 3, 3, 20, 0, false},
-		{"an uneven rest goes to the first ranks", 7, 2, 3, 500, true},
-		{"no limit is no share", 0, 0, 1, 0, false},
-		{"a VM that is not among them", 5, 3, 3, 0, false},
+		{"no open flows", 0, 10},
+		{"half of the share", 200, 6}, // one that waits for the end of the second before
+		{"all of the share", 100, 1},
+		{"more than the share", 20, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			interval, mayOpen := slowstart.Interval(tt.limit, tt.rank, tt.vms)
-			is.Equal(mayOpen, tt.mayOpen)
-			if tt.mayOpen {
-				is.Equal(interval, tt.expected)
+			var s slowstart.Share
+			var opened []clock.Millis
+			for now := clock.Millis(0); now < 2*end; now += 10 {
+				if s.IsExpired(now) {
+					s.Renew(now, limit, 0, 1)
+				}
+				if s.HasRoom(now) {
+					s.Count(now)
+					opened = append(opened, now)
+				}
+				if now < end && tt.interval > 0 && now%tt.interval == 0 {
+					s.Count(now)
+				}
 			}
+			before := countBefore(opened, end)
+			is.True(ratetest.MostInOneSecond(opened[:before]) <= tt.want)
+			is.True(len(opened) > before)
+			is.True(opened[before] <= end+clock.Second+clock.Second/limit)
 		})
 	}
 }
 
-// Load: all VMs have more openings for one cold target than it bears. Whatever the limit and the number of
-// VMs, no second holds more flows than the limit, and they get all of it.
-func TestSharesAddUpToTheLimit(t *testing.T) {
-	random := rand.New(rand.NewPCG(1, 1))
-	for _, vms := range []int{1, 3, 20, 50, 300} {
-		for _, limit := range []float64{1, 2, 7, 20, 49, 50, 51, 120, 1000} {
-			t.Run(fmt.Sprintf("%d VMs, %v a second", vms, limit), func(t *testing.T) {
-				is := is.New(t)
-				opened := openAll(random, limit, vms, 5*clock.Second)
-				is.True(ratetest.MostInOneSecond(opened) <= int(limit))
-				is.True(float64(len(opened)) >= 4*limit*0.9)
-			})
-		}
-	}
-}
-
-// openAll returns the times at which all VMs together open flows for some time, each from its own start.
-func openAll(random *rand.Rand, limit float64, vms int, end clock.Millis) []clock.Millis {
-	var opened []clock.Millis
-	for rank := range vms {
-		interval, mayOpen := slowstart.Interval(limit, rank, vms)
-		if !mayOpen {
-			continue
-		}
-		for at := clock.Millis(random.Int64N(int64(interval))); at < end; at += interval {
-			opened = append(opened, at)
+// countBefore returns how many of some times, which rise, are before an end.
+func countBefore(times []clock.Millis, end clock.Millis) int {
+	count := 0
+	for _, at := range times {
+		if at < end {
+			count++
 		}
 	}
-	return opened
-}
-
-// The target counts openings that are sent and arrive in one second, whatever the ways to the VMs and from them take.
-func TestSharesHoldWhereTheTargetCounts(t *testing.T) {
-	const maxDelay = 300 // milliseconds, of a client's way to its VM and of that to the target
-	random := rand.New(rand.NewPCG(2, 2))
-	for _, limit := range []float64{1, 7, 50, 120} {
-		t.Run(fmt.Sprintf("%v a second", limit), func(t *testing.T) {
-			is := is.New(t)
-			const vms = 50
-			var events []ratetest.Event
-			for _, at := range openAll(random, limit, vms, 5*clock.Second) {
-				events = append(events, ratetest.Event{
-					SentAt: at - clock.Millis(random.IntN(maxDelay)), ArrivedAt: at + clock.Millis(random.IntN(maxDelay)),
-				})
-			}
-			is.True(ratetest.MostWithinOneSecond(events) <= int(limit))
-		})
-	}
+	return count
 }
