Test that log and metrics tell the pools of regions apart

Cause: refusals and spill of a pool of some regions share the service's name with the whole pool; no test held that they stay apart.

--- a/front/regions_test.go
+++ b/front/regions_test.go
@@ -7,7 +7,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
 
@@ -69,3 +71,34 @@
 	is.Equal(len(d.newFlowDomains()), 0)
 	is.Equal(d.engine.BoundRoutes(20), []inband.BoundRoute{{Name: "feed", AllowedRegions: []string{"north"}}})
 }
+
+// A pool of some regions is not taken for that of the whole service.
+func TestRefusalsAreToldApartByRegion(t *testing.T) {
+	is := is.New(t)
+	pools := append(refusing(0.2), refusing(0.1)...)
+	pools[1].AllowedRegions = []string{"east", "west"}
+	l := &refusalLog{}
+	is.Equal(len(l.update(0, pools)), 2)
+	is.Equal(len(l.update(500, pools)), 0)
+	pools[1].Shares[1].Refused = 0
+	changes := l.update(2*clock.Second, pools)
+	is.Equal(len(changes), 1)
+	is.True(!changes[0].isBegin)
+	is.Equal(regionNames(changes[0].pool), "east,west")
+}
+
+func TestMetricsTellRegionsApart(t *testing.T) {
+	is := is.New(t)
+	settings, err := ParseSettings([]byte(strings.Replace(validSettings, `"policy":"naive"`, `"policy":"local","regions":"a=east,b=west"`, 1)))
+	is.NoErr(err)
+	d, err := New(settings, Options{DecodeParts: func([]string) Parts { return Parts{SharesLoad: true} }})
+	is.NoErr(err)
+	t.Cleanup(func() { is.NoErr(d.sockets.close()) })
+	d.mergeRead(10, storeContent(10))
+	d.bindFeed("east")
+	d.updateMetrics(20)
+	var text strings.Builder
+	is.NoErr(writeSnapshot(&text, d.metrics.scope.(tally.TestScope).Snapshot()))
+	is.True(strings.Contains(text.String(), `almondflow_front_spill_share{regions="east",service="core"} 0`))
+	is.True(strings.Contains(text.String(), `almondflow_front_spill_share{service="core"} 0`))
+}
