Say in a check of settings whether the regions can be read

Cause: regions that can't be read do not make settings invalid, so nobody saw them before a daemon ran. The line that a check prints stood in two programs.

Change: Settings.Summary writes it for both, and counts the failure domains whose region is known or names the error.

Shown: tests of front and cmd pass, and those of the options of almondflow-entry.

--- a/cmd/almondflow-entry/answer.go
+++ b/cmd/almondflow-entry/answer.go
@@ -53,7 +53,7 @@
 		_, _ = fmt.Fprintf(errOut, "%s: %v\n", path, err)
 		return exitSettingsInvalid
 	}
-	_, _ = fmt.Fprintf(out, "%s: accepted: entry VM %s in %s, policy %s\n", path, settings.Name, settings.Domain, settings.Policy)
+	_, _ = fmt.Fprintf(out, "%s: accepted: %s\n", path, settings.Summary())
 	return exitOK
 }
 
--- a/cmd/checkcmd.go
+++ b/cmd/checkcmd.go
@@ -165,5 +165,5 @@
 	if err != nil {
 		return "", oops.Code(result.SettingsInvalid).Wrap(err)
 	}
-	return fmt.Sprintf("entry VM %s in %s, policy %s", s.Name, s.Domain, s.Policy), nil
+	return s.Summary(), nil
 }
--- a/front/regions.go
+++ b/front/regions.go
@@ -1,10 +1,23 @@
 package front
 
 import (
+	"fmt"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/region"
 )
 
+// Summary describes settings to the operator who checks them. Regions that can't be read do not make settings invalid,
+// as only routes with allowed regions need them, so it says so.
+func (s *Settings) Summary() string {
+	summary := fmt.Sprintf("entry VM %s in %s, policy %s", s.Name, s.Domain, s.Policy)
+	regions, err := region.ParseMap(s.Regions)
+	if err != nil {
+		return fmt.Sprintf("%s, regions unreadable: %v", summary, err)
+	}
+	return fmt.Sprintf("%s, regions of %d failure domains", summary, len(regions.Domains()))
+}
+
 // applyRegions puts the regions that settings give to failure domains into force. If they can't be read, those before
 // stay, and as long as there are none, routes with allowed regions have no targets.
 func (d *Daemon) applyRegions(now clock.Millis, settings *Settings) {
--- a/front/regions_test.go
+++ b/front/regions_test.go
@@ -102,3 +102,17 @@
 	is.True(strings.Contains(text.String(), `almondflow_front_spill_share{regions="east",service="core"} 0`))
 	is.True(strings.Contains(text.String(), `almondflow_front_spill_share{service="core"} 0`))
 }
+
+func TestSummaryOfSettings(t *testing.T) {
+	tests := []struct{ name, regions, want string }{
+		{"none", "", "entry VM front-a-1 in a, policy local, regions of 0 failure domains"},
+		{"two", "a=east,b=west", "entry VM front-a-1 in a, policy local, regions of 2 failure domains"},
+		{"unreadable", "a", `entry VM front-a-1 in a, policy local, regions unreadable: not a failure domain with its region: "a"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &Settings{Name: "front-a-1", Domain: "a", Policy: policyLocal, Regions: tt.regions}
+			is.New(t).Equal(s.Summary(), tt.want)
+		})
+	}
+}
