--- a/inband/backend.go
+++ b/inband/backend.go
@@ -4,6 +4,7 @@
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 	"github.com/almondflow/almondflow/outcome"
+	"github.com/almondflow/almondflow/slowstart"
 	"github.com/almondflow/almondflow/spread"
 )
 
@@ -14,7 +15,7 @@
 	sharesTag      bool // its tag collides with another target's, so it gets no new flows
 	isDrained      bool // its failure domain is drained, so it gets no new flows
 	slowStartUntil clock.Millis
-	slowStart      slowStartShare
+	slowStart      slowstart.Share // of this VM
 	// Set while the target's store entry has expired but the target may still be running: until
 	// fallbackUntil it gets new flows if the other targets are busy, and until mayReturnUntil
 	// its flows are kept. Zero if the entry is current or the target was removed.
@@ -45,7 +46,7 @@
 		b.heard = load.Work{}
 		b.meter.Forget()
 		b.pace = spread.Pace{}
-		b.slowStart = slowStartShare{}
+		b.slowStart = slowstart.Share{}
 	}
 	b.target, b.slowStartUntil = p.Target, p.SlowStartUntil
 	b.fallbackUntil, b.mayReturnUntil = p.FallbackUntil, p.MayReturnUntil
