Keep a drain ended that a copy of the store shows again

Cause: a copy may hold a drain whose end it has lost. VMs drained the domain again until the operator's removal was written again. Where another domain was drained after it, both were drained, and a service in these two refused all openings.

Ruled out: telling it by the tombstone alone, as a new drain in the new era may have any number, also a lower one.

Change: a tombstone keeps the revision of its begin. A drain of a later era with the number of that begin is held, and counted in the digest, but not in force, for the 15 s in which drains are written again; then the store's word counts. The same number for a new drain would need the begin to be lost, too, and the domain to be drained again as that very change.

--- a/catalog/drains.go
+++ b/catalog/drains.go
@@ -11,6 +11,9 @@
 // it again.
 const rewriteGrace = 15 * clock.Second
 
+// notDrained is the state of a domain without a drain, for logs and the audit trail.
+const notDrained = "not drained"
+
 // Drains returns the drains in force, ordered by domain.
 func (c *Catalog) Drains() []drain.Mark { return c.drains.InForce() }
 
@@ -37,13 +40,17 @@
 	return merged
 }
 
-// EndLostDrains ends the drains of earlier eras that were not written again since the store came back, and returns
-// those. Without a current view it ends none, because they may have been written again meanwhile.
-func (c *Catalog) EndLostDrains(now clock.Millis) []Change {
+// SettleDrains goes by what the store shows once the operator has had time to write again what it lost, and returns
+// what that changes: drains of earlier eras that were not written again end, and those are in force whose end was
+// not. Without a current view it changes nothing, because they may have been written again meanwhile.
+func (c *Catalog) SettleDrains(now clock.Millis) []Change {
 	if now < c.rewriteUntil || c.Age(now) > staleViewAge {
 		return nil
 	}
 	merged := c.mergeDrains(now, &Changes{Drains: c.drains.EndsOfEarlierEras(c.revision)})
+	for _, m := range c.drains.Release(c.revision) {
+		merged = append(merged, Change{Subject: "domain " + m.Domain, Before: notDrained, After: c.describeDrain(m.Domain), Drain: &m})
+	}
 	if len(merged) > 0 {
 		c.generation++
 	}
@@ -114,13 +121,13 @@
 
 // describeDrain returns the state of a domain's drain for logs and the audit trail.
 func (c *Catalog) describeDrain(domain string) string {
-	m, isKnown := c.drains.Newest(domain)
+	m, isInForce, isKnown := c.drains.Newest(domain)
 	switch {
-	case !isKnown:
-		return "not drained"
-	case m.HasEnded:
+	case isInForce:
+		return fmt.Sprintf("drained since revision %s", m.Revision)
+	case isKnown && m.HasEnded:
 		return fmt.Sprintf("not drained since revision %s", m.Revision)
 	default:
-		return fmt.Sprintf("drained since revision %s", m.Revision)
+		return notDrained
 	}
 }
--- a/catalog/eradrains_test.go
+++ b/catalog/eradrains_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	returnedAt = 1 * clock.Second // the store came back from an older copy
+	returnedAt = 1 * clock.Second  // the store came back from an older copy
 	rewritten  = 15 * clock.Second // after that, no drain is written again
 )
 
@@ -35,13 +35,13 @@
 	return c
 }
 
-// endLost ends the drains that were not written again, in a view that was current all the time.
-func endLost(c *catalog.Catalog, now clock.Millis) []catalog.Change {
+// settle goes by what the store shows if the time to write drains again is over, in a view that was current all the time.
+func settle(c *catalog.Catalog, now clock.Millis) []catalog.Change {
 	for at := now - c.Age(now); at < now; at += clock.Second {
 		c.Confirm(at, c.Revision())
 	}
 	c.Confirm(now, c.Revision())
-	return c.EndLostDrains(now)
+	return c.SettleDrains(now)
 }
 
 // A copy of the store may lack a drain that the operator writes again, or whose end this VM has missed.
@@ -76,7 +76,7 @@
 			c.Replace(returnedAt+rewritten-1, returnedAt+rewritten-1, listOfEra(3, 90))
 		}, returnedAt + 2*rewritten - 2, []drain.Mark{lost}},
 		{"late message that tells of it", func(c *catalog.Catalog) {
-			endLost(c, returnedAt+rewritten)
+			settle(c, returnedAt+rewritten)
 			c.Apply(returnedAt+rewritten+1, returnedAt+rewritten+1, newDrains(c.Revision(), lost))
 		}, returnedAt + rewritten + 1, nil},
 	}
@@ -85,7 +85,48 @@
 			is := is.New(t)
 			c := newCatalogOfALostDrain()
 			tt.change(c)
-			endLost(c, tt.at)
+			settle(c, tt.at)
+			is.Equal(c.Drains(), tt.want)
+		})
+	}
+}
+
+// A copy of the store may show a drain that has ended since. It stays ended while the operator may write that again;
+// another domain may be drained by now, and both would leave callers without targets.
+func TestDrainsThatACopyShowsAgain(t *testing.T) {
+	ended := in(1, endOf("a", 99))
+	shown := in(2, drainOf("a", 97))
+	apply := func(c *catalog.Catalog, m drain.Mark) { c.Apply(returnedAt+1, returnedAt+1, newDrains(m.Revision, m)) }
+	tests := []struct {
+		name   string
+		change func(c *catalog.Catalog)
+		at     clock.Millis
+		want   []drain.Mark
+	}{
+		{"end not written again yet", func(*catalog.Catalog) {}, returnedAt + rewritten - 1, nil},
+		{"end never written again", func(*catalog.Catalog) {}, returnedAt + rewritten, []drain.Mark{shown}},
+		{"end written again", func(c *catalog.Catalog) { apply(c, in(2, endOf("a", 100))) }, returnedAt + rewritten, nil},
+		{"drained anew", func(c *catalog.Catalog) { apply(c, in(2, drainOf("a", 100))) }, returnedAt + 1, []drain.Mark{in(2, drainOf("a", 100))}},
+		{"shown again by another copy", func(c *catalog.Catalog) {
+			c.Replace(returnedAt+2, returnedAt+2, listOfEra(3, 98, in(3, drainOf("a", 97))))
+		}, returnedAt + rewritten, nil},
+		{"not shown by another copy", func(c *catalog.Catalog) {
+			c.Replace(returnedAt+2, returnedAt+2, listOfEra(3, 96))
+		}, returnedAt + clock.Minute, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c, starting := catalog.New(), catalog.New()
+			c.Replace(0, 0, listOfEra(1, 97, in(1, drainOf("a", 97))))
+			c.Apply(1, 1, newDrains(ended.Revision, ended))
+			c.Replace(returnedAt, returnedAt, listOfEra(2, 98, shown))
+			starting.Replace(returnedAt, returnedAt, listOfEra(2, 98, shown))
+			is.Equal(len(c.Drains()), 0)
+			is.Equal(starting.Drains(), []drain.Mark{shown}) // it knows of no end
+			is.Equal(c.Digest(), starting.Digest())
+			tt.change(c)
+			settle(c, tt.at)
 			is.Equal(c.Drains(), tt.want)
 		})
 	}
@@ -95,25 +136,39 @@
 func TestLostDrainOutlivesAnOutage(t *testing.T) {
 	is := is.New(t)
 	c := newCatalogOfALostDrain()
-	is.Equal(len(c.EndLostDrains(returnedAt+rewritten)), 0) // the view has not been confirmed since
+	is.Equal(len(c.SettleDrains(returnedAt+rewritten)), 0) // the view has not been confirmed since
 	back := returnedAt + rewritten
 	c.Confirm(back, c.Revision())
-	is.Equal(len(endLost(c, back+rewritten-1)), 0)
-	is.Equal(len(endLost(c, back+rewritten)), 1)
+	is.Equal(len(settle(c, back+rewritten-1)), 0)
+	is.Equal(len(settle(c, back+rewritten)), 1)
 }
 
-// A drain of the era ends as ever, and one that ended by the time is described as one that the operator ended.
+// What is settled is described like what the operator wrote, and a drain of the era ends as ever.
 func TestEndOfALostDrainIsAChange(t *testing.T) {
 	is := is.New(t)
 	c := newCatalogOfALostDrain()
 	generation := c.Generation()
 	mark := in(2, endOf("a", 98))
-	is.Equal(endLost(c, returnedAt+rewritten), []catalog.Change{{
+	is.Equal(settle(c, returnedAt+rewritten), []catalog.Change{{
 		Subject: "domain a", Before: "drained since revision 1/97", After: "not drained since revision 2/98", Drain: &mark,
 	}})
 	is.True(c.Generation() > generation)
+
+	again := in(3, drainOf("a", 97))
+	c.Replace(2*returnedAt+rewritten, 2*returnedAt+rewritten, listOfEra(3, 97, again))
+	generation = c.Generation()
+	is.Equal(settle(c, 2*(returnedAt+rewritten)), []catalog.Change{{
+		Subject: "domain a", Before: "not drained", After: "drained since revision 3/97", Drain: &again,
+	}})
+	is.True(c.Generation() > generation)
+}
+
+func TestDrainOfTheEraEndsWithAList(t *testing.T) {
+	is := is.New(t)
+	c := newCatalogOfALostDrain()
+	settle(c, returnedAt+rewritten)
 	c.Apply(returnedAt+rewritten, returnedAt+rewritten, newDrains(inband.NewRevision(2, 130), in(2, drainOf("b", 130))))
-	is.Equal(len(endLost(c, returnedAt+clock.Minute)), 0) // b was written in this era
+	is.Equal(len(settle(c, returnedAt+clock.Minute)), 0) // b was written in this era
 	c.Apply(returnedAt+clock.Minute, returnedAt+clock.Minute, listOfEra(2, 140))
 	is.Equal(len(c.Drains()), 0)
 }
@@ -124,8 +179,8 @@
 	c := catalog.New()
 	c.Replace(0, 0, listOfEra(1, 100, in(1, drainOf("a", 97))))
 	c.Confirm(returnedAt, inband.NewRevision(2, 98))
-	is.Equal(len(endLost(c, returnedAt+rewritten-1)), 0)
-	is.Equal(len(endLost(c, returnedAt+rewritten)), 1)
+	is.Equal(len(settle(c, returnedAt+rewritten-1)), 0)
+	is.Equal(len(settle(c, returnedAt+rewritten)), 1)
 }
 
 // A VM that joins from the store alone lacks the drain that the others keep. Siblings tell it, but not of drains
@@ -140,11 +195,11 @@
 	joined.Apply(returnedAt+1, returnedAt+1, view)
 	is.Equal(joined.Drains(), []drain.Mark{lost})
 	is.Equal(joined.Digest(), known.Digest())
-	is.Equal(len(endLost(joined, returnedAt+rewritten)), 1)
+	is.Equal(len(settle(joined, returnedAt+rewritten)), 1)
 
 	late := catalog.New()
 	late.Replace(returnedAt, returnedAt, listOfEra(2, 98))
-	endLost(late, returnedAt+rewritten)
+	settle(late, returnedAt+rewritten)
 	late.Apply(returnedAt+rewritten, returnedAt+rewritten, view)
 	is.Equal(len(late.Drains()), 0)
 	is.Equal(len(known.Drains()), 1) // late tells it of no end that it does not know
--- a/drain/set.go
+++ b/drain/set.go
@@ -23,8 +23,22 @@
 type record struct {
 	mark  Mark
 	since clock.Millis
+	// begin is that of the drain, if it was known. A mark that has ended keeps it.
+	begin inband.Revision
+	// isCopy is set if the drain had ended before the store came back from an older copy, which shows it again.
+	isCopy bool
 }
 
+// isShownAgainBy reports whether a newer mark is the begin of a drain that has ended since. It has the number of the
+// begin then, in a later era.
+func (r *record) isShownAgainBy(m Mark) bool {
+	hasEnded := r.mark.HasEnded || r.isCopy
+	return hasEnded && !m.HasEnded && r.begin != 0 && m.Revision.Number() == r.begin.Number()
+}
+
+// isInForce reports whether the domain is drained.
+func (r *record) isInForce() bool { return !r.mark.HasEnded && !r.isCopy }
+
 // Merge adds a mark unless a newer one of the same domain is known. It reports whether the drains in force
 // changed, or the revision of one of them.
 func (s *Set) Merge(now clock.Millis, m Mark) bool {
@@ -40,9 +54,26 @@
 	}
 	since := now - max(0, m.KnownMS)
 	m.KnownMS = 0
-	s.marks[m.Domain] = record{mark: m, since: since}
-	wasInForce := ok && !known.mark.HasEnded
-	return wasInForce || !m.HasEnded
+	merged := record{mark: m, since: since, begin: m.Revision, isCopy: ok && known.isShownAgainBy(m)}
+	if m.HasEnded {
+		merged.begin = known.begin
+	}
+	s.marks[m.Domain] = merged
+	return ok && known.isInForce() || merged.isInForce()
+}
+
+// Release puts the drains into force that only a copy of the store showed until now, and returns them. Those of an era
+// after that of the revision stay as they are.
+func (s *Set) Release(revision inband.Revision) []Mark {
+	var released []Mark
+	for _, m := range s.begun() {
+		if r := s.marks[m.Domain]; r.isCopy && m.Revision.Era() <= revision.Era() {
+			r.isCopy = false
+			s.marks[m.Domain] = r
+			released = append(released, m)
+		}
+	}
+	return released
 }
 
 // Missing returns the ends of the drains in force that a complete list lacks. The list was read at a
@@ -51,7 +82,7 @@
 // copy may lack drains that are in force, so it ends none of an earlier era.
 func (s *Set) Missing(complete []Mark, revision inband.Revision) []Mark {
 	var ends []Mark
-	for _, m := range s.InForce() {
+	for _, m := range s.begun() {
 		isListed := slices.ContainsFunc(complete, func(other Mark) bool { return other.Domain == m.Domain })
 		if !isListed && m.Revision < revision && m.Revision.Era() == revision.Era() {
 			ends = append(ends, Mark{Domain: m.Domain, Revision: revision, HasEnded: true})
@@ -63,7 +94,7 @@
 // EndsOfEarlierEras returns the ends, at a revision, of the drains in force that were last written before its era.
 func (s *Set) EndsOfEarlierEras(revision inband.Revision) []Mark {
 	var ends []Mark
-	for _, m := range s.InForce() {
+	for _, m := range s.begun() {
 		if m.Revision.Era() < revision.Era() {
 			ends = append(ends, Mark{Domain: m.Domain, Revision: revision, HasEnded: true})
 		}
@@ -80,10 +111,10 @@
 	}
 }
 
-// Newest returns the newest mark of a domain. It reports false if none is known.
-func (s *Set) Newest(domain string) (Mark, bool) {
-	e, ok := s.marks[domain]
-	return e.mark, ok
+// Newest returns the newest mark of a domain and whether it is drained. It reports false if none is known.
+func (s *Set) Newest(domain string) (mark Mark, isInForce, isKnown bool) {
+	r, ok := s.marks[domain]
+	return r.mark, ok && r.isInForce(), ok
 }
 
 // All returns all marks, including those of ended drains and how long these have been known, ordered by domain.
@@ -103,15 +134,26 @@
 // InForce returns the marks of the drains in force, ordered by domain.
 func (s *Set) InForce() []Mark {
 	var inForce []Mark
-	for _, m := range s.All(0) {
-		if !m.HasEnded {
+	for _, m := range s.begun() {
+		if !s.marks[m.Domain].isCopy {
 			inForce = append(inForce, m)
 		}
 	}
 	return inForce
 }
 
-// Digest returns a hash of the drains in force whose marks are not above a revision. It is zero if there are none.
+// begun returns the marks of the drains that have not ended in the store, ordered by domain. Some may not be in force.
+func (s *Set) begun() []Mark {
+	var begun []Mark
+	for _, m := range s.All(0) {
+		if !m.HasEnded {
+			begun = append(begun, m)
+		}
+	}
+	return begun
+}
+
+// Digest returns a hash of the drains that have not ended in the store and whose marks are not above a revision. It is zero if there are none.
 func (s *Set) Digest(upTo inband.Revision) uint64 {
 	digest := uint64(0)
 	for _, e := range s.marks {
--- a/drain/set_test.go
+++ b/drain/set_test.go
@@ -109,6 +109,35 @@
 	}
 }
 
+// A copy of the store shows a drain again that has ended: it has the number of the drain's begin, in a later era.
+func TestDrainOfACopyIsNotInForce(t *testing.T) {
+	first, ended := begin("a", inband.NewRevision(1, 7)), end("a", inband.NewRevision(1, 9))
+	again, anew := begin("a", inband.NewRevision(2, 7)), begin("a", inband.NewRevision(2, 8))
+	tests := []struct {
+		name     string
+		marks    []drain.Mark
+		inForce  []drain.Mark
+		released []drain.Mark
+	}{
+		{"shown again", []drain.Mark{first, ended, again}, nil, []drain.Mark{again}},
+		{"drained anew", []drain.Mark{first, ended, anew}, []drain.Mark{anew}, nil},
+		{"drained anew after the copy", []drain.Mark{first, ended, again, anew}, []drain.Mark{anew}, nil},
+		{"had not ended", []drain.Mark{first, again}, []drain.Mark{again}, nil},
+		{"its begin is unknown", []drain.Mark{ended, again}, []drain.Mark{again}, nil},
+		{"ended again", []drain.Mark{first, ended, again, end("a", inband.NewRevision(2, 9))}, nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := merged(tt.marks...)
+			is.Equal(s.InForce(), tt.inForce)
+			is.Equal(len(s.Release(ended.Revision)), 0) // a page of the new era was read, but not the last one
+			is.Equal(s.Release(again.Revision), tt.released)
+			is.Equal(len(s.InForce()), len(tt.inForce)+len(tt.released))
+		})
+	}
+}
+
 func TestEndsOfEarlierEras(t *testing.T) {
 	is := is.New(t)
 	now := inband.NewRevision(2, 5)
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -252,7 +252,7 @@
 func (d *Daemon) runMaintenance(now clock.Millis) {
 	d.mu.Lock()
 	d.engine.Sweep(now)
-	ended := d.endLostDrains(now)
+	settled := d.settleDrains(now)
 	d.updateEngine()
 	d.updateRank(now)
 	d.engine.SetLocalVMs(1 + d.members.CountLocal(now))
@@ -269,7 +269,7 @@
 	isChanged := overloaded != d.overloadedPools
 	d.overloadedPools = overloaded
 	d.mu.Unlock()
-	d.logChanges(now, lostDrainSource, ended, nil)
+	d.logChanges(now, lostDrainSource, settled, nil)
 	if loadChange.isChanged {
 		loadChange.write(d.log)
 	}
--- a/front/drains.go
+++ b/front/drains.go
@@ -5,18 +5,18 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
-// lostDrainSource is the source of the end of a drain that the store lost and that was not written again, in logs and
-// the audit trail.
+// lostDrainSource is the source of changes by a drain, or its end, that the store lost and that was not written again, in
+// logs and the audit trail.
 const lostDrainSource = "not written again"
 
-// endLostDrains ends the drains that the store lost and that were not written again in time, and returns
-// those. The caller holds the lock.
-func (d *Daemon) endLostDrains(now clock.Millis) []catalog.Change {
-	ended := d.catalog.EndLostDrains(now)
-	if len(ended) > 0 {
-		d.keepRecent(now, ended)
+// settleDrains goes by what the store shows of drains that were not written again in time, and returns the
+// changes. The caller holds the lock.
+func (d *Daemon) settleDrains(now clock.Millis) []catalog.Change {
+	applied := d.catalog.SettleDrains(now)
+	if len(applied) > 0 {
+		d.keepRecent(now, applied)
 	}
-	return ended
+	return applied
 }
 
 // countLostDrains returns how many drains in force are of an earlier era of the store. The caller holds the lock.
