--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -69,14 +69,20 @@
 	return nil
 }
 
-// eventually runs a program until it succeeds and its output contains the text:
+// eventually runs a program until it succeeds and its output contains the text, or, if it is negated, until it fails
+// and its error output contains the text:
 // eventually 'text' program arguments...
 func eventually(ts *testscript.TestScript, negated bool, arguments []string) {
-	if negated || len(arguments) < 2 {
-		ts.Fatalf("usage: eventually text program arguments...")
+	if len(arguments) < 2 {
+		ts.Fatalf("usage: [!] eventually text program arguments...")
+	}
+	output := "stdout"
+	if negated {
+		output = "stderr"
 	}
 	for range maxAttempts {
-		if err := ts.Exec(arguments[1], arguments[2:]...); err == nil && strings.Contains(ts.ReadFile("stdout"), arguments[0]) {
+		hasFailed := ts.Exec(arguments[1], arguments[2:]...) != nil
+		if hasFailed == negated && strings.Contains(ts.ReadFile(output), arguments[0]) {
 			return
 		}
 		time.Sleep(retryInterval)
