--- a/experiment/run.go
+++ b/experiment/run.go
@@ -103,7 +103,7 @@
 		s.schedule(f.For, func() { s.oneWayPartitioned = none; s.healedAt = s.now })
 	case LosePackets:
 		s.lossRate = f.Share
-		s.schedule(f.For, func() { s.lossRate = 0; s.healedAt = s.now })
+		s.schedule(f.For, func() { s.lossRate = 0; s.healedAt, s.lossEndedAt = s.now, s.now })
 	case ShiftClients:
 		s.shiftedDomain = f.Domain
 		s.schedule(f.For, func() { s.shiftedDomain = none })
