--- a/experiment/meetings_test.go
+++ b/experiment/meetings_test.go
@@ -221,7 +221,7 @@
 			wrong, first := 0, ""
 			for seed := range m.seeds {
 				r := m.play(t, seed)
-				problem := r.FirstUnexplained + r.FirstRefuted
+				problem := cmp.Or(r.FirstUnexplained, r.FirstRefuted)
 				if m.isTimely && r.LateFailures > 0 {
 					problem = fmt.Sprintf("%d requests waited for a lost target until their deadline", r.LateFailures)
 				}
