--- a/experiment/client.go
+++ b/experiment/client.go
@@ -290,6 +290,6 @@
 	latency := c.sim.now - r.sentAt
 	c.sim.report.record(outcome{
 		latency: latency, isServed: isServed, isInTime: isServed && latency <= c.sim.size.TargetLatency,
-		isHold: !c.isRepeatable, isPressed: r.isPressed,
+		isHold: !c.isRepeatable, isPressed: r.isPressed, isEarlier: !r.isPressed && c.sim.isPressed(),
 	})
 }
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -47,6 +47,7 @@
 	isInTime  bool
 	isHold    bool
 	isPressed bool // it was sent under a load that the pattern adds
+	isEarlier bool // it was sent before that load and ended under it
 }
 
 // record adds the outcome of a request.
@@ -55,6 +56,9 @@
 	if o.isPressed {
 		r.Pressed.record(o)
 	}
+	if o.isEarlier && o.isServed {
+		r.Pressed.EarlierServed++
+	}
 	if o.isHold {
 		r.Holds++
 	}
@@ -81,6 +85,8 @@
 	HoldsInTime  int `json:"holds_in_time"`
 	Others       int `json:"others"` // less urgent requests
 	OthersServed int `json:"others_served"`
+	// EarlierServed is the number of requests sent before the load that were served under it.
+	EarlierServed int `json:"earlier_served"`
 }
 
 func (p *Pressed) record(o outcome) {
