Keep openings in their domain while no other one has room

Beside one pressing domain, the others had 8 of 24 slots free while the news showed 24 to 31 requests under way, those on their way included, so nothing more went there and a tenth was refused.

Also, the stay that this replaces could send a copy back to the target that had not answered it. The decision comes only after copies that move on were let through.

Change: Decide returns Kept while own answers or, for priorities that are refused, fresh news shows the others as full; a domain has room while fewer than three requests are under way for two slots.

Tests: TestOpeningsStayWhileOtherDomainsAreFull asks the decision now, with more cases, and TestOpeningsAreKept the engine; before, both were one test of the method that is gone. "few requests wait in another domain" failed before.

--- a/admission/decision.go
+++ b/admission/decision.go
@@ -14,12 +14,19 @@
 const (
 	Admitted Decision = iota // placed on the target that was chosen for it
 	Spilled                  // placed in another failure domain, which has room
+	Kept                     // placed in this VM's own failure domain: no other one has room
 	Refused                  // reset: no failure domain has room
 )
 
+// maxBusyPerSlot is the number of requests under way for each slot below which a domain has room: one waits for every two
+// slots. Those that are on their way count as well, so that slots are free at one for each.
+const maxBusyPerSlot = 1.5
+
 // Decide decides on an opening of a priority, and counts it if it is refused. draw is a random number from 0 to 1.
 // others holds the failure domains other than this VM's own that it reaches. While one of them has room, nothing is
-// refused: the share Refused of the openings goes there. Own answers that were late there outweigh the news.
+// refused: the share Refused of the openings goes there. Own answers that were late there outweigh the news. While none
+// has room, openings do not leave the domain: VMs of full domains would send each other what they place better at home.
+// Those of a priority that is not refused stay only for late answers, as news of less urgent ones says nothing to them.
 func (c *Controller) Decide(now clock.Millis, priority int, draw float64, others []load.DomainPool) Decision {
 	s := c.find(priority)
 	switch {
@@ -33,15 +40,22 @@
 		return Admitted
 	case c.Refuse(now, priority, draw):
 		return Refused
+	case c.IsFullElsewhere(now) || s.share.IsRefusing() && hasFreshNews(others):
+		return Kept
 	default:
 		return Admitted
 	}
 }
 
-// hasRoomIn reports whether one of the domains has a free slot, as fresh news shows. Response times do not tell: targets
-// that reject what they have no room for answer soon.
+// hasFreshNews reports whether there is fresh news of one of the domains.
+func hasFreshNews(others []load.DomainPool) bool {
+	return slices.ContainsFunc(others, func(d load.DomainPool) bool { return d.Age <= maxNewsAge })
+}
+
+// hasRoomIn reports whether one of the domains has room, as fresh news shows. Response times do not tell: targets that
+// reject what they have no room for answer soon.
 func hasRoomIn(others []load.DomainPool) bool {
 	return slices.ContainsFunc(others, func(d load.DomainPool) bool {
-		return d.Age <= maxNewsAge && d.Work.Finished > 0 && d.Work.Busy < float64(d.Slots)
+		return d.Age <= maxNewsAge && d.Work.Finished > 0 && d.Work.Busy < maxBusyPerSlot*float64(d.Slots)
 	})
 }
--- a/admission/decision_test.go
+++ b/admission/decision_test.go
@@ -16,6 +16,7 @@
 	full := poolWith("west", 1000)
 	half := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
 	last := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 39, Finished: 600}}
+	waiting := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 55, Finished: 640}}
 	// Targets that reject what they have no room for answer soon.
 	rejecting := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 160, Finished: 4000}}
 	tests := []struct {
@@ -28,6 +29,7 @@
 		{"another domain is full", []load.DomainPool{full}, feeds.Priority, admission.Refused},
 		{"another domain has room", []load.DomainPool{half}, feeds.Priority, admission.Spilled},
 		{"another domain has a free slot", []load.DomainPool{last}, feeds.Priority, admission.Spilled},
+		{"few requests wait in another domain", []load.DomainPool{waiting}, feeds.Priority, admission.Spilled},
 		{"one of two has room", []load.DomainPool{full, half}, feeds.Priority, admission.Spilled},
 		{"news of the other domain is old", []load.DomainPool{withAge(half, clock.Minute)}, feeds.Priority, admission.Refused},
 		{"another domain rejects most", []load.DomainPool{rejecting}, feeds.Priority, admission.Refused},
@@ -52,3 +54,34 @@
 		})
 	}
 }
+
+// Load: one kind presses. What is not refused leaves the domain only where that gains something.
+func TestOpeningsStayWhileOtherDomainsAreFull(t *testing.T) {
+	full := poolWith("west", 1000)
+	half := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
+	tests := []struct {
+		name     string
+		others   []load.DomainPool
+		answer   clock.Millis // of the other domains
+		priority int
+		expected admission.Decision
+	}{
+		{"another domain is full", []load.DomainPool{full}, 60, feeds.Priority, admission.Kept},
+		{"news of room that answers belie", []load.DomainPool{half}, 1000, feeds.Priority, admission.Kept},
+		{"another domain has room", []load.DomainPool{half}, 60, feeds.Priority, admission.Admitted},
+		{"nothing is known of other domains", []load.DomainPool{withAge(full, clock.Minute)}, 60, feeds.Priority, admission.Admitted},
+		{"urgent openings, by the news", []load.DomainPool{full}, 60, orders.Priority, admission.Admitted},
+		{"urgent openings, by answers", []load.DomainPool{full}, 1000, orders.Priority, admission.Kept},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			c.hear(admission.UpdateInterval, half)
+			c.SetPresent(presentWith(300))
+			c.hear(admission.UpdateInterval, poolWith("east", 70))
+			answerElsewhere(c, tt.answer)
+			is.Equal(c.Decide(c.now, tt.priority, 1, tt.others), tt.expected)
+		})
+	}
+}
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -35,7 +35,6 @@
 		p.admission.SetPresent(e.present(now, p))
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
-	best = e.stayIfFullElsewhere(now, p, best)
 	if reason != Placed && reason != PlacedLate { // its client has waited for a target that took it
 		p.admission.Notice(now, route.Priority)
 		return best
@@ -45,6 +44,8 @@
 		return nil
 	case admission.Spilled: // if no target there takes it, it stays: news showed room
 		return e.cheapestOr(now, p.remote, best)
+	case admission.Kept:
+		return e.keep(now, p, best)
 	case admission.Admitted:
 	}
 	return best
--- a/inband/admissionpresent.go
+++ b/inband/admissionpresent.go
@@ -8,11 +8,9 @@
 	"github.com/almondflow/almondflow/load"
 )
 
-// stayIfFullElsewhere returns a target of this VM's own failure domain in place of one in another domain, while answers
-// from there show that requests wait there as well. To leave the domain gains nothing then, and VMs of several domains
-// would send each other what they can place better at home.
-func (e *Engine) stayIfFullElsewhere(now clock.Millis, p *pool, best *Backend) *Backend {
-	if best.target.Domain == e.options.Domain || !p.admission.IsFullElsewhere(now) {
+// keep returns a target of this VM's own failure domain, or best if that is one or none there takes the opening.
+func (e *Engine) keep(now clock.Millis, p *pool, best *Backend) *Backend {
+	if best.target.Domain == e.options.Domain {
 		return best
 	}
 	return e.cheapestOr(now, p.local, best)
--- a/inband/admissionpresent_test.go
+++ b/inband/admissionpresent_test.go
@@ -56,27 +56,26 @@
 	is.True(!p.admission.IsFullElsewhere(clock.Minute))
 }
 
-// Load: one kind presses. Openings that leave the domain for the waits that this VM sees there gain nothing while
-// answers from other domains are late, too.
-func TestOpeningsStayWhileOtherDomainsAreFull(t *testing.T) {
+// Load: one kind presses. Openings stay in this VM's own domain while others are full, if a target there takes them.
+func TestOpeningsAreKept(t *testing.T) {
 	tests := []struct {
 		name     string
-		answer   clock.Millis // of the other domain
+		state    State // of the target in the own domain
 		chosen   string
 		expected string
 	}{
-		{"late answers from there", 1000, "t2", "t1"},
-		{"answers in time", 60, "t2", "t2"},
-		{"a target of the own domain", 1000, "t1", "t1"},
+		{"a target of another domain", Serving, "t2", "t1"},
+		{"a target of the own domain", Serving, "t1", "t1"},
+		{"no target in the own domain", Leaving, "t2", "t2"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			e, p := newTwoDomainEngine(Options{SharesLoad: true, RefusesByUrgency: true})
-			now := clock.Minute + clock.Second
-			e.observeAnswer(now, &flow{backend: e.byID["t2"], responseTime: tt.answer})
-			e.observeAnswer(now, &flow{backend: e.byID["t2"], responseTime: tt.answer})
-			is.Equal(e.stayIfFullElsewhere(now, p, e.byID[tt.chosen]), e.byID[tt.expected])
+			changed := *e.byID["t1"].target
+			changed.State = tt.state
+			e.UpdateTargets([]Published{{Target: &changed}})
+			is.Equal(e.keep(clock.Minute+10, p, e.byID[tt.chosen]), e.byID[tt.expected])
 		})
 	}
 }
