Let the first openings elsewhere show whether there is room

Until late answers came back, a third of each VM's requests was elsewhere and missing in its count of its own domain, so shares stayed at 0.4 with queues full at 3.75 s, and urgent requests were shed three times in a row. VMs of a drained domain have no targets to count at home, and lagged half a second behind the others: share 0.08 to 0.14 beside 0.3 to 0.58.

Change: of what would be refused, no more is under way elsewhere than one and the number of recent answers; the rest is refused meanwhile. A VM whose domain has no target in use counts what goes to the others.

Tests: TestFirstOpeningsShowWhetherThereIsRoom, TestPresentOfADrainedDomainIsThatOfTheOthers and "nothing is known, and none answers" failed without it.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -141,7 +141,10 @@
 
 // SetPresent sets what is under way now in this VM's own failure domain, for the next Update. Without it the response
 // time is that of answers and news.
-func (c *Controller) SetPresent(p Present) { c.forecast.present = p }
+func (c *Controller) SetPresent(p Present) {
+	c.forecast.present = p
+	c.elsewhere.sent = 0 // counted in p
+}
 
 // Update sets the shares by the work of all VMs at the pool's targets, in the domains that may be used.
 func (c *Controller) Update(now clock.Millis, domains []load.DomainPool) {
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -24,9 +24,10 @@
 
 // Decide decides on an opening of a priority, and counts it if it is refused. draw is a random number from 0 to 1.
 // others holds the failure domains other than this VM's own that it reaches. While one of them has room, nothing is
-// refused: the share Refused of the openings goes there. Own answers that were late there outweigh the news. While none
-// has room, openings do not leave the domain: VMs of full domains would send each other what they place better at home.
-// Those of a priority that is not refused stay only for late answers, as news of less urgent ones says nothing to them.
+// refused: the share Refused of the openings goes there, as far as recent answers show that there is room. Late ones outweigh
+// the news. While none has room, openings do not leave the domain: VMs of full domains would send each other what they
+// place better at home. Those of a priority that is not refused stay only for late answers, as news of less urgent ones
+// says nothing to them.
 func (c *Controller) Decide(now clock.Millis, priority int, draw float64, others []load.DomainPool) Decision {
 	s := c.find(priority)
 	switch {
@@ -34,19 +35,36 @@
 		return Admitted
 	case !c.IsFullElsewhere(now) && hasRoomIn(others):
 		s.seenAt = now
-		if draw < s.share.Refused {
-			return Spilled
-		}
-		return Admitted
+		return c.decideWithRoom(s, draw)
 	case c.Refuse(now, priority, draw):
 		return Refused
-	case c.IsFullElsewhere(now) || s.share.IsRefusing() && hasFreshNews(others):
+	case c.IsFullElsewhere(now) || s.share.IsRefusing() && (hasFreshNews(others) || !c.takesElsewhere()):
 		return Kept
 	default:
 		return Admitted
 	}
 }
 
+// decideWithRoom decides on an opening while another domain has room by the news.
+func (c *Controller) decideWithRoom(s *state, draw float64) Decision {
+	switch {
+	case draw >= s.share.Refused:
+		return Admitted
+	case c.takesElsewhere():
+		c.elsewhere.sent++
+		return Spilled
+	default:
+		s.share.Count++
+		return Refused
+	}
+}
+
+// takesElsewhere reports whether one more opening may leave the domain. Without a count of the requests under way all may.
+func (c *Controller) takesElsewhere() bool {
+	present := &c.forecast.present
+	return present.Slots == 0 || c.elsewhere.takes(present.Elsewhere)
+}
+
 // hasFreshNews reports whether there is fresh news of one of the domains.
 func hasFreshNews(others []load.DomainPool) bool {
 	return slices.ContainsFunc(others, func(d load.DomainPool) bool { return d.Age <= maxNewsAge })
--- a/admission/decision_test.go
+++ b/admission/decision_test.go
@@ -62,7 +62,7 @@
 	tests := []struct {
 		name     string
 		others   []load.DomainPool
-		answer   clock.Millis // of the other domains
+		answer   clock.Millis // of the other domains, or zero
 		priority int
 		expected admission.Decision
 	}{
@@ -70,6 +70,7 @@
 		{"news of room that answers belie", []load.DomainPool{half}, 1000, feeds.Priority, admission.Kept},
 		{"another domain has room", []load.DomainPool{half}, 60, feeds.Priority, admission.Admitted},
 		{"nothing is known of other domains", []load.DomainPool{withAge(full, clock.Minute)}, 60, feeds.Priority, admission.Admitted},
+		{"nothing is known, and none answers", []load.DomainPool{withAge(full, clock.Minute)}, 0, feeds.Priority, admission.Kept},
 		{"urgent openings, by the news", []load.DomainPool{full}, 60, orders.Priority, admission.Admitted},
 		{"urgent openings, by answers", []load.DomainPool{full}, 1000, orders.Priority, admission.Kept},
 	}
@@ -78,9 +79,13 @@
 			is := is.New(t)
 			c := newVM(orders, feeds)
 			c.hear(admission.UpdateInterval, half)
-			c.SetPresent(presentWith(300))
+			present := presentWith(300)
+			present.Elsewhere = 1
+			c.SetPresent(present)
 			c.hear(admission.UpdateInterval, poolWith("east", 70))
-			answerElsewhere(c, tt.answer)
+			if tt.answer > 0 {
+				answerElsewhere(c, tt.answer)
+			}
 			is.Equal(c.Decide(c.now, tt.priority, 1, tt.others), tt.expected)
 		})
 	}
--- a/admission/elsewhere.go
+++ b/admission/elsewhere.go
@@ -12,6 +12,7 @@
 	answers   answers
 	updatedAt clock.Millis
 	fullUntil clock.Millis
+	sent      int // openings sent there since requests under way were counted
 }
 
 // add adds an answer. The other domains count as full if answers take longer than limit. usual is the response time
@@ -27,3 +28,9 @@
 
 // isFull reports whether answers from other domains were late since the time that the news of them shows.
 func (e *elsewhere) isFull(now clock.Millis) bool { return now < e.fullUntil }
+
+// takes reports whether one more opening may go there, beside the requests that were under way at the latest count: one
+// may, and one for each recent answer. So the first ones show whether there is as much room as the news says.
+func (e *elsewhere) takes(underWay int) bool {
+	return float64(underWay+e.sent) < 1+e.answers.count
+}
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -21,6 +21,7 @@
 	Busy        float64 // requests of all VMs, by what this VM has under way itself
 	Slots       int
 	ServiceTime float64 // in milliseconds by the news, or zero while it is not known
+	Elsewhere   int     // requests that this VM has in other failure domains
 }
 
 // forecast is the response time of one more request by the requests under way now. These tell of a load as soon as it
--- a/admission/forecast_test.go
+++ b/admission/forecast_test.go
@@ -116,3 +116,40 @@
 		c.ObserveElsewhere(c.now, responseTime)
 	}
 }
+
+// Load: one kind presses. All domains fill up at once, so not all that is refused here may leave before an answer shows that
+// there is room.
+func TestFirstOpeningsShowWhetherThereIsRoom(t *testing.T) {
+	tests := []struct {
+		name     string
+		underWay int // in other domains
+		answers  int // in time, from there
+		expected int // openings that may leave, of ten
+	}{
+		{"nothing known", 0, 0, 1},
+		{"one is under way", 1, 0, 0},
+		{"one has been answered", 0, 1, 2},
+		{"many have been answered", 4, 20, 10},
+	}
+	half := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(orders, feeds)
+			c.hear(admission.UpdateInterval, half)
+			present := presentWith(300)
+			present.Elsewhere = tt.underWay
+			c.SetPresent(present)
+			c.hear(admission.UpdateInterval, poolWith("east", 70), half)
+			for range tt.answers {
+				c.ObserveElsewhere(c.now, 70)
+			}
+			count := map[admission.Decision]int{}
+			for range 10 {
+				count[c.Decide(c.now, feeds.Priority, 0.5, []load.DomainPool{half})]++
+			}
+			is.Equal(count[admission.Spilled], tt.expected)
+			is.Equal(count[admission.Refused], 10-tt.expected)
+		})
+	}
+}
--- a/inband/admissionpresent.go
+++ b/inband/admissionpresent.go
@@ -1,8 +1,6 @@
 package inband
 
 import (
-	"slices"
-
 	"github.com/almondflow/almondflow/admission"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
@@ -40,45 +38,76 @@
 }
 
 // present returns what is under way now at the pool's targets in this VM's own failure domain, or nothing if VMs do
-// not tell each other.
+// not tell each other. If the domain has no target in use, it is the same of the others, where the flows go then.
 func (e *Engine) present(now clock.Millis, p *pool) admission.Present {
-	d := p.ownDomainPool()
-	if !e.options.SharesLoad || d == nil {
+	if !e.options.SharesLoad {
 		return admission.Present{}
 	}
-	if !d.isCounted { // targets changed since the last sweep
-		d.count(now)
+	domains, vms := e.domainsInUse(now, p)
+	var own, told load.Work
+	slots := 0
+	for _, d := range domains {
+		slots += d.slots
+		told = told.Add(p.load.summary(d).Work)
+		if d.hasWork {
+			own = own.Add(d.own)
+		}
 	}
-	average, told := load.Work{}, 0.0
-	if d.hasWork {
-		average, told = d.own, d.fromOwnDomain.Busy
+	local, elsewhere := e.ownBusy(now, p)
+	busy := local
+	if p.ownDomainPool(now) == nil || p.admission.IsFullElsewhere(now) { // VMs of full domains have as many here
+		busy += elsewhere
 	}
-	sample := load.Sample{Others: e.localVMs - 1}
+	sample := load.Sample{Others: vms - 1}
 	return admission.Present{
-		Busy:        sample.Present(average, e.ownBusy(now, p), told),
-		Slots:       d.slots,
-		ServiceTime: p.load.summary(d).Work.ServiceTime(d.slots),
+		Busy:        sample.Present(own, float64(busy), told.Busy),
+		Slots:       slots,
+		ServiceTime: told.ServiceTime(slots),
+		Elsewhere:   elsewhere,
+	}
+}
+
+// domainsInUse returns the parts of the pool that the flows of this VM's failure domain go to, and the number of VMs
+// with flows there. The other domains are taken to have as many VMs as this one.
+func (e *Engine) domainsInUse(now clock.Millis, p *pool) (domains []*domainPool, vms int) {
+	if d := p.ownDomainPool(now); d != nil {
+		return []*domainPool{d}, e.localVMs
 	}
+	for _, d := range p.domainPools {
+		if d.targets > 0 && !e.IsPartitioned(now, d.id.Domain) {
+			domains = append(domains, d)
+		}
+	}
+	return domains, e.localVMs * (len(domains) + 1)
 }
 
-// ownBusy returns the requests that this VM has under way now at the pool's targets in its own failure domain. While
-// the other domains are full, too, those that it has there count as well: their VMs have as many here.
-func (e *Engine) ownBusy(now clock.Millis, p *pool) float64 {
-	countsElsewhere := p.admission.IsFullElsewhere(now)
-	busy := 0
+// ownBusy returns the requests that this VM has under way now at the pool's targets in its own failure domain, and in
+// others.
+func (e *Engine) ownBusy(now clock.Millis, p *pool) (local, elsewhere int) {
 	for _, b := range e.load.active {
-		if b.pool == p && b.countsInPool(now) && (b.domainPool.isLocal || countsElsewhere) {
-			busy += b.meter.Busy()
+		switch {
+		case b.pool != p || !b.countsInPool(now):
+		case b.domainPool.isLocal:
+			local += b.meter.Busy()
+		default:
+			elsewhere += b.meter.Busy()
 		}
 	}
-	return float64(busy)
+	return local, elsewhere
 }
 
-// ownDomainPool returns the part of the pool in this VM's own failure domain, or nil if there is none.
-func (p *pool) ownDomainPool() *domainPool {
-	i := slices.IndexFunc(p.domainPools, func(d *domainPool) bool { return d.isLocal })
-	if i < 0 {
-		return nil
+// ownDomainPool returns the part of the pool in this VM's own failure domain, or nil if that has no target in use.
+func (p *pool) ownDomainPool(now clock.Millis) *domainPool {
+	for _, d := range p.domainPools {
+		if !d.isLocal {
+			continue
+		}
+		if !d.isCounted { // targets changed since the last sweep
+			d.count(now)
+		}
+		if d.targets > 0 {
+			return d
+		}
 	}
-	return p.domainPools[i]
+	return nil
 }
--- a/inband/admissionpresent_test.go
+++ b/inband/admissionpresent_test.go
@@ -46,6 +46,20 @@
 	is.Equal(e.present(now, p).Slots, 2)
 }
 
+// Load: a domain drained under load. VMs of the drained domain see at once what is under way where their flows go.
+func TestPresentOfADrainedDomainIsThatOfTheOthers(t *testing.T) {
+	is := is.New(t)
+	e, p := newTwoDomainEngine(Options{SharesLoad: true, RefusesByUrgency: true})
+	e.SetDrainedDomains([]string{"east"})
+	e.begin("t1", 8)
+	e.begin("t2", 4)
+	present := e.present(clock.Minute+10, p)
+	sample := load.Sample{Others: 19} // as many VMs in the other domain
+	is.Equal(present.Busy, sample.Present(load.Work{}, 4, 0))
+	is.Equal(present.Slots, 2)
+	is.Equal(present.Elsewhere, 4)
+}
+
 // Without shared load, decisions go by answers as before.
 func TestNothingIsPresentWithoutSharedLoad(t *testing.T) {
 	is := is.New(t)
