Leave pools with one priority or no target latency as they were

Copies to pools with one priority were dropped while these were hopeless, and the forecast decided there what is hopeless. None of these pools asks for refusals by urgency.

Change: Controller.RefusesByUrgency (several priorities, and a target latency) is asked before an answer from elsewhere counts, before the forecast and before a copy may be deferred; Kept needs a share above zero or late answers.

Tests: TestPoolsThatDoNotAskForItKeepNothing failed before (Kept, and 470 ms in place of 1,000), and TestCopiesToPoolsWithOnePriorityAreNotDeferred is new with the method. The fixture of three engine tests has two priorities now, as their rules need them.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -126,12 +126,19 @@
 
 // ObserveElsewhere records the response time of a request of this VM in another failure domain, besides Observe.
 func (c *Controller) ObserveElsewhere(now, responseTime clock.Millis) {
+	if !c.RefusesByUrgency() {
+		return
+	}
 	c.elsewhere.add(now, float64(responseTime), c.usualTime(), c.rampStart())
 }
 
 // ObserveShedElsewhere records that a target in another failure domain was too full, besides ObserveShed.
 func (c *Controller) ObserveShedElsewhere(now clock.Millis) { c.ObserveElsewhere(now, c.targetLatency) }
 
+// RefusesByUrgency reports whether openings may be refused for more urgent ones: the routes have several priorities and a
+// target latency.
+func (c *Controller) RefusesByUrgency() bool { return len(c.states) > 1 && c.targetLatency > 0 }
+
 // rampStart returns the response time in milliseconds from which requests take too long for the most urgent callers.
 func (c *Controller) rampStart() float64 { return newRamp(c.targetLatency, c.unloaded, 0).start }
 
@@ -154,9 +161,7 @@
 	}
 	c.updatedAt = now
 	c.room = roomOf(&c.answers, domains)
-	if responseTime := c.forecast.update(elapsed, c.unloaded, rampStart*float64(c.targetLatency), &c.answers); responseTime > 0 {
-		c.room.ResponseTime = responseTime
-	}
+	c.forecastResponseTime(elapsed)
 	c.answers.fade(elapsed)
 	c.updateUnloaded(weightAfter(elapsed, averagingTime), domains)
 	after := 0.0
@@ -169,6 +174,17 @@
 	}
 }
 
+// forecastResponseTime has the response time follow the requests under way now, if openings may be refused for that.
+func (c *Controller) forecastResponseTime(elapsed clock.Millis) {
+	if !c.RefusesByUrgency() {
+		return
+	}
+	responseTime := c.forecast.update(elapsed, c.unloaded, rampStart*float64(c.targetLatency), &c.answers)
+	if responseTime > 0 {
+		c.room.ResponseTime = responseTime
+	}
+}
+
 // targetLatencyBefore returns the shortest target latency of the levels before one, or zero. Levels without
 // callers need no protection.
 func (c *Controller) targetLatencyBefore(now clock.Millis, index int) clock.Millis {
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -38,7 +38,7 @@
 		return c.decideWithRoom(s, draw)
 	case c.Refuse(now, priority, draw):
 		return Refused
-	case c.IsFullElsewhere(now) || s.share.IsRefusing() && (hasFreshNews(others) || !c.takesElsewhere()):
+	case c.IsFullElsewhere(now) || s.share.Refused > 0 && (hasFreshNews(others) || !c.takesElsewhere()):
 		return Kept
 	default:
 		return Admitted
--- a/admission/decision_test.go
+++ b/admission/decision_test.go
@@ -90,3 +90,27 @@
 		})
 	}
 }
+
+// Without thresholds from the tables, or with one priority, the policy alone decides where openings go.
+func TestPoolsThatDoNotAskForItKeepNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		levels []admission.Level
+	}{
+		{"one priority", []admission.Level{orders, orders}},
+		{"no target latency", []admission.Level{{Priority: 1}, {Priority: 2}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(tt.levels...)
+			full := poolWith("west", 1000)
+			c.SetPresent(presentWith(300))
+			c.hear(settlingTime, poolWith("east", 1000), full)
+			is.Equal(c.Room().ResponseTime, 1000.0) // by the news, as before
+			answerElsewhere(c, 1000)
+			c.ObserveShedElsewhere(c.now)
+			is.Equal(c.Decide(c.now, orders.Priority, 0, []load.DomainPool{full}), admission.Admitted)
+		})
+	}
+}
--- a/inband/admission.go
+++ b/inband/admission.go
@@ -35,7 +35,7 @@
 		p.admission.SetPresent(e.present(now, p))
 		p.admission.Update(now, e.usableDomains(now, p))
 	}
-	if reason != Placed && reason != PlacedLate { // its client has waited for a target that took it
+	if !e.mayRefuse(now, p, reason) {
 		p.admission.Notice(now, route.Priority)
 		return best
 	}
@@ -51,6 +51,15 @@
 	return best
 }
 
+// mayRefuse reports whether an opening to a pool may be refused or deferred. Of pools that do not refuse by urgency these are
+// first copies only, and never those whose client has waited for a target that got an earlier copy.
+func (e *Engine) mayRefuse(now clock.Millis, p *pool, reason Reason) bool {
+	if !p.admission.RefusesByUrgency() {
+		return e.isFirstCopy(now, reason)
+	}
+	return reason == Placed || reason == PlacedLate
+}
+
 // refuse returns the verdict on an opening that is not admitted. Its client is told by a reset, so that it tries again at
 // once, unless another VM may have forwarded a copy: then the opening is only dropped.
 func (e *Engine) refuse(now clock.Millis, p *Packet, reason Reason) Verdict {
--- a/inband/admissionpresent_test.go
+++ b/inband/admissionpresent_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/almondflow/almondflow/admission"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/load"
 )
@@ -18,6 +19,7 @@
 		{Target: &Target{ID: "t2", Service: "orders", Domain: "west", Slots: 2}},
 	})
 	p = e.poolOf(p.service)
+	p.admission.SetLevels([]admission.Level{{Priority: 1, TargetLatency: 400}, {Priority: 2}})
 	e.SetLocalVMs(10)
 	e.Sweep(clock.Minute)
 	return e, p
@@ -60,6 +62,29 @@
 	is.Equal(present.Elsewhere, 4)
 }
 
+// Copies to pools whose routes have one priority are let through as before, also when their answers would come too late.
+func TestCopiesToPoolsWithOnePriorityAreNotDeferred(t *testing.T) {
+	tests := []struct {
+		name     string
+		levels   []admission.Level
+		reason   Reason
+		expected bool
+	}{
+		{"one priority, copy", []admission.Level{{Priority: 1, TargetLatency: 400}}, PlacedLate, false},
+		{"one priority, first copy", []admission.Level{{Priority: 1, TargetLatency: 400}}, Placed, true},
+		{"two priorities, copy", []admission.Level{{Priority: 1, TargetLatency: 400}, {Priority: 2}}, PlacedLate, true},
+		{"two priorities, copy that moves", []admission.Level{{Priority: 1, TargetLatency: 400}, {Priority: 2}}, MovedUnresponsive, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e, p := newTwoDomainEngine(Options{RefusesByUrgency: true})
+			p.admission.SetLevels(tt.levels)
+			is.Equal(e.mayRefuse(clock.Minute+openingCopiesTime, p, tt.reason), tt.expected)
+		})
+	}
+}
+
 // Without shared load, decisions go by answers as before.
 func TestNothingIsPresentWithoutSharedLoad(t *testing.T) {
 	is := is.New(t)
