--- a/admission/decision_test.go
+++ b/admission/decision_test.go
@@ -62,7 +62,7 @@
 	tests := []struct {
 		name     string
 		others   []load.DomainPool
-		answer   clock.Millis // of the other domains
+		answer   clock.Millis // of the other domains, or zero
 		priority int
 		expected admission.Decision
 	}{
@@ -70,6 +70,7 @@
 		{"news of room that answers belie", []load.DomainPool{half}, 1000, feeds.Priority, admission.Kept},
 		{"another domain has room", []load.DomainPool{half}, 60, feeds.Priority, admission.Admitted},
 		{"nothing is known of other domains", []load.DomainPool{withAge(full, clock.Minute)}, 60, feeds.Priority, admission.Admitted},
+		{"nothing is known, and none answers", []load.DomainPool{withAge(full, clock.Minute)}, 0, feeds.Priority, admission.Kept},
 		{"urgent openings, by the news", []load.DomainPool{full}, 60, orders.Priority, admission.Admitted},
 		{"urgent openings, by answers", []load.DomainPool{full}, 1000, orders.Priority, admission.Kept},
 	}
@@ -78,10 +79,38 @@
 			is := is.New(t)
 			c := newVM(orders, feeds)
 			c.hear(admission.UpdateInterval, half)
-			c.SetPresent(presentWith(300))
+			present := presentWith(300)
+			present.Elsewhere = 1
+			c.SetPresent(present)
 			c.hear(admission.UpdateInterval, poolWith("east", 70))
-			answerElsewhere(c, tt.answer)
+			if tt.answer > 0 {
+				answerElsewhere(c, tt.answer)
+			}
 			is.Equal(c.Decide(c.now, tt.priority, 1, tt.others), tt.expected)
 		})
 	}
 }
+
+// Without thresholds from the tables, or with one priority, the policy alone decides where openings go.
+func TestPoolsThatDoNotAskForItKeepNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		levels []admission.Level
+	}{
+		{"one priority", []admission.Level{orders, orders}},
+		{"no target latency", []admission.Level{{Priority: 1}, {Priority: 2}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newVM(tt.levels...)
+			full := poolWith("west", 1000)
+			c.SetPresent(presentWith(300))
+			c.hear(settlingTime, poolWith("east", 1000), full)
+			is.Equal(c.Room().ResponseTime, 1000.0) // by the news, as before
+			answerElsewhere(c, 1000)
+			c.ObserveShedElsewhere(c.now)
+			is.Equal(c.Decide(c.now, orders.Priority, 0, []load.DomainPool{full}), admission.Admitted)
+		})
+	}
+}
