Weigh own answers against news when flows leave the domain

Cause: three own answers outweighed the news.

Change: the response time is the mean of own answers and, with the weight of ten, of news.

--- a/spread/spill.go
+++ b/spread/spill.go
@@ -20,8 +20,8 @@
 	maxShare = 0.95
 	// answersTime is the time constant with which own answers count less and less, well below the delay of the news.
 	answersTime = 300 * clock.Millisecond
-	// minAnswers is the number of own answers that tell more than late news does. Fewer differ by chance.
-	minAnswers = 3.0
+	// newsWeight is the number of own answers that tell as much as late news does. Fewer differ by chance.
+	newsWeight = 10.0
 	// maxStep is the longest time that counts between two updates.
 	maxStep = 250 * clock.Millisecond
 )
@@ -69,7 +69,7 @@
 // move changes the share by a part of a difference.
 func (s *Spill) move(seconds, difference float64) {
 	rate := newsRate
-	if difference > 0 && s.answers >= minAnswers {
+	if difference > 0 && s.answers >= newsWeight {
 		rate = answersRate
 	}
 	s.share += rate * seconds * max(-1, difference)
@@ -96,15 +96,16 @@
 		return -1
 	}
 	limit := workAtWait(own, serviceTime, wait(others)+margin)
-	byNews := 1 - (1-s.share)*limit/own.Work.Busy
-	if s.answers < minAnswers {
-		return byNews
+	waited := s.blend(own.ResponseTime()) - serviceTime
+	if waited > wait(others)+margin {
+		return max(s.share, 1-(1-s.share)*limit/workAtWait(own, serviceTime, waited))
 	}
-	waited := s.answerTime/s.answers - serviceTime
-	if waited <= wait(others)+margin {
-		return min(s.share, byNews)
-	}
-	return max(s.share, 1-(1-s.share)*limit/workAtWait(own, serviceTime, waited))
+	return min(s.share, 1-(1-s.share)*limit/own.Work.Busy)
+}
+
+// blend returns the mean response time of own answers and of news.
+func (s *Spill) blend(byNews float64) float64 {
+	return (s.answerTime + newsWeight*byNews) / (s.answers + newsWeight)
 }
 
 // workAtWait returns the work at which one more request waits for a time, in milliseconds.
