--- a/cmd/almondflow-entry/soak_pressure_test.go
+++ b/cmd/almondflow-entry/soak_pressure_test.go
@@ -25,14 +25,24 @@
 }
 
 // TestPressureSoak is a soak whose callers compete for too little room at times, in two kinds of which one is more
-// urgent. Flows stay at their VMs: elsewhere a VM does not see which requests of a flow have been answered.
+// urgent.
 func TestPressureSoak(t *testing.T) {
+	s := newPressureSoak(t)
+	s.keepsFlowsAtVMs = true
+	s.run()
+}
+
+// TestSprayedPressureSoak is the same with a fabric that hands each packet to any VM, so that a VM does not see which
+// requests of a flow have been answered.
+func TestSprayedPressureSoak(t *testing.T) { newPressureSoak(t).run() }
+
+func newPressureSoak(t *testing.T) *soak {
+	t.Helper()
 	s := newSoak(t)
 	s.kinds = slices.Concat(soakFaults, pressureFaults)
 	s.rules += ",pressure"
-	s.keepsFlowsAtVMs = true
 	s.pressure.isLimited = true
-	s.run()
+	return s
 }
 
 // soakPressure is how callers compete for room.
