--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -143,7 +143,7 @@
 		v.seen.observe(s.now, &p, s.byTag[p.Tag])
 	}
 	verdict := v.engine.Handle(s.now, &p)
-	if verdict.Backend != nil {
+	if verdict.Backend != nil && s.size.Trace != nil {
 		s.trace("vm%d %v seq=%d ack=%d len=%d -> %s %v", v.number, p.Key.Client, p.Seq, p.Ack, p.DataLength, verdict.Backend.Target().ID, verdict.Reason)
 	}
 	switch verdict.Action {
@@ -203,17 +203,23 @@
 // resetFlowsOfLostTargets resets the clients of the flows that the engine ends.
 func (v *vm) resetFlowsOfLostTargets() {
 	s := v.sim
-	for domain := range s.size.Domains {
-		if v.engine.IsPartitioned(s.now, domainName(domain)) {
-			s.trace("vm%d takes %s for cut off", v.number, domainName(domain))
-		}
-	}
+	v.traceCuts()
 	for _, f := range v.engine.EndFlowsOfLostTargets(s.now) {
 		s.countReset(v, f.Key, f.Backend)
 		s.schedule(clientLatency, func() { s.clientOf[f.Key].handleReset(f.Key) })
 	}
 }
 
+// traceCuts traces which domains the VM takes for cut off.
+func (v *vm) traceCuts() {
+	s := v.sim
+	for domain := range s.size.Domains {
+		if s.size.Trace != nil && v.engine.IsPartitioned(s.now, domainName(domain)) {
+			s.trace("vm%d takes %s for cut off", v.number, domainName(domain))
+		}
+	}
+}
+
 // reportOutcomes reports failing targets to the other VMs of the domain.
 func (v *vm) reportOutcomes() {
 	reports := v.engine.TakeOutcomes(v.sim.now)
