Let answers from elsewhere count less by time when openings ask for room there

Cause, found by a reader of the diff: the count of recent answers faded only when another answer came. After a busy spell and a pause of minutes, as many openings as had been answered then could leave the domain at once, though nothing showed room there.

Change: takes fades them first.

Test: "many were answered long ago" of TestFirstOpeningsShowWhetherThereIsRoom failed before.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -60,7 +60,7 @@
 }
 
 // Share is what is refused of the requests and openings of one priority while no other failure domain has room. While
-// one has, the share Refused of the openings is placed there instead, and nothing is refused.
+// one has, the share Refused of the openings is placed there instead, as far as answers from there show the room.
 type Share struct {
 	Priority        int     `json:"priority"`
 	Refused         float64 `json:"refused"`          // share of the requests whose callers try triesPerRequest times, 0 to 1
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -23,9 +23,9 @@
 const maxBusyPerSlot = 1.5
 
 // Decide decides on an opening of a priority, and counts it if it is refused. draw is a random number from 0 to 1.
-// others holds the failure domains other than this VM's own that it reaches. While one of them has room, nothing is
-// refused: the share Refused of the openings goes there, as far as recent answers show that there is room. Late ones outweigh
-// the news. While none has room, openings do not leave the domain: VMs of full domains would send each other what they
+// others holds the failure domains other than this VM's own that it reaches. While one of them has room, the share Refused of
+// the openings goes there as far as recent answers show that room, and the rest of that share is refused. Late answers
+// outweigh the news. While none has room, openings do not leave the domain: VMs of full domains would send each other what they
 // place better at home. Those of a priority that is not refused stay only for late answers, as news of less urgent ones
 // says nothing to them.
 func (c *Controller) Decide(now clock.Millis, priority int, draw float64, others []load.DomainPool) Decision {
@@ -35,22 +35,30 @@
 		return Admitted
 	case !c.IsFullElsewhere(now) && hasRoomIn(others):
 		s.seenAt = now
-		return c.decideWithRoom(s, draw)
+		return c.decideWithRoom(now, s, draw)
 	case c.Refuse(now, priority, draw):
 		return Refused
-	case c.IsFullElsewhere(now) || s.share.Refused > 0 && (hasFreshNews(others) || !c.takesElsewhere()):
+	case c.staysAtHome(now, s, others):
 		return Kept
 	default:
 		return Admitted
 	}
 }
 
+// staysAtHome reports whether an opening of a priority that is not refused stays in the domain, as no other one has room.
+func (c *Controller) staysAtHome(now clock.Millis, s *state, others []load.DomainPool) bool {
+	if c.IsFullElsewhere(now) {
+		return true
+	}
+	return s.share.Refused > 0 && (hasFreshNews(others) || !c.takesElsewhere(now))
+}
+
 // decideWithRoom decides on an opening while another domain has room by the news.
-func (c *Controller) decideWithRoom(s *state, draw float64) Decision {
+func (c *Controller) decideWithRoom(now clock.Millis, s *state, draw float64) Decision {
 	switch {
 	case draw >= s.share.Refused:
 		return Admitted
-	case c.takesElsewhere():
+	case c.takesElsewhere(now):
 		c.elsewhere.sent++
 		return Spilled
 	default:
@@ -60,9 +68,9 @@
 }
 
 // takesElsewhere reports whether one more opening may leave the domain. Without a count of the requests under way all may.
-func (c *Controller) takesElsewhere() bool {
+func (c *Controller) takesElsewhere(now clock.Millis) bool {
 	present := &c.forecast.present
-	return present.Slots == 0 || c.elsewhere.takes(present.Elsewhere)
+	return present.Slots == 0 || c.elsewhere.takes(now, present.Elsewhere)
 }
 
 // hasFreshNews reports whether there is fresh news of one of the domains.
--- a/admission/elsewhere.go
+++ b/admission/elsewhere.go
@@ -18,19 +18,25 @@
 // add adds an answer. The other domains count as full if answers take longer than limit. usual is the response time
 // that is assumed in advance, so that one late answer decides nothing.
 func (e *elsewhere) add(now clock.Millis, responseTime, usual, limit float64) {
-	e.answers.fade(now - e.updatedAt)
-	e.updatedAt = now
+	e.fade(now)
 	e.answers.add(responseTime, usual)
 	if e.answers.blend(usual) > limit {
 		e.fullUntil = now + newsDelay
 	}
 }
 
+// fade lets the answers count less by the time since the last call.
+func (e *elsewhere) fade(now clock.Millis) {
+	e.answers.fade(now - e.updatedAt)
+	e.updatedAt = now
+}
+
 // isFull reports whether answers from other domains were late since the time that the news of them shows.
 func (e *elsewhere) isFull(now clock.Millis) bool { return now < e.fullUntil }
 
 // takes reports whether one more opening may go there, beside the requests that were under way at the latest count: one
 // may, and one for each recent answer. So the first ones show whether there is as much room as the news says.
-func (e *elsewhere) takes(underWay int) bool {
+func (e *elsewhere) takes(now clock.Millis, underWay int) bool {
+	e.fade(now)
 	return float64(underWay+e.sent) < 1+e.answers.count
 }
--- a/admission/forecast_test.go
+++ b/admission/forecast_test.go
@@ -124,12 +124,14 @@
 		name     string
 		underWay int // in other domains
 		answers  int // in time, from there
+		since    clock.Millis
 		expected int // openings that may leave, of ten
 	}{
-		{"nothing known", 0, 0, 1},
-		{"one is under way", 1, 0, 0},
-		{"one has been answered", 0, 1, 2},
-		{"many have been answered", 4, 20, 10},
+		{"nothing known", 0, 0, 0, 1},
+		{"one is under way", 1, 0, 0, 0},
+		{"one has been answered", 0, 1, 0, 2},
+		{"many have been answered", 4, 20, 0, 10},
+		{"many were answered long ago", 0, 20, clock.Minute, 1},
 	}
 	half := load.DomainPool{Targets: 20, Slots: 40, Work: load.Work{Busy: 16, Finished: 256}}
 	for _, tt := range tests {
@@ -142,7 +144,7 @@
 			c.SetPresent(present)
 			c.hear(admission.UpdateInterval, poolWith("east", 70), half)
 			for range tt.answers {
-				c.ObserveElsewhere(c.now, 70)
+				c.ObserveElsewhere(c.now-tt.since, 70)
 			}
 			count := map[admission.Decision]int{}
 			for range 10 {
