Take the usual service time from the targets in use

Cause, found by a reader of the diff: what was remembered of a target's pace faded in its own slowdown, but not in the mean of all. A target without requests for an hour, or one that leaves, weighed in the usual time like a busy one.

Change: the mean weighs paces by what still counts, and leaves out targets that accept no new flows.

Test: TestUsualServiceTimeFollowsTheTargetsInUse failed before. spread, inband pass.

--- a/inband/shared.go
+++ b/inband/shared.go
@@ -77,12 +77,12 @@
 	b.pace.Add(now, seen, b.work(), b.target.Slots, b.pool.serviceTime)
 }
 
-// usualServiceTime returns the usual service time in milliseconds of the targets in the VM's own failure domain, or
+// usualServiceTime returns the usual service time in milliseconds of the targets in use in the VM's own failure domain, or
 // zero while it is unknown.
-func (p *pool) usualServiceTime() float64 {
-	return spread.UsualServiceTime(func(yield func(*spread.Pace) bool) {
+func (p *pool) usualServiceTime(now clock.Millis) float64 {
+	return spread.UsualServiceTime(now, func(yield func(*spread.Pace) bool) {
 		for _, b := range p.local {
-			if !yield(&b.pace) {
+			if b.acceptsNewFlows(now) && !yield(&b.pace) {
 				return
 			}
 		}
--- a/inband/spill.go
+++ b/inband/spill.go
@@ -21,8 +21,8 @@
 // spillState is what a pool's load has come to, as of the last Sweep.
 type spillState struct {
 	spill        spread.Spill
-	serviceTime  float64 // usual, in milliseconds; while nothing finishes it stays, zero if nothing is under way
-	responseTime float64 // expected in the VM's own failure domain, in milliseconds; the same holds
+	serviceTime  float64 // usual, in milliseconds; zero while it is unknown
+	responseTime float64 // expected in the VM's own failure domain, in milliseconds; it stays while nothing finishes
 	isSpilling   bool    // as of the last TakeSpillChanges
 	isCompared   bool    // in Engine.compared
 }
@@ -110,7 +110,7 @@
 	own, others, isKnown := e.compareDomains(now, p)
 	if !own.Work.IsStalled() {
 		p.responseTime = own.ResponseTime()
-		p.serviceTime = p.usualServiceTime()
+		p.serviceTime = p.usualServiceTime(now)
 	}
 	if !isKnown {
 		p.spill.Decline(now)
--- a/spread/pace.go
+++ b/spread/pace.go
@@ -65,18 +65,19 @@
 
 // UsualServiceTime returns the mean service time in milliseconds of targets by their paces, without those that
 // are slow, or zero if nothing is known.
-func UsualServiceTime(paces iter.Seq[*Pace]) float64 {
-	return meanServiceTime(paces, slowFactor*meanServiceTime(paces, math.MaxFloat64))
+func UsualServiceTime(now clock.Millis, paces iter.Seq[*Pace]) float64 {
+	return meanServiceTime(now, paces, slowFactor*meanServiceTime(now, paces, math.MaxFloat64))
 }
 
 // meanServiceTime returns the mean service time of the targets that take no longer than a limit. Targets that finish
-// nothing do not count.
-func meanServiceTime(paces iter.Seq[*Pace], limit float64) float64 {
+// nothing do not count, and those without requests for some time count little.
+func meanServiceTime(now clock.Millis, paces iter.Seq[*Pace], limit float64) float64 {
 	occupied, finished := 0.0, 0.0
 	for p := range paces {
 		if p.finished > 0 && p.occupied <= limit*p.finished {
-			occupied += p.occupied
-			finished += p.finished
+			kept := p.kept(now)
+			occupied += kept * p.occupied
+			finished += kept * p.finished
 		}
 	}
 	if finished == 0 {
--- a/spread/pace_test.go
+++ b/spread/pace_test.go
@@ -92,17 +92,29 @@
 func TestUsualServiceTime(t *testing.T) {
 	is := is.New(t)
 	var paces []*spread.Pace
-	is.Equal(spread.UsualServiceTime(slices.Values(paces)), 0.0)
+	is.Equal(spread.UsualServiceTime(0, slices.Values(paces)), 0.0)
+	now := clock.Millis(0)
 	for i := range 8 {
 		work := load.Work{Busy: 1, Finished: 20}
 		if i%4 == 0 {
 			work = load.Work{Busy: 2, Finished: 8}
 		}
 		p := &spread.Pace{}
-		see(p, clock.Second, 2*clock.Second, work, 50)
+		now = see(p, clock.Second, 2*clock.Second, work, 50)
 		paces = append(paces, p)
 	}
-	usual := spread.UsualServiceTime(slices.Values(paces))
+	usual := spread.UsualServiceTime(now, slices.Values(paces))
+	is.True(usual > 49)
+	is.True(usual < 51)
+}
+
+// A target without requests for long says little of what is usual now.
+func TestUsualServiceTimeFollowsTheTargetsInUse(t *testing.T) {
+	is := is.New(t)
+	idle, busy := &spread.Pace{}, &spread.Pace{}
+	now := see(idle, clock.Second, 2*clock.Second, load.Work{Busy: 1, Finished: 10}, 100)
+	see(busy, now, clock.Minute, load.Work{Busy: 1, Finished: 20}, 50)
+	usual := spread.UsualServiceTime(now+clock.Minute, slices.Values([]*spread.Pace{idle, busy}))
 	is.True(usual > 49)
 	is.True(usual < 51)
 }
--- a/spread/target.go
+++ b/spread/target.go
@@ -25,7 +25,7 @@
 }
 
 // Cost returns the cost of a new flow at the target. The flows that this VM has there are weighted by the caller.
-// The mean is the response time in usual service times over the targets of the pool.
+// The mean is the response time in usual service times over the targets of its failure domain.
 //
 // If draw is exponentially distributed with mean 1, and drawn for each target, the target with the lowest
 // cost is chosen with a probability in proportion to what it finishes, among those where this VM has the
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -208,7 +208,7 @@
 			own = append(own, m.paces[i])
 		}
 	}
-	m.serviceTime = spread.UsualServiceTime(slices.Values(own))
+	m.serviceTime = spread.UsualServiceTime(w.now, slices.Values(own))
 }
 
 // hear updates what a VM believes of the others.
