Count requests of flows that were opened elsewhere against the slow start

Cause, found by a reader of the diff: of a flow opened through another VM the first request here counted nowhere, and a share that was never asked for had no interval, so the requests after it counted for nothing either.

Change: each request of such a flow counts, and counting works the share out if it has expired. Comments of the package say requests throughout, as the tables do.

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -263,8 +263,10 @@
 		f.startAt(p.Seq)
 		f.recordForwarded(p)
 		e.hold(f)
+		f.hasRequested = true // which request it is, is not known, so each counts for the slow start
 		if p.DataLength > 0 {
 			e.markBusy(f)
+			e.recordSlowStart(now, b)
 		}
 		f.hasOutcome = p.DataLength == 0 // there is no request yet
 	}
--- a/inband/slowstart.go
+++ b/inband/slowstart.go
@@ -1,9 +1,12 @@
 package inband
 
-import "github.com/almondflow/almondflow/clock"
+import (
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/slowstart"
+)
 
 // hasSlowStartRoom reports whether the target takes one more flow of this VM now. A target whose service
-// limits new flows during the slow start gets them from the VMs of its own failure domain only, which share
+// limits requests during the slow start gets them from the VMs of its own failure domain only, which share
 // the limit.
 func (e *Engine) hasSlowStartRoom(now clock.Millis, b *Backend) bool {
 	limit := e.slowStartRate(now, b)
@@ -13,18 +16,23 @@
 	if !e.isLocal(b) {
 		return false
 	}
+	return e.slowStartShare(now, b, limit).HasRoom(now)
+}
+
+// slowStartShare returns the share of this VM, worked out anew if it has expired.
+func (e *Engine) slowStartShare(now clock.Millis, b *Backend, limit float64) *slowstart.Share {
 	if b.slowStart.IsExpired(now) {
 		rank, vms := e.options.SlowStartRank(now, b.target.ID)
 		b.slowStart.Renew(now, limit, rank, vms)
 	}
-	return b.slowStart.HasRoom(now)
+	return &b.slowStart
 }
 
 // recordSlowStart counts a request of this VM at a target, the first of a new flow or one of an open flow, against
 // its share of the slow start.
 func (e *Engine) recordSlowStart(now clock.Millis, b *Backend) {
-	if e.slowStartRate(now, b) > 0 {
-		b.slowStart.Count(now)
+	if limit := e.slowStartRate(now, b); limit > 0 && e.isLocal(b) {
+		e.slowStartShare(now, b, limit).Count(now)
 	}
 }
 
@@ -37,7 +45,7 @@
 	return e.slowStartRates[b.target.Service]
 }
 
-// setSlowStartRates keeps the limits that services set on the new flows of targets in slow start.
+// setSlowStartRates keeps the limits that services set on the requests to targets in slow start.
 func (e *Engine) setSlowStartRates(services []Service) {
 	clear(e.slowStartRates)
 	for _, s := range services {
--- a/inband/slowstart_test.go
+++ b/inband/slowstart_test.go
@@ -100,6 +100,15 @@
 	is.Equal(e.Handle(clock.Minute, opening(2, feedAddress, 0)).Action, inband.Forward) // it is over
 }
 
+// Requests of a flow that was opened through another VM count as well.
+func TestSlowStartCountsFlowsOpenedElsewhere(t *testing.T) {
+	is := is.New(t)
+	e := slowStartFleet(1, 1, target("i-1", "a"))[0]
+	is.Equal(e.Handle(0, data(1, feedAddress, inband.TagOf("i-1"), 101, 500)).Action, inband.Forward)
+	is.Equal(e.Handle(10, opening(2, feedAddress, 0)).Reason, inband.NoTarget)
+	is.Equal(e.Handle(1000, opening(3, feedAddress, 0)).Action, inband.Forward)
+}
+
 // Load: clients keep their flows open and send a request on each once a second. The target bears the published number
 // of requests a second, those of open flows included; the users' limit is 1.5 times that and 5 more. The flows that are open
 // when it is reached go on, so others have to wait.
--- a/slowstart/share.go
+++ b/slowstart/share.go
@@ -5,8 +5,8 @@
 const (
 	// shareLifetime is how long a share is used before it is worked out again from the VMs that are known then.
 	shareLifetime = 250 * clock.Millisecond
-	// maxWait limits how long new flows wait for requests that came before, so that they do not long after those
-	// ended.
+	// maxWait limits how long new flows wait for requests that came before, so that they wait no longer than this
+	// after the last one.
 	maxWait = clock.Second
 )
 
