Count targets that have just come before a domain's room is used

No failure was seen.

Change: countIfChanged for both places. TestMovedOpeningsAreNotDeferred now fails if no opening is moved (it has some). mayRefuse's comment has a sentence for each rule.

--- a/inband/admission.go
+++ b/inband/admission.go
@@ -53,8 +53,8 @@
 	return best
 }
 
-// mayRefuse reports whether an opening to a pool may be refused or deferred. Of pools that do not refuse by urgency these are
-// first copies only, and never those whose client has waited for a target that got an earlier copy.
+// mayRefuse reports whether an opening to a pool may be refused or deferred. Pools that refuse by urgency defer copies, but
+// not those whose client has waited for a target that got an earlier one. The others refuse first copies only.
 func (e *Engine) mayRefuse(now clock.Millis, p *pool, reason Reason) bool {
 	if !p.admission.RefusesByUrgency() {
 		return e.isFirstCopy(now, reason)
--- a/inband/admission_test.go
+++ b/inband/admission_test.go
@@ -129,12 +129,15 @@
 	is := is.New(t)
 	e, now := newFullEngine(true)
 	e.UpdateTargets(published(target("i-2", "a")))
+	moved := 0
 	for client := range 100 {
 		if e.Handle(now, opening(100+client, feedAddress, 0)).Action != inband.Forward {
 			continue
 		}
 		is.Equal(e.Handle(now+200, opening(100+client, feedAddress, 1)).Reason, inband.MovedUnresponsive)
+		moved++
 	}
+	is.True(moved > 0)
 }
 
 // What waited while the process stood still may have been forwarded as a copy by another VM meanwhile.
--- a/inband/admissionpresent.go
+++ b/inband/admissionpresent.go
@@ -76,6 +76,7 @@
 		return []*domainPool{d}, e.localVMs
 	}
 	for _, d := range p.domainPools {
+		d.countIfChanged(now)
 		if d.targets > 0 && !e.IsPartitioned(now, d.id.Domain) {
 			domains = append(domains, d)
 		}
@@ -104,9 +105,7 @@
 		if !d.isLocal {
 			continue
 		}
-		if !d.isCounted { // targets changed since the last sweep
-			d.count(now)
-		}
+		d.countIfChanged(now)
 		if d.targets > 0 {
 			return d
 		}
--- a/inband/domainpool.go
+++ b/inband/domainpool.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// countIfChanged counts the targets if they changed since the last sweep.
+func (d *domainPool) countIfChanged(now clock.Millis) {
+	if !d.isCounted {
+		d.count(now)
+	}
+}
+
 // reset forgets what was added up.
 func (d *domainPool) reset() {
 	d.domainEstimate = domainEstimate{targets: d.targets, slots: d.slots, newsAge: load.NewsLifetime}
