Refuse a failure domain that is listed twice, and trim spaces

Cause: ParseMap took the last region of a failure domain listed twice, and kept spaces as parts of names, so that a domain " b" had a region and "b" had none. Change: a typed error for the former, and names are trimmed. Run: the five new rows of TestParseMap failed before; go test ./region and go test ./front -run Regions pass after.

--- a/region/region.go
+++ b/region/region.go
@@ -16,8 +16,12 @@
 	regionSeparator = "="
 )
 
-// errMalformed means that a part of the text of a Map is not a failure domain with its region.
-var errMalformed = errors.New("not a failure domain with its region")
+var (
+	// errMalformed means that a part of the text of a Map is not a failure domain with its region.
+	errMalformed = errors.New("not a failure domain with its region")
+	// errListedTwice means that the text of a Map lists a failure domain more than once.
+	errListedTwice = errors.New("failure domain listed twice")
+)
 
 // Map holds the regions of failure domains. It is immutable, and the zero value knows none.
 type Map struct {
@@ -25,7 +29,7 @@
 }
 
 // ParseMap returns the regions that a text such as "east-a=east,west-a=west" lists, or an error if a part of it has
-// another form. An empty text lists none.
+// another form or a domain is listed twice. An empty text lists none. Spaces around names do not count.
 func ParseMap(text string) (Map, error) {
 	if text == "" {
 		return Map{}, nil
@@ -33,9 +37,13 @@
 	regions := map[string]string{}
 	for part := range strings.SplitSeq(text, domainSeparator) {
 		domain, region, isPair := strings.Cut(part, regionSeparator)
+		domain, region = strings.TrimSpace(domain), strings.TrimSpace(region)
 		if !isPair || domain == "" || region == "" {
 			return Map{}, fmt.Errorf("%w: %q", errMalformed, part)
 		}
+		if _, isListed := regions[domain]; isListed {
+			return Map{}, fmt.Errorf("%w: %q", errListedTwice, domain)
+		}
 		regions[domain] = region
 	}
 	return Map{regions: regions}, nil
--- a/region/region_test.go
+++ b/region/region_test.go
@@ -79,6 +79,11 @@
 		{"no region", "east-a=east,west-a", nil, false},
 		{"empty region", "east-a=", nil, false},
 		{"empty domain", "=east", nil, false},
+		{"spaces", " east-a = east , west-a=west ", map[string]string{"east-a": "east", "west-a": "west"}, true},
+		{"a region of spaces", "east-a= ", nil, false},
+		{"listed twice", "east-a=east,east-a=west", nil, false},
+		{"listed twice with one region", "east-a=east,east-a=east", nil, false},
+		{"listed twice, once with a space", "east-a=east, east-a=west", nil, false},
 		{"a placeholder that nothing has filled in", "{{#zones}}{{@}}={{.}}{{,}}{{/zones}}", nil, false},
 	}
 	for _, tt := range tests {
