Print the regions of pools in status and explain

Cause: writeAdmissions printed no regions, so a service with a route that is bound to some had two lines with the same name, for different pools. Change: the lines of such a pool begin with its regions, as those of bound routes do.

--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -74,19 +74,27 @@
 	return t.Flush()
 }
 
+// boundTo says which regions flows are bound to.
+func boundTo(regions []string) string { return "bound to " + strings.Join(regions, ", ") }
+
 // writeBoundRoutes writes the routes whose flows may go to some regions only.
 func writeBoundRoutes(w io.Writer, routes []inband.BoundRoute) {
 	for _, r := range routes {
-		_, _ = fmt.Fprintf(w, "route %s\tbound to %s, %d targets\n", r.Name, strings.Join(r.AllowedRegions, ", "), r.Targets)
+		_, _ = fmt.Fprintf(w, "route %s\t%s, %d targets\n", r.Name, boundTo(r.AllowedRegions), r.Targets)
 	}
 }
 
 // writeAdmissions writes the refused share of each priority of the pools.
 func writeAdmissions(w io.Writer, pools []inband.AdmissionStatus) {
 	for _, a := range pools {
+		bound := ""
+		if len(a.AllowedRegions) > 0 {
+			bound = boundTo(a.AllowedRegions) + ", "
+		}
 		for _, s := range a.Shares {
-			_, _ = fmt.Fprintf(w, "refused %s priority %d\t%.2f of requests, %.2f of openings, %d so far, response time %.0f ms, %.0f busy of %d slots, news %d ms old\n",
-				a.Service, s.Priority, s.Refused, s.RefusedOpenings, s.Count, a.ResponseTimeMS, a.Busy, a.Slots, a.NewsAgeMS)
+			_, _ = fmt.Fprintf(w, "refused %s priority %d\t%s%.2f of requests, %.2f of openings, %d so far, "+
+				"response time %.0f ms, %.0f busy of %d slots, news %d ms old\n",
+				a.Service, s.Priority, bound, s.Refused, s.RefusedOpenings, s.Count, a.ResponseTimeMS, a.Busy, a.Slots, a.NewsAgeMS)
 		}
 	}
 }
@@ -121,7 +129,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\npriority\t%d\n", explanation.Route, explanation.Target, explanation.State, explanation.Priority)
 	if len(explanation.AllowedRegions) > 0 {
-		_, _ = fmt.Fprintf(t, "regions\tbound to %s\n", strings.Join(explanation.AllowedRegions, ", "))
+		_, _ = fmt.Fprintf(t, "regions\t%s\n", boundTo(explanation.AllowedRegions))
 	}
 	for _, domain := range explanation.DrainedDomains {
 		_, _ = fmt.Fprintf(t, "domain %s\tdrained\n", domain)
