Let the store of half of the soaks tell no era at first

Cause: the soak's store returned from a copy at the start, so that no soak ran with a store that tells no era, nor met the first era. Change: drawn by the seed, with a generator of its own, so that the faults of a seed stay. The last line of a soak says which. Run, 400 requests each: TestSoak with seeds 1, 7, 8 and 10 (no era at first) and 2 (era), and TestPressureSoak with seeds 1 and 7 (no era at first) pass. TestSprayedPressureSoak, which is known red, was not run.

--- a/cmd/almondflow-entry/soak_test.go
+++ b/cmd/almondflow-entry/soak_test.go
@@ -130,8 +130,9 @@
 	s.endFaults()
 	s.checkConverged()
 	stopClients()
-	s.t.Logf("seed %d: %d requests served, %d flows given up, %d reset, %d openings refused, %d of them for lack of room, faults %v",
-		*soakSeed, s.served.Load(), s.abandoned.Load(), s.resets.Load(), s.refused.Load(), s.pressure.refused, s.faults)
+	s.t.Logf("seed %d (era at first: %v): %d requests served, %d flows given up, %d reset, %d openings refused, "+
+		"%d of them for lack of room, faults %v", *soakSeed, tellsEraAtFirst(*soakSeed),
+		s.served.Load(), s.abandoned.Load(), s.resets.Load(), s.refused.Load(), s.pressure.refused, s.faults)
 }
 
 // prepare builds the program and starts all hosts and VMs.
@@ -144,7 +145,9 @@
 		s.ports[i] = freePort(s.t)
 	}
 	s.requireNoError(s.store.PutTablesWithPriorities(s.version, "core"))
-	s.store.ReturnFromCopy(0) // so that all answers tell an era
+	if tellsEraAtFirst(*soakSeed) {
+		s.store.ReturnFromCopy(0) // so that all answers tell an era
+	}
 	for i := range soakHosts {
 		s.addHost(soakDomains[i%len(soakDomains)])
 	}
@@ -157,6 +160,10 @@
 	}
 }
 
+// tellsEraAtFirst reports whether the store tells an era from the start, which it does for half of the seeds. It has a
+// generator of its own so that the faults of a seed stay.
+func tellsEraAtFirst(seed uint64) bool { return rand.New(rand.NewPCG(seed, 2)).IntN(2) > 0 }
+
 func (s *soak) requireNoError(err error) {
 	s.t.Helper()
 	if err != nil {
