Audit and log changed regions

Cause: after a reload the audit trail said "reloaded" alone, so that nothing showed since when other regions of failure domains are in force, or which were before. Change: a record and the line regions_changed, with the text before and after, ordered by domain. They go by what is in force: regions that can't be read, or come in another order, change nothing. Run: TestChangedRegionsAreAudited and three rows of TestRegionsOfTheSettings failed before; go test ./front ./region pass after.

--- a/front/regions.go
+++ b/front/regions.go
@@ -31,3 +31,20 @@
 	d.regions = regions
 	d.mu.Unlock()
 }
+
+// auditRegions records that other regions are in force than before, if they are.
+func (d *Daemon) auditRegions(now clock.Millis, before region.Map, source string) {
+	previous, current := before.String(), d.currentRegions().String()
+	if previous == current {
+		return
+	}
+	d.auditTrail.add(AuditRecord{AtMS: now, Subject: "regions", Before: previous, After: current, Source: source})
+	d.log.Info("regions_changed", "at_ms", now, "before", previous, "after", current, "source", source)
+}
+
+// currentRegions returns the regions in force.
+func (d *Daemon) currentRegions() region.Map {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.regions
+}
--- a/front/regions_test.go
+++ b/front/regions_test.go
@@ -28,13 +28,15 @@
 		after        string // and once it was reloaded
 		want         []string
 		isUnreadable bool // one of them
+		isChanged    bool // what is in force
 	}{
-		{"unchanged", "a=east,b=west", "a=east,b=west", []string{"a"}, false},
-		{"changed", "a=east,b=west", "a=west,b=east", []string{"b"}, false},
-		{"a domain is added", "a=east", "a=east,b=east", []string{"a", "b"}, false},
-		{"unreadable later", "a=east,b=west", "a", []string{"a"}, true},
-		{"unreadable at first", "{{#zones}}{{@}}={{.}}{{,}}{{/zones}}", "a=east,b=west", []string{"a"}, true},
-		{"none", "", "", nil, false},
+		{"unchanged", "a=east,b=west", "a=east,b=west", []string{"a"}, false, false},
+		{"in another order", "a=east,b=west", "b=west, a=east", []string{"a"}, false, false},
+		{"changed", "a=east,b=west", "a=west,b=east", []string{"b"}, false, true},
+		{"a domain is added", "a=east", "a=east,b=east", []string{"a", "b"}, false, true},
+		{"unreadable later", "a=east,b=west", "a", []string{"a"}, true, false},
+		{"unreadable at first", "{{#zones}}{{@}}={{.}}{{,}}{{/zones}}", "a=east,b=west", []string{"a"}, true, true},
+		{"none", "", "", nil, false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -56,10 +58,36 @@
 			var lines strings.Builder
 			is.NoErr(d.logWriter.flush(&lines))
 			is.Equal(strings.Contains(lines.String(), "msg=regions_unreadable"), tt.isUnreadable)
+			is.Equal(strings.Contains(lines.String(), "msg=regions_changed"), tt.isChanged)
 		})
 	}
 }
 
+func TestChangedRegionsAreAudited(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, Options{})
+	path := filepath.Join(t.TempDir(), "settings.json")
+	for _, regions := range []string{"b=west, a=east", "a=east,b=west", "a", "a=east"} {
+		settings := strings.Replace(validSettings, `"policy":"naive"`, `"policy":"naive","regions":"`+regions+`"`, 1)
+		is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
+		d.Reload(path)
+	}
+	var changes []AuditRecord
+	for _, record := range d.auditTrail.list() {
+		if record.Subject == "regions" {
+			record.AtMS = 0
+			changes = append(changes, record)
+		}
+	}
+	is.Equal(changes, []AuditRecord{
+		{Subject: "regions", After: "a=east,b=west", Source: path},
+		{Subject: "regions", Before: "a=east,b=west", After: "a=east", Source: path},
+	})
+	var lines strings.Builder
+	is.NoErr(d.logWriter.flush(&lines))
+	is.True(strings.Contains(lines.String(), `before="a=east,b=west" after="a=east" source=`))
+}
+
 // A view that a sibling sends holds the regions of routes, whole or as a difference.
 func TestSiblingsTellRegionsOfRoutes(t *testing.T) {
 	is := is.New(t)
--- a/front/reload.go
+++ b/front/reload.go
@@ -49,7 +49,9 @@
 	updated.Seeds, updated.LogLinesPerSecond, updated.StopMS = parsed.Seeds, parsed.LogLinesPerSecond, parsed.StopMS
 	updated.Regions = parsed.Regions
 	d.settings.Store(&updated)
+	regions := d.currentRegions()
 	d.applyRegions(now, &updated)
+	d.auditRegions(now, regions, path)
 	d.mu.Lock()
 	d.lineLimiter.perSecond = parsed.LogLinesPerSecond
 	d.mu.Unlock()
--- a/region/region.go
+++ b/region/region.go
@@ -52,6 +52,15 @@
 // Domains returns the regions by failure domain.
 func (m Map) Domains() map[string]string { return maps.Clone(m.regions) }
 
+// String returns the text form, ordered by failure domain.
+func (m Map) String() string {
+	var parts []string
+	for _, domain := range slices.Sorted(maps.Keys(m.regions)) {
+		parts = append(parts, domain+regionSeparator+m.regions[domain])
+	}
+	return strings.Join(parts, domainSeparator)
+}
+
 // Allows reports whether flows of a route that is bound to the allowed regions may go to a failure domain. A route
 // without allowed regions is not bound. A domain whose region is not known is in none that is allowed.
 func (m Map) Allows(allowed []string, domain string) bool {
--- a/region/region_test.go
+++ b/region/region_test.go
@@ -95,3 +95,11 @@
 		})
 	}
 }
+
+func TestString(t *testing.T) {
+	is := is.New(t)
+	is.Equal(region.Map{}.String(), "")
+	regions, err := region.ParseMap("west-a=west, east-a=east")
+	is.NoErr(err)
+	is.Equal(regions.String(), "east-a=east,west-a=west")
+}
