Name the regions of routes in one place, and all sources of audit records

Cause: three places joined the allowed regions, each by itself, and the comment on Source lacked the changes that the store lost. Change: regionNames takes the regions; the comment lists all four sources. Run: go test ./front passes; no behavior changes.

--- a/front/audittrail.go
+++ b/front/audittrail.go
@@ -17,7 +17,9 @@
 	Subject string       `json:"subject"`
 	Before  string       `json:"before"`
 	After   string       `json:"after"`
-	Source  string       `json:"source"` // "store", the address of a sibling, or the path of the settings file
+	// Source is "store", the address of a sibling, the path of the settings file, or "not written again" for a change
+	// that the store lost.
+	Source string `json:"source"`
 }
 
 // auditTrail keeps the newest changes.
--- a/front/health.go
+++ b/front/health.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"strings"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
@@ -96,7 +95,7 @@
 
 func (d *Daemon) logSpills(now clock.Millis, changes []inband.Spilling) {
 	for _, s := range changes {
-		d.log.Info("pool_spills", "at_ms", now, "service", s.Service, "regions", strings.Join(s.AllowedRegions, ","),
+		d.log.Info("pool_spills", "at_ms", now, "service", s.Service, "regions", regionNames(s.AllowedRegions),
 			"spills", s.IsSpilling, "share", s.Share,
 			"response_ms", s.ResponseTime, "service_ms", s.ServiceTime)
 	}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -182,7 +182,7 @@
 	for _, s := range d.engine.Spillings() {
 		tags := map[string]string{"service": s.Service}
 		if len(s.AllowedRegions) > 0 {
-			tags["regions"] = strings.Join(s.AllowedRegions, ",")
+			tags["regions"] = regionNames(s.AllowedRegions)
 		}
 		tagged := m.scope.Tagged(tags)
 		tagged.Gauge(responseTimeMetric.Name).Update(s.ResponseTime)
--- a/front/refusals.go
+++ b/front/refusals.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"maps"
 	"strconv"
-	"strings"
 
 	"github.com/uber-go/tally/v4"
 
@@ -44,7 +43,7 @@
 	seen := map[refusalKey]bool{}
 	for _, pool := range pools {
 		for _, share := range pool.Shares {
-			key := refusalKey{service: pool.Service, regions: regionNames(pool), priority: share.Priority}
+			key := refusalKey{service: pool.Service, regions: regionNames(pool.AllowedRegions), priority: share.Priority}
 			seen[key] = true
 			if isBegin, isChange := l.updateShare(now, key, share.IsRefusing()); isChange {
 				changes = append(changes, refusalChange{pool: pool, share: share, isBegin: isBegin})
@@ -80,15 +79,12 @@
 	}
 }
 
-// regionNames returns the regions that routes to a pool are bound to, or an empty string.
-func regionNames(pool inband.AdmissionStatus) string { return strings.Join(pool.AllowedRegions, ",") }
-
 func (c *refusalChange) write(now clock.Millis, log *slog.Logger) {
 	message := "refusal_ended"
 	if c.isBegin {
 		message = "refusal_began"
 	}
-	log.Warn(message, "at_ms", now, "pool", c.pool.Service, "regions", regionNames(c.pool), "priority", c.share.Priority, "share", c.share.Refused,
+	log.Warn(message, "at_ms", now, "pool", c.pool.Service, "regions", regionNames(c.pool.AllowedRegions), "priority", c.share.Priority, "share", c.share.Refused,
 		"share_of_openings", c.share.RefusedOpenings, "hopeless", c.share.Hopeless, "refused", c.share.Count, "response_time_ms", int(c.pool.ResponseTimeMS),
 		"slots", c.pool.Slots, "busy", int(c.pool.Busy), "news_age_ms", c.pool.NewsAgeMS)
 }
--- a/front/regions.go
+++ b/front/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/region"
@@ -18,6 +19,9 @@
 	return fmt.Sprintf("%s, regions of %d failure domains", summary, len(regions.Domains()))
 }
 
+// regionNames returns the regions that routes are bound to as text, which is empty if they are not bound.
+func regionNames(allowed []string) string { return strings.Join(allowed, ",") }
+
 // applyRegions puts the regions that settings give to failure domains into force. If they can't be read, those before
 // stay, and as long as there are none, routes with allowed regions have no targets.
 func (d *Daemon) applyRegions(now clock.Millis, settings *Settings) {
--- a/front/regions_test.go
+++ b/front/regions_test.go
@@ -112,7 +112,7 @@
 	changes := l.update(2*clock.Second, pools)
 	is.Equal(len(changes), 1)
 	is.True(!changes[0].isBegin)
-	is.Equal(regionNames(changes[0].pool), "east,west")
+	is.Equal(regionNames(changes[0].pool.AllowedRegions), "east,west")
 }
 
 func TestMetricsTellRegionsApart(t *testing.T) {
