--- a/cmd/almondflow-entry/soak_vm_test.go
+++ b/cmd/almondflow-entry/soak_vm_test.go
@@ -44,9 +44,10 @@
 // startVM starts the process of a VM with its own settings and log file.
 func (s *soak) startVM(v *entryVM) {
 	at := func(i int) string { return netip.AddrPortFrom(v.address, s.ports[i]).String() }
+	seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, 1}), s.ports[2]).String()
 	settings, err := json.Marshal(map[string]any{
 		"name": v.address.String(), "domain": v.domain, "packet_address": at(0), "readiness_address": at(1),
-		"operator_address": at(2), "sibling_address": at(3), "seeds": []string{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, 1}), s.ports[2]).String()},
+		"operator_address": at(2), "sibling_address": at(3), "seeds": []string{seed},
 		"store_address": v.link.Address(), "policy": "local", "rules": s.rules, "log_lines_per_second": 20, "flow_lifetime_seconds": 60,
 		"stop_ms": 100, "max_flows": 1000, "cpu_share": 1, "link_mbps": 100,
 	})
--- a/cmd/frontcmd.go
+++ b/cmd/frontcmd.go
@@ -127,7 +127,8 @@
 
 func writeFrontExplanation(w io.Writer, explanation *inband.Explanation) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\npriority\t%d\n", explanation.Route, explanation.Target, explanation.State, explanation.Priority)
+	_, _ = fmt.Fprintf(t, "route\t%s\ntarget\t%s\nstate\t%s\npriority\t%d\n",
+		explanation.Route, explanation.Target, explanation.State, explanation.Priority)
 	if len(explanation.AllowedRegions) > 0 {
 		_, _ = fmt.Fprintf(t, "regions\t%s\n", boundTo(explanation.AllowedRegions))
 	}
@@ -136,7 +137,8 @@
 	}
 	writeAdmissions(t, explanation.Admissions)
 	for _, c := range explanation.Candidates {
-		_, _ = fmt.Fprintf(t, "candidate %s\t%s, cost %.2f, %d flows, %d busy, suspect %v, cut %v, bad %.2f\n", c.ID, c.Domain, c.Cost, c.Flows, c.Busy, c.Suspect, c.Partitioned, c.FailureRate)
+		_, _ = fmt.Fprintf(t, "candidate %s\t%s, cost %.2f, %d flows, %d busy, suspect %v, cut %v, bad %.2f\n",
+			c.ID, c.Domain, c.Cost, c.Flows, c.Busy, c.Suspect, c.Partitioned, c.FailureRate)
 	}
 	return t.Flush()
 }
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -95,7 +95,8 @@
 		size: size, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*target{}, byTag: map[inband.Tag]*target{},
 		drainedUntil: map[int]clock.Millis{}, drainedSince: map[int]clock.Millis{},
 		cutUntil: map[vmLink]clock.Millis{}, clientOf: map[inband.Key]*client{}, deaf: map[netip.Addr]bool{}, mute: map[netip.Addr]bool{},
-		partitioned: none, oneWayPartitioned: none, shiftedDomain: none, loadFactor: 1, queryFactor: 1, domainFactors: map[int]float64{}, healedAt: -resetGracePeriod, lossEndedAt: -resetGracePeriod,
+		partitioned: none, oneWayPartitioned: none, shiftedDomain: none, loadFactor: 1, queryFactor: 1,
+		domainFactors: map[int]float64{}, healedAt: -resetGracePeriod, lossEndedAt: -resetGracePeriod,
 	}
 	s.size.RotationLag = cmp.Or(size.RotationLag, defaultRotationLag)
 	s.size.Deadline = cmp.Or(size.Deadline, defaultDeadline)
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -41,7 +41,6 @@
 	shedRequestsMetric    = Metric{"almondflow_front_shed_requests", counterType, "requests", "Requests that full targets shed, which does not count against them."}
 	overloadedPoolsMetric = Metric{"almondflow_front_full_pools", gaugeType, "pools", "Pools whose targets have more work than they can finish in time."}
 	refusedOpeningsMetric = Metric{"almondflow_front_refused_openings", counterType, "openings", "Openings refused for lack of room, by priority (tag priority)."}
-	refusedShareMetric    = Metric{"almondflow_front_refused_share", gaugeType, "share", "Share of requests to be refused for lack of room, of callers that try three times, by priority (tag priority), of the pool with the greatest; they go to other failure domains while these have room."}
 	tablesVersionMetric   = Metric{"almondflow_front_tables_version", gaugeType, "version", "Version of the tables in use."}
 	drainedDomainsMetric  = Metric{"almondflow_front_drained_domains", gaugeType, "domains", "Failure domains that the operator drains, whose targets get no new flows."}
 	readyAfterMetric      = Metric{"almondflow_front_ready_after", gaugeType, "milliseconds", "Time from the start of the process to its first view."}
@@ -58,13 +57,17 @@
 	probesMetric          = Metric{"almondflow_front_target_probes", counterType, "probes", "TCP connections to targets, by what they showed (tag outcome)."}
 	probeTimeMetric       = Metric{"almondflow_front_probe_time", histogramType, "milliseconds", "Time until a probe of a target had an outcome."}
 	remoteOpeningsMetric  = Metric{"almondflow_front_remote_openings", counterType, "flows", "New flows that were sent to targets of other failure domains."}
-	responseTimeMetric    = Metric{"almondflow_front_expected_response", gaugeType, "milliseconds",
+	refusedShareMetric    = Metric{"almondflow_front_refused_share", gaugeType, "share",
+		"Share of requests to be refused for lack of room, of callers that try three times, by priority (tag priority), " +
+			"of the pool with the greatest; they go to other failure domains while these have room."}
+	responseTimeMetric = Metric{"almondflow_front_expected_response", gaugeType, "milliseconds",
 		"Time in which a new request is expected to be answered in the own failure domain " +
 			"(tag service; tag regions for routes that are bound to some)."}
 	spillShareMetric = Metric{"almondflow_front_spill_share", gaugeType, "fraction",
 		"Share of a service's new flows that is sent to other failure domains because requests wait longer " +
 			"in the own one (tag service; tag regions for routes that are bound to some)."}
-	packetTimeMetric = Metric{"almondflow_front_packet_time", histogramType, "microseconds", "Time from reading a packet to sending it on, sampled for one packet in 64."}
+	packetTimeMetric = Metric{"almondflow_front_packet_time", histogramType, "microseconds",
+		"Time from reading a packet to sending it on, sampled for one packet in 64."}
 )
 
 // AllMetrics returns the descriptions of all metrics of the daemon.
--- a/front/refusals.go
+++ b/front/refusals.go
@@ -84,8 +84,9 @@
 	if c.isBegin {
 		message = "refusal_began"
 	}
-	log.Warn(message, "at_ms", now, "pool", c.pool.Service, "regions", regionNames(c.pool.AllowedRegions), "priority", c.share.Priority, "share", c.share.Refused,
-		"share_of_openings", c.share.RefusedOpenings, "hopeless", c.share.Hopeless, "refused", c.share.Count, "response_time_ms", int(c.pool.ResponseTimeMS),
+	log.Warn(message, "at_ms", now, "pool", c.pool.Service, "regions", regionNames(c.pool.AllowedRegions),
+		"priority", c.share.Priority, "share", c.share.Refused, "share_of_openings", c.share.RefusedOpenings,
+		"hopeless", c.share.Hopeless, "refused", c.share.Count, "response_time_ms", int(c.pool.ResponseTimeMS),
 		"slots", c.pool.Slots, "busy", int(c.pool.Busy), "news_age_ms", c.pool.NewsAgeMS)
 }
 
--- a/load/estimate_test.go
+++ b/load/estimate_test.go
@@ -26,13 +26,17 @@
 			load.Work{Busy: 6, Finished: 80, Flows: 12},
 		},
 		{"all heard, no work here", load.Sample{Others: 3, Weight: 3}, load.Work{}, load.Work{Busy: 20, Finished: 300}, own},
-		{"more heard than are alive", load.Sample{Others: 2, Weight: 4}, load.Work{Busy: 4}, load.Work{Busy: 4}, load.Work{Busy: 3, Finished: 20, Flows: 3}},
+		{
+			"more heard than are alive", load.Sample{Others: 2, Weight: 4}, load.Work{Busy: 4}, load.Work{Busy: 4},
+			load.Work{Busy: 3, Finished: 20, Flows: 3},
+		},
 		{
 			"half heard, too little to tell targets apart", load.Sample{Others: 9, Weight: 4}, load.Work{Busy: 0.002}, load.Work{Busy: 0.01},
 			load.Work{Busy: 2.003, Finished: 40, Flows: 6},
 		},
 		{
-			"half heard, enough to tell targets apart", load.Sample{Others: 9, Weight: 4}, load.Work{Busy: 8, Finished: 8e4}, load.Work{Busy: 8, Finished: 8e4},
+			"half heard, enough to tell targets apart", load.Sample{Others: 9, Weight: 4},
+			load.Work{Busy: 8, Finished: 8e4}, load.Work{Busy: 8, Finished: 8e4},
 			load.Work{Busy: 18, Finished: 160040, Flows: 6},
 		},
 	}
