Name the faults that meet in random worlds, and the fields of meetings

Cause: a parameter of drawWorld hid the variable meetings, and rows of meetings ended in bare false, false. Change: kindsThatMet, and combinations for the parameters; meetingWorlds, whose rows name their fields, values unchanged (three isTimely, one isLocal, as before). The comment on maxBesideRoom says that free slots of drained domains are no room.

--- a/experiment/drain_test.go
+++ b/experiment/drain_test.go
@@ -91,7 +91,7 @@
 		experiment.FlapTargets, experiment.PartitionDomain, experiment.LoadBurst, experiment.ShiftClients, experiment.LosePackets,
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		size, pattern := drawWorld(t, kinds, meetings...)
+		size, pattern := drawWorld(t, kinds, kindsThatMet...)
 		pattern.Faults = append(pattern.Faults, experiment.Fault{
 			Kind: experiment.DrainDomain, Domain: rapid.IntRange(0, size.Domains-1).Draw(t, "drained"),
 			At: clock.Millis(rapid.IntRange(2000, 8000).Draw(t, "drained at")), For: 5 * clock.Second,
--- a/experiment/meetings_test.go
+++ b/experiment/meetings_test.go
@@ -33,163 +33,169 @@
 // otherEntry makes VMs of one domain carry flows of targets of the other, once clients are shifted.
 func otherEntry(s *experiment.Size) { s.Domains, s.VMs, s.FeedInterval = 2, 2, 1500 }
 
-var meetingsOfFaults = []meeting{
+var meetingWorlds = []meeting{
 	{
-		"a link of one VM fails", 20, nil,
-		func(clock.Millis) []experiment.Fault {
+		name: "a link of one VM fails", seeds: 20,
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{{Kind: experiment.CutLinks, At: 6000, For: 3000, Share: 0.25}}
-		}, false, false,
+		},
 	},
 	{
-		"a link of one VM fails and messages come twice", 20, nil,
-		func(clock.Millis) []experiment.Fault {
+		name: "a link of one VM fails and messages come twice", seeds: 20,
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.CutLinks, At: 6000, For: 3000, Share: 0.25},
 				{Kind: experiment.RepeatMessages, At: 6000, For: 3000},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"a link of one VM fails after clients were silent", 60,
-		func(s *experiment.Size) { s.FeedInterval, s.Feeds = 8*clock.Second, 40 },
-		func(clock.Millis) []experiment.Fault {
+		name: "a link of one VM fails after clients were silent", seeds: 60,
+		size: func(s *experiment.Size) { s.FeedInterval, s.Feeds = 8*clock.Second, 40 },
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.DeafClients, At: 6000, For: 1300, Share: 0.5},
 				{Kind: experiment.CutLinks, At: 7700, For: 1500, Share: 1},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"a link of one VM fails long after clients were silent", 100,
-		func(s *experiment.Size) { s.VMs, s.Feeds, s.FeedInterval, s.Synchronized = 6, 60, 6*clock.Second, true },
-		func(clock.Millis) []experiment.Fault {
+		name: "a link of one VM fails long after clients were silent", seeds: 100,
+		size: func(s *experiment.Size) { s.VMs, s.Feeds, s.FeedInterval, s.Synchronized = 6, 60, 6*clock.Second, true },
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.DeafClients, At: 5900, For: 2100, Share: 0.5},
 				{Kind: experiment.KillVMs, At: 6150, For: 5000, Share: 0.4},
 				{Kind: experiment.PauseVMs, At: 6160, For: 4340, Share: 0.7},
 				{Kind: experiment.CutLinks, At: 10300, For: 1400, Share: 1},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"a link of one VM fails while another is frozen", 150,
-		func(s *experiment.Size) {
+		name: "a link of one VM fails while another is frozen", seeds: 150,
+		size: func(s *experiment.Size) {
 			s.Feeds, s.FeedInterval, s.Synchronized, s.ProcessingTime, s.RotationLag, s.Deadline = 16, 380, true, 25, 590, 2000
 		},
-		func(seed clock.Millis) []experiment.Fault {
+		faults: func(seed clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.PauseVMs, At: 6460 + seed, For: 4000, Share: 0.34},
 				{Kind: experiment.CutLinks, At: 6860 + seed, For: 1500, Share: 1},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"VMs stand still while probes are out", 60,
-		func(s *experiment.Size) { s.NoLateGuard, s.Synchronized = true, true },
-		func(seed clock.Millis) []experiment.Fault {
+		name: "VMs stand still while probes are out", seeds: 60,
+		size: func(s *experiment.Size) { s.NoLateGuard, s.Synchronized = true, true },
+		faults: func(seed clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.LateProbes, At: 5000, For: 7000, Share: 1},
 				{Kind: experiment.DeafClients, At: 7000, For: 500, Share: 0.5},
 				{Kind: experiment.PauseVMs, At: 7200 + 5*seed, For: 700, Share: 0.67},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"targets flap", 60,
-		func(s *experiment.Size) { s.FeedInterval, s.ProcessingTime = 400, 40 },
-		func(clock.Millis) []experiment.Fault {
+		name: "targets flap", seeds: 60,
+		size: func(s *experiment.Size) { s.FeedInterval, s.ProcessingTime = 400, 40 },
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{{Kind: experiment.FlapTargets, At: 6000, For: 4000, Share: 0.5}}
-		}, false, false,
+		},
 	},
 	{
-		"targets flap while flows move", 100,
-		func(s *experiment.Size) { s.FeedInterval, s.Feeds = 400, 40 },
-		func(seed clock.Millis) []experiment.Fault {
+		name: "targets flap while flows move", seeds: 100,
+		size: func(s *experiment.Size) { s.FeedInterval, s.Feeds = 400, 40 },
+		faults: func(seed clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.FlapTargets, At: 6000, For: 3000, Share: 0.5},
 				{Kind: experiment.RestartVMs, At: 6500 + 5*seed, For: 500, Share: 0.34},
 				{Kind: experiment.RestartVMs, At: 7500 + 5*seed, For: 500, Share: 0.34},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"targets start again, slow at first, and flows move", 100,
-		func(s *experiment.Size) { s.VMs, s.Feeds, s.FeedInterval = 4, 40, 600 },
-		func(seed clock.Millis) []experiment.Fault {
+		name: "targets start again, slow at first, and flows move", seeds: 100,
+		size: func(s *experiment.Size) { s.VMs, s.Feeds, s.FeedInterval = 4, 40, 600 },
+		faults: func(seed clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.StoreDown, At: 5000, For: 5000},
 				{Kind: experiment.RestartTargets, At: 6000, For: 300, Share: 0.5},
 				{Kind: experiment.SlowTargets, At: 6300, For: 3000, Share: 1},
 				{Kind: experiment.RestartVMs, At: 6600 + 5*seed, For: 1000, Share: 0.5},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"targets start again without a port, and clients are silent later", 20, nil,
-		func(clock.Millis) []experiment.Fault {
+		name: "targets start again without a port, and clients are silent later", seeds: 20,
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.RestartWithoutPort, At: 5500, For: 300, Share: 0.5},
 				{Kind: experiment.DeafClients, At: 10000, For: 700, Share: 0.5},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"the link of a VM to its domain fails", 20,
-		func(s *experiment.Size) {
+		name: "the link of a VM to its domain fails", seeds: 20,
+		size: func(s *experiment.Size) {
 			s.Domains, s.Feeds, s.FeedInterval, s.HoldsPerSecond = 2, 8, 6*clock.Second, 4
 		},
-		func(clock.Millis) []experiment.Fault {
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{{Kind: experiment.CutVMs, At: 6000, For: 4000, Share: 0.17}}
-		}, false, true,
+		},
+		isLocal: true,
 	},
 	{
-		"a target crashes that most VMs have just heard", 60,
-		func(s *experiment.Size) { s.VMs, s.Feeds, s.LeaveTime = 6, 12, 1 },
-		func(clock.Millis) []experiment.Fault {
+		name: "a target crashes that most VMs have just heard", seeds: 60,
+		size: func(s *experiment.Size) { s.VMs, s.Feeds, s.LeaveTime = 6, 12, 1 },
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{{Kind: experiment.CrashTargets, At: 6000, For: 5000, Share: 0.25}}
-		}, true, false,
+		},
+		isTimely: true,
 	},
 	{
-		"a domain with flows of another's VMs is cut off", 30, otherEntry,
-		func(clock.Millis) []experiment.Fault {
+		name: "a domain with flows of another's VMs is cut off", seeds: 30,
+		size: otherEntry,
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
 				{Kind: experiment.PartitionDomain, At: 6000, For: 3000, Domain: 1},
 			}
-		}, true, false,
+		},
+		isTimely: true,
 	},
 	{
-		"targets crash while clients of others are silent", 60, otherEntry,
-		func(clock.Millis) []experiment.Fault {
+		name: "targets crash while clients of others are silent", seeds: 60,
+		size: otherEntry,
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
 				{Kind: experiment.CrashTargets, At: 6000, For: 4000, Share: 0.4},
 				{Kind: experiment.DeafClients, At: 6300, For: 700, Share: 0.5},
 			}
-		}, true, false,
+		},
+		isTimely: true,
 	},
 	{
-		"targets left, and VMs are frozen while clients are silent", 100,
-		func(s *experiment.Size) { otherEntry(s); s.FeedInterval, s.Synchronized = 2500, true },
-		func(clock.Millis) []experiment.Fault {
+		name: "targets left, and VMs are frozen while clients are silent", seeds: 100,
+		size: func(s *experiment.Size) { otherEntry(s); s.FeedInterval, s.Synchronized = 2500, true },
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
 				{Kind: experiment.CrashTargets, At: 4990, For: 500, Share: 0.4},
 				{Kind: experiment.PauseVMs, At: 6500, For: 4000, Share: 0.5},
 				{Kind: experiment.DeafClients, At: 7490, For: 1000, Share: 1},
 			}
-		}, false, false,
+		},
 	},
 	{
-		"targets crash and VMs are frozen while others are busy", 100,
-		func(s *experiment.Size) { otherEntry(s); s.ProcessingTime = 120 },
-		func(clock.Millis) []experiment.Fault {
+		name: "targets crash and VMs are frozen while others are busy", seeds: 100,
+		size: func(s *experiment.Size) { otherEntry(s); s.ProcessingTime = 120 },
+		faults: func(clock.Millis) []experiment.Fault {
 			return []experiment.Fault{
 				{Kind: experiment.ShiftClients, At: 3000, For: 9000, Domain: 1},
 				{Kind: experiment.PauseVMs, At: 5900, For: 4000, Share: 0.5},
 				{Kind: experiment.CrashTargets, At: 6000, For: 5000, Share: 0.4},
 			}
-		}, false, false,
+		},
 	},
 }
 
@@ -215,7 +221,7 @@
 
 // TestMeetingsOfFaults guards against resets of living targets' flows where faults meet.
 func TestMeetingsOfFaults(t *testing.T) {
-	for _, m := range meetingsOfFaults {
+	for _, m := range meetingWorlds {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			wrong, first := 0, ""
--- a/experiment/pressure_test.go
+++ b/experiment/pressure_test.go
@@ -14,7 +14,9 @@
 const (
 	minUrgentInTime = 0.98 // share of the urgent requests that are answered in time while the room suffices for them
 	minRoomUsed     = 0.95 // less urgent requests served, of those that the room left by urgent and earlier ones allows
-	maxBesideRoom   = 0.01 // share of the requests that a target sheds while another has a free slot, as news is late
+	// maxBesideRoom is a share of the requests that a target sheds while another has a free slot, as news is late. Free
+	// slots in drained domains are no room.
+	maxBesideRoom = 0.01
 )
 
 // pressureSize is a deployment of fifty VMs whose targets are two fifths busy.
--- a/experiment/worlds_test.go
+++ b/experiment/worlds_test.go
@@ -19,8 +19,8 @@
 
 // drawWorld draws a deployment and its faults. Most deployments are quiet, as few other answers then
 // refute a wrong suspicion. Few of the kinds occur in one world, which makes it likely that they meet, or those of one of
-// the meetings.
-func drawWorld(t *rapid.T, kinds []experiment.FaultKind, meetings ...[]experiment.FaultKind) (experiment.Size, experiment.Pattern) {
+// the combinations.
+func drawWorld(t *rapid.T, kinds []experiment.FaultKind, combinations ...[]experiment.FaultKind) (experiment.Size, experiment.Pattern) {
 	size := experiment.Size{
 		Domains: rapid.IntRange(2, 4).Draw(t, "domains"),
 		VMs:     rapid.IntRange(1, 3).Draw(t, "vms"),
@@ -36,8 +36,8 @@
 	}
 	pattern := experiment.Pattern{Name: "random"}
 	choices := []*rapid.Generator[[]experiment.FaultKind]{rapid.SliceOfNDistinct(rapid.SampledFrom(kinds), 1, 4, rapid.ID[experiment.FaultKind])}
-	if len(meetings) > 0 {
-		choices = append(choices, rapid.SampledFrom(meetings))
+	if len(combinations) > 0 {
+		choices = append(choices, rapid.SampledFrom(combinations))
 	}
 	kinds = rapid.OneOf(choices...).Draw(t, "kinds")
 	clientDomain := rapid.IntRange(0, size.Domains-1).Draw(t, "domain of the client")
@@ -68,8 +68,8 @@
 // maxClientOutage is how long the links of clients fail at most.
 const maxClientOutage = 3 * clock.Second
 
-// meetings are kinds of faults that made VMs reset flows of living targets when they met.
-var meetings = [][]experiment.FaultKind{
+// kindsThatMet are kinds of faults that made VMs reset flows of living targets when they met.
+var kindsThatMet = [][]experiment.FaultKind{
 	{experiment.PauseVMs}, // review/2
 	{experiment.PauseVMs, experiment.KillVMs, experiment.RestartVMs},              // review/2
 	{experiment.DeafClients, experiment.MuteClients},                              // review/3
@@ -101,7 +101,7 @@
 		experiment.RestartTargets, experiment.RestartWithoutPort, experiment.RepeatMessages, experiment.StoreDown,
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		checkWorld(t, kinds, meetings...)
+		checkWorld(t, kinds, kindsThatMet...)
 	})
 }
 
@@ -118,8 +118,8 @@
 }
 
 // checkWorld draws a world and checks the resets in it.
-func checkWorld(t *rapid.T, kinds []experiment.FaultKind, meetings ...[]experiment.FaultKind) {
-	size, pattern := drawWorld(t, kinds, meetings...)
+func checkWorld(t *rapid.T, kinds []experiment.FaultKind, combinations ...[]experiment.FaultKind) {
+	size, pattern := drawWorld(t, kinds, combinations...)
 	seed := rapid.Uint64().Draw(t, "seed")
 	report := experiment.Run(size, pattern, "local", inband.Local{}, seed)
 	if *printWorld && report.UnexplainedResets+report.RefutedResets > 0 {
