Say in its name that MostSentAndArrivedInOneSecond counts both ends

Cause: MostWithinOneSecond and MostInOneSecond did not tell by name which of them counts events that are both sent and arrive within the second. Change: the name, here and in its callers. Run: go test ./ratetest ./slowstart passes.

--- a/ratetest/ratetest.go
+++ b/ratetest/ratetest.go
@@ -15,11 +15,11 @@
 	for i, at := range times {
 		events[i] = Event{SentAt: at, ArrivedAt: at}
 	}
-	return MostWithinOneSecond(events)
+	return MostSentAndArrivedInOneSecond(events)
 }
 
-// MostWithinOneSecond returns the most events that are sent and arrive in any one second.
-func MostWithinOneSecond(events []Event) int {
+// MostSentAndArrivedInOneSecond returns the most events that are sent and arrive in any one second.
+func MostSentAndArrivedInOneSecond(events []Event) int {
 	most := 0
 	for _, first := range events {
 		count := 0
--- a/ratetest/ratetest_test.go
+++ b/ratetest/ratetest_test.go
@@ -9,7 +9,7 @@
 	"github.com/almondflow/almondflow/ratetest"
 )
 
-func TestMostWithinOneSecond(t *testing.T) {
+func TestMostSentAndArrivedInOneSecond(t *testing.T) {
 	tests := []struct {
 		name   string
 		events []ratetest.Event
@@ -24,7 +24,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(ratetest.MostWithinOneSecond(tt.events), tt.want)
+			is.Equal(ratetest.MostSentAndArrivedInOneSecond(tt.events), tt.want)
 		})
 	}
 }
--- a/slowstart/interval_test.go
+++ b/slowstart/interval_test.go
@@ -93,7 +93,7 @@
 					SentAt: at - clock.Millis(random.IntN(maxDelay)), ArrivedAt: at + clock.Millis(random.IntN(maxDelay)),
 				})
 			}
-			is.True(ratetest.MostWithinOneSecond(events) <= int(limit))
+			is.True(ratetest.MostSentAndArrivedInOneSecond(events) <= int(limit))
 		})
 	}
 }
