--- a/front/regions.go
+++ b/front/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/region"
@@ -18,6 +19,9 @@
 	return fmt.Sprintf("%s, regions of %d failure domains", summary, len(regions.Domains()))
 }
 
+// regionNames returns the regions that routes are bound to as text, which is empty if they are not bound.
+func regionNames(allowed []string) string { return strings.Join(allowed, ",") }
+
 // applyRegions puts the regions that settings give to failure domains into force. If they can't be read, those before
 // stay, and as long as there are none, routes with allowed regions have no targets.
 func (d *Daemon) applyRegions(now clock.Millis, settings *Settings) {
@@ -31,3 +35,20 @@
 	d.regions = regions
 	d.mu.Unlock()
 }
+
+// auditRegions records that other regions are in force than before, if they are.
+func (d *Daemon) auditRegions(now clock.Millis, before region.Map, source string) {
+	previous, current := before.String(), d.currentRegions().String()
+	if previous == current {
+		return
+	}
+	d.auditTrail.add(AuditRecord{AtMS: now, Subject: "regions", Before: previous, After: current, Source: source})
+	d.log.Info("regions_changed", "at_ms", now, "before", previous, "after", current, "source", source)
+}
+
+// currentRegions returns the regions in force.
+func (d *Daemon) currentRegions() region.Map {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.regions
+}
