review: a host that drains gets new flows after silent connections (case 7)

Cause: entry VMs that let others read the store keep an idle connection to it without a keep-alive. If such connections have gone silent, the first read after the loss of the readers fails only after 1.5 s, and VMs of rank 3 and above then wait for 50 to 150 ms times the number of VMs before they try again.

Change: review/7 with its claim and script, a proxy whose idle connections go silent, and the case in the stand-ins. Nothing is fixed.

--- a/review/world/main.go
+++ b/review/world/main.go
@@ -31,6 +31,7 @@
 	ports   ports
 	folder  string
 	store   *store
+	proxy   *proxy // in front of the store, if there is one
 	daemons []*daemon
 	hosts   []*host
 	router  *router
@@ -39,7 +40,8 @@
 }
 
 var cases = map[string]func(*world) error{
-	"alias": playAlias,
+	"alias":  playAlias,
+	"silent": playSilent,
 }
 
 func main() { os.Exit(run()) }
@@ -152,7 +154,7 @@
 	for i := range count {
 		w.daemons = append(w.daemons, &daemon{
 			record: w.record, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s.10.%d", w.net, 1+i),
-			ports: w.ports, folder: w.folder, seeds: seeds, store: w.store.address,
+			ports: w.ports, folder: w.folder, seeds: seeds, store: w.storeAddress(),
 		})
 	}
 	w.router = &router{record: w.record, daemons: w.daemons}
@@ -165,6 +167,14 @@
 	return nil
 }
 
+// storeAddress returns the address at which the entry VMs call the store.
+func (w *world) storeAddress() string {
+	if w.proxy != nil {
+		return w.proxy.address()
+	}
+	return w.store.address
+}
+
 func (w *world) fail(format string, arguments ...any) {
 	w.failed = append(w.failed, fmt.Sprintf(format, arguments...))
 }
