review: signs of a healed cut have flows of a living zone reset (case 6)

Cause: an entry VM never drops the signs that a zone is cut off until one of its own packets is answered there, and does not probe the path again. When the zone's only VM is away much later, the verdict stands at once, and flows that this VM knows are reset with their next request, though all hosts of the zone live and answer.

The cases are numbered by their gravity anew: the alias of a living host is case 7, the silent connections are case 8. Nothing is fixed.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/almondflow-entry ] && [ -x target/review-world ] || { echo 'build first: the deploy file, then review/build-2.sh' >&2; exit 2; }
-exec target/review-world alias "$folder/record.txt"
+exec target/review-world cut "$folder/record.txt"
--- a/review/world/alias.go
+++ b/review/world/alias.go
@@ -50,7 +50,7 @@
 			return err
 		}
 	}
-	if err := w.startDaemons("kadikoy", 2, true); err != nil {
+	if err := w.startDaemons(true, "kadikoy", "kadikoy"); err != nil {
 		return err
 	}
 	time.Sleep(10 * time.Second) // traffic starts 10 s after the machines do
@@ -63,7 +63,7 @@
 		if i%2 == 1 {
 			at = hold
 		}
-		c, err := newClient(w.record, w.router, fmt.Sprintf("c%d", i), netip.MustParseAddr(fmt.Sprintf("%s.64.%d", w.net, 1+i)), uint16(w.ports.datagram), at)
+		c, err := newClient(w.record, w.router, "kadikoy", fmt.Sprintf("c%d", i), netip.MustParseAddr(fmt.Sprintf("%s.64.%d", w.net, 1+i)), uint16(w.ports.datagram), at)
 		if err != nil {
 			return err
 		}
--- a/review/world/client.go
+++ b/review/world/client.go
@@ -27,6 +27,7 @@
 type client struct {
 	record  *record
 	router  *router
+	zone    string
 	address netip.Addr
 	socket  *net.UDPConn
 	route   netip.AddrPort
@@ -43,13 +44,13 @@
 	strays     int // packets that nobody wrote so
 }
 
-func newClient(r *record, router *router, name string, address netip.Addr, datagramPort uint16, route netip.AddrPort) (*client, error) {
+func newClient(r *record, router *router, zone, name string, address netip.Addr, datagramPort uint16, route netip.AddrPort) (*client, error) {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, datagramPort)))
 	if err != nil {
 		return nil, err
 	}
 	c := &client{
-		record: r, router: router, address: address, socket: socket, route: route, name: name,
+		record: r, router: router, zone: zone, address: address, socket: socket, route: route, name: name,
 		port: uint16(20000 + rand.IntN(10000)), inbox: make(chan *packet, 256),
 	}
 	go c.read()
@@ -75,7 +76,7 @@
 // send sends a packet of the flow through the entry VM that the router selects.
 func (c *client) send(p packet) {
 	p.src, p.dst = c.source(), c.route
-	_, _ = c.socket.WriteToUDPAddrPort(p.encode(), c.router.pick(p.src, p.dst))
+	_, _ = c.socket.WriteToUDPAddrPort(p.encode(), c.router.pick(c.zone, p.src, p.dst))
 }
 
 // receive returns the next packet of the flow, or nil at the deadline. A reset ends the flow.
--- a/review/world/daemon.go
+++ b/review/world/daemon.go
@@ -24,6 +24,7 @@
 	record   *record
 	name     string
 	zone     string
+	zones    []string // of the deployment
 	ip       string
 	ports    ports
 	folder   string
@@ -66,7 +67,7 @@
 		"{{limits.cpuShare}}", "0.088",
 		"{{limits.linkMbps}}", "1000.0",
 		"{{bootstrap|json}}", fmt.Sprint(isFirst),
-		"{{#zones}}{{@}}={{.}}{{,}}{{/zones}}", d.zone+"=r",
+		"{{#zones}}{{@}}={{.}}{{,}}{{/zones}}", strings.Join(d.zones, "=marmara,")+"=marmara",
 		"{{contracts}}", "base,drain,config,cost,recover,flows,platform",
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
@@ -159,19 +160,29 @@
 	}
 }
 
-// pick selects an entry VM by a hash of the four addresses and ports, so that only the flows of one that leaves or
-// joins move.
-func (r *router) pick(src, dst netip.AddrPort) netip.AddrPort {
-	var ready []*daemon
+// pick selects an entry VM for a packet of a client in a zone by a hash of the four addresses and ports, so that only the
+// flows of one that leaves or joins move.
+func (r *router) pick(zone string, src, dst netip.AddrPort) netip.AddrPort {
+	var local, ready, elsewhere []*daemon
 	for _, d := range r.daemons {
 		d.mu.Lock()
-		if d.inRouter {
+		isReady := d.inRouter
+		d.mu.Unlock()
+		if d.zone == zone {
+			local = append(local, d)
+		}
+		switch {
+		case isReady && d.zone == zone:
 			ready = append(ready, d)
+		case isReady:
+			elsewhere = append(elsewhere, d)
 		}
-		d.mu.Unlock()
 	}
-	if 2*len(ready) < len(r.daemons) {
-		ready = r.daemons
+	switch {
+	case len(ready) == 0 && len(elsewhere) > 0:
+		ready = elsewhere
+	case 2*len(ready) < len(local):
+		ready = local
 	}
 	var best *daemon
 	var bestWeight uint64
--- a/review/world/host.go
+++ b/review/world/host.go
@@ -4,15 +4,18 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -33,10 +36,11 @@
 	clientPort uint16 // to which packets for clients are sent
 	work       time.Duration
 	socket     *net.UDPConn
-	health     net.Listener
+	health     *net.TCPListener
 	address    netip.AddrPort
 	beats      atomic.Int64
 	closed     atomic.Bool
+	cutFrom    atomic.Pointer[netip.Addr] // the entry VM whose packets don't arrive, or nil
 	slots      chan struct{}
 	mu         sync.Mutex
 	state      string
@@ -78,7 +82,7 @@
 	}
 	h := &host{
 		record: r, id: id, identity: identityOf(id), service: service, zone: zone, born: time.Now().UnixMilli(),
-		clientPort: clientPort, work: work, socket: socket, health: listener, address: at,
+		clientPort: clientPort, work: work, socket: socket, health: listener.(*net.TCPListener), address: at,
 		slots: make(chan struct{}, 2), state: "ready", flows: map[flowKey]*hostFlow{},
 	}
 	go h.serveHealth()
@@ -122,6 +126,13 @@
 func (h *host) serveHealth() {
 	for {
 		connection, err := h.health.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			for h.cutFrom.Load() != nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+			_ = h.health.SetDeadline(time.Time{})
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -140,11 +151,11 @@
 func (h *host) serve() {
 	buffer := make([]byte, 4096)
 	for {
-		n, _, err := h.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := h.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
-		if n < prefixSize {
+		if cut := h.cutFrom.Load(); n < prefixSize || cut != nil && from.Addr().Unmap() == *cut {
 			continue
 		}
 		if to := binary.BigEndian.Uint64(buffer); to != 0 && to != h.identity {
@@ -263,3 +274,49 @@
 	s.put("servers/"+h.id, h.entry())
 	return time.Now()
 }
+
+// cut has nothing arrive that an entry VM sends to the host. To its connections the host is silent as well: its queue of
+// new connections is full and nobody takes from it, so that opening packets are dropped. No other VM connects meanwhile.
+func (h *host) cut(vm netip.Addr) error {
+	h.cutFrom.Store(&vm)
+	_ = h.health.SetDeadline(time.Now())
+	time.Sleep(20 * time.Millisecond)
+	if err := h.listen(0); err != nil {
+		return err
+	}
+	for range 4 { // more than the queue holds
+		go func() {
+			dialer := net.Dialer{Timeout: 100 * time.Millisecond}
+			if c, err := dialer.Dial("tcp4", h.address.String()); err == nil {
+				time.Sleep(100 * time.Millisecond)
+				_ = c.Close()
+			}
+		}()
+	}
+	return nil
+}
+
+// heal ends a cut.
+func (h *host) heal() error {
+	h.cutFrom.Store(nil)
+	return h.listen(128)
+}
+
+// listen sets the length of the queue of new connections.
+func (h *host) listen(backlog int) error {
+	raw, err := h.health.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), backlog) })
+	return errors.Join(err, failed)
+}
+
+// holds reports whether the host lives and has a flow open.
+func (h *host) holds(key flowKey) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.flows[key]
+	return !h.closed.Load() && f != nil && f.isOpen
+}
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -10,6 +10,8 @@
 	"net"
 	"os"
 	"os/signal"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -36,12 +38,14 @@
 	hosts   []*host
 	router  *router
 	trouble bool
+	mu      sync.Mutex
 	failed  []string // what broke a rule
 }
 
 var cases = map[string]func(*world) error{
 	"alias":  playAlias,
 	"silent": playSilent,
+	"cut":    playCut,
 }
 
 func main() { os.Exit(run()) }
@@ -145,20 +149,22 @@
 	return h, nil
 }
 
-// startDaemons starts the entry VMs of a zone.
-func (w *world) startDaemons(zone string, count int, isFirst bool) error {
-	var seeds []string
-	for i := range min(count, 3) {
-		seeds = append(seeds, fmt.Sprintf("%s.10.%d", w.net, 1+i))
-	}
-	for i := range count {
+// startDaemons starts the entry VMs, each in its zone.
+func (w *world) startDaemons(isFirst bool, zones ...string) error {
+	seeds, names := []string{}, slices.Compact(slices.Sorted(slices.Values(zones)))
+	for i, zone := range zones {
+		ip := fmt.Sprintf("%s.10.%d", w.net, 1+i)
+		if len(seeds) < 3 {
+			seeds = append(seeds, ip)
+		}
 		w.daemons = append(w.daemons, &daemon{
-			record: w.record, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s.10.%d", w.net, 1+i),
-			ports: w.ports, folder: w.folder, seeds: seeds, store: w.storeAddress(),
+			record: w.record, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, zones: names, ip: ip,
+			ports: w.ports, folder: w.folder, store: w.storeAddress(),
 		})
 	}
 	w.router = &router{record: w.record, daemons: w.daemons}
 	for _, d := range w.daemons {
+		d.seeds = seeds
 		if err := d.start(isFirst); err != nil {
 			return err
 		}
--- a/review/world/silent.go
+++ b/review/world/silent.go
@@ -51,7 +51,7 @@
 		}
 	}
 	// All start again, as after a loss of power, so each reads the store itself.
-	if err := w.startDaemons("kadikoy", silentVMs, false); err != nil {
+	if err := w.startDaemons(false, slices.Repeat([]string{"kadikoy"}, silentVMs)...); err != nil {
 		return err
 	}
 	time.Sleep(10 * time.Second) // traffic starts 10 s after the machines do
@@ -60,7 +60,7 @@
 	var served, failed atomic.Int64
 	isOver := make(chan struct{})
 	for i := range silentClients {
-		c, err := newClient(w.record, w.router, fmt.Sprintf("c%d", i), netip.MustParseAddr(fmt.Sprintf("%s.64.%d", w.net, 1+i)), uint16(w.ports.datagram), hold)
+		c, err := newClient(w.record, w.router, "kadikoy", fmt.Sprintf("c%d", i), netip.MustParseAddr(fmt.Sprintf("%s.64.%d", w.net, 1+i)), uint16(w.ports.datagram), hold)
 		if err != nil {
 			return err
 		}
