review: an odd entry ends the requests at a draining host (case 9)

Cause: an entry that names no host ends the target whose key it has. For a host that drains this end is final at once, without the grace that serving hosts have, so that one packet that a client sends again counts as proof of its death.

Nothing is fixed.

--- a/review/world/client.go
+++ b/review/world/client.go
@@ -176,6 +176,10 @@
 			c.send(packet{seq: c.seq, ack: c.ack, echo: c.echo, flags: flagACK})
 			_, c.host, _ = strings.Cut(string(answer.data), " by ")
 			c.record.line("answered %s: %s", id, answer.data)
+			if answer.has(flagFIN) { // the host closes the flow
+				c.send(packet{seq: c.seq, ack: c.ack + 1, echo: c.echo, flags: flagACK | flagFIN})
+				c.isOpen = false
+			}
 			return id, nil
 		}
 		if !time.Now().Before(deadline) {
--- a/review/world/host.go
+++ b/review/world/host.go
@@ -231,6 +231,9 @@
 	}
 	f.sent += uint32(len(answer.data))
 	f.unacked, f.tries = answer, 0
+	if h.state == "draining" { // it closes each flow after its next response
+		answer.flags |= flagFIN
+	}
 	h.send(answer)
 	h.mu.Unlock()
 	h.retransmit(f, answer)
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -46,6 +46,7 @@
 	"alias":  playAlias,
 	"silent": playSilent,
 	"cut":    playCut,
+	"state":  playState,
 }
 
 func main() { os.Exit(run()) }
