review: end the entry VMs of a script also if it is killed

Cause: a script that got SIGKILL left its entry VMs running; TERM and INT ended them.

Change: the kernel ends the entry VMs with the stand-in, and one locked thread starts them all, as it is the thread that counts.

--- a/review/world/daemon.go
+++ b/review/world/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -91,7 +92,9 @@
 	d.command = exec.Command("target/almondflow-entry")
 	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "ALMONDFLOW_CONFIG=" + path}
 	d.command.Stdout, d.command.Stderr = log, log
-	if err := d.command.Start(); err != nil {
+	// The process ends with this one, even if this one is killed.
+	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startOnOneThread(d.command); err != nil {
 		return err
 	}
 	d.ended = make(chan struct{})
@@ -104,6 +107,24 @@
 	return nil
 }
 
+// starts are commands to start. The kernel ends a process with the thread that started it, so that one thread starts all.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
+func startOnOneThread(c *exec.Cmd) error {
+	failed := make(chan error)
+	starts <- func() { failed <- c.Start() }
+	return <-failed
+}
+
 // terminate sends SIGTERM, and SIGKILL after graceS.
 func (d *daemon) terminate() {
 	d.record.line("SIGTERM to entry VM %s", d.name)
