--- a/inband/engine.go
+++ b/inband/engine.go
@@ -87,6 +87,7 @@
 func (e *Engine) recordActivity(now clock.Millis) {
 	if now-e.activeAt >= maxInactivity {
 		e.resumedAt = now
+		e.forgetUnansweredProbes()
 	}
 	e.activeAt = max(e.activeAt, now)
 }
--- a/inband/link.go
+++ b/inband/link.go
@@ -27,12 +27,17 @@
 	unresponsiveSince clock.Millis // when the first unanswered packet was sent
 	lastTimeoutAt     clock.Millis // when the last unanswered packet was detected
 	isUnresponsive    bool
-	firstProbeAt      clock.Millis // first unanswered probe
+	firstProbeAt      clock.Millis // first of the unanswered probes that followed each other
 	lastProbeAt       clock.Millis
 	isProbed          bool
 	probedVMs         int // number of VMs probed
 }
 
+// hasUnansweredProbe reports whether the domain's VMs have not answered the probes that were sent lately.
+func (l *link) hasUnansweredProbe(now clock.Millis) bool {
+	return l.isProbed && now-l.lastProbeAt <= outcomeLifetime
+}
+
 // minTargets returns the number of unresponsive targets required for a partition.
 func (l *link) minTargets() int {
 	if l.probedVMs == 1 {
@@ -42,9 +47,9 @@
 }
 
 // recordTimeout records that one of the domain's targets did not answer a packet. Timeouts that are
-// too old to have the same cause are forgotten, unless a probe has been unanswered since.
+// too old to have the same cause are forgotten, unless probes have been unanswered since.
 func (l *link) recordTimeout(now, sentAt clock.Millis) {
-	isStale := !l.isProbed && now-l.lastTimeoutAt > timeoutMemory
+	isStale := !l.hasUnansweredProbe(now) && now-l.lastTimeoutAt > timeoutMemory
 	if !l.isUnresponsive || isStale {
 		*l = link{unresponsiveSince: sentAt, isUnresponsive: true}
 	}
@@ -58,9 +63,9 @@
 	}
 }
 
-// isPartitioned reports whether the domain's VMs did not answer a probe in time.
+// isPartitioned reports whether the domain's VMs did not answer a recent probe in time.
 func (l *link) isPartitioned(now clock.Millis) bool {
-	return l.isUnresponsive && l.isProbed && now-l.firstProbeAt >= probeTimeout
+	return l.isUnresponsive && l.hasUnansweredProbe(now) && now-l.firstProbeAt >= probeTimeout
 }
 
 // DomainsToProbe returns the failure domains whose VMs should be probed now, in order of name.
@@ -81,10 +86,10 @@
 	if l == nil {
 		return
 	}
-	l.lastProbeAt, l.probedVMs = now, vms
-	if !l.isProbed {
+	if !l.hasUnansweredProbe(now) {
 		l.firstProbeAt, l.isProbed = now, true
 	}
+	l.lastProbeAt, l.probedVMs = now, vms
 }
 
 // MarkReachable records a message received directly from a VM of a domain.
@@ -94,6 +99,13 @@
 	}
 }
 
+// forgetUnansweredProbes forgets which VMs have not answered, as their answers may wait to be read.
+func (e *Engine) forgetUnansweredProbes() {
+	for _, l := range e.links {
+		l.isProbed = false
+	}
+}
+
 // IsPartitioned reports whether this VM appears to be partitioned from a failure domain: several
 // of its targets are unresponsive and do not answer probes of this VM, and no VM probed there does.
 func (e *Engine) IsPartitioned(now clock.Millis, domain string) bool {
@@ -125,18 +137,26 @@
 }
 
 // seemsCutOff reports whether a target of another domain has been unresponsive since the domain's first
-// timeout, though it is expected to run.
+// timeout, and lately, though it is expected to run.
 func (e *Engine) seemsCutOff(now clock.Millis, b *Backend) bool {
 	if !b.evidence.isUnresponsive() { // the usual case of each packet
 		return false
 	}
 	l := e.links[b.target.Domain]
-	return l != nil && b.isExpectedToRun(now) && b.evidence.lastTimeoutAt >= l.unresponsiveSince
+	if l == nil || !b.isExpectedToRun(now) || b.evidence.lastTimeoutAt < l.unresponsiveSince {
+		return false
+	}
+	return b.evidence.isRecentlyUnresponsive(now) || b.probe.hasSilentPath(now)
 }
 
-// isUnreachable reports whether a target that seems cut off did not answer a probe of this VM either.
+// isUnreachable reports whether a target that seems cut off did not answer a recent probe of this VM either.
 func (e *Engine) isUnreachable(now clock.Millis, b *Backend) bool {
-	return e.seemsCutOff(now, b) && b.probe.isPathSilent && b.probe.pathSilentAt >= e.links[b.target.Domain].unresponsiveSince
+	return e.seemsCutOff(now, b) && b.probe.hasSilentPath(now) && b.probe.pathSilentAt >= e.links[b.target.Domain].unresponsiveSince
+}
+
+// hasFlowsTo reports whether this VM has flows at watched targets of a domain.
+func (e *Engine) hasFlowsTo(domain string) bool {
+	return e.countWatched(func(b *Backend) bool { return b.target.Domain == domain && b.flows > 0 }) > 0
 }
 
 // linkTo returns the link to a target's domain, or nil for this VM's own domain.
--- a/inband/probe.go
+++ b/inband/probe.go
@@ -6,8 +6,8 @@
 	"github.com/almondflow/almondflow/clock"
 )
 
-// outcomeLifetime is how long an outcome that speaks for a target's death counts. Flows are reset at once;
-// for what is left, the target is probed again.
+// outcomeLifetime is how long an outcome counts that speaks for a target's death or for a cut, and how long a
+// message to VMs counts as unanswered. Flows are reset at once; for what is left, the target is probed again.
 const outcomeLifetime = 2500 * clock.Millisecond
 
 // ProbeOutcome is what a TCP connection to a target's address showed.
@@ -35,7 +35,7 @@
 const (
 	CauseTimeout      ProbeCause = "timeout"       // packets that this VM forwarded were not answered
 	CauseReport       ProbeCause = "report"        // another VM reported that
-	CauseSilence      ProbeCause = "silence"       // another VM's probe was silent
+	CauseSilence      ProbeCause = "silence"       // another VM's probe was silent, or this VM's to another domain
 	CauseFirstContact ProbeCause = "first_contact" // to know whether the target answers probes at all
 )
 
@@ -95,6 +95,11 @@
 	return (p.outcome == Refused || p.outcome == Replaced) && now-p.sentAt <= outcomeLifetime
 }
 
+// hasSilentPath reports whether the target, of another domain, did not answer a recent probe of this VM.
+func (p *probeState) hasSilentPath(now clock.Millis) bool {
+	return p.isPathSilent && now-p.pathSilentAt <= outcomeLifetime
+}
+
 // isSilent reports whether the newest probe is recent and was not answered.
 func (p *probeState) isSilent(now clock.Millis) bool {
 	return p.outcome == Silent && now-p.sentAt <= outcomeLifetime
--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -39,12 +39,15 @@
 }
 
 // isPathProbeDue reports whether to probe an unresponsive target of another domain, to know whether this VM
-// reaches it.
+// reaches it. One that it did not reach is probed again before that outcome ends, while flows depend on it.
 func (e *Engine) isPathProbeDue(now clock.Millis, b *Backend) bool {
 	p := &b.probe
-	if p.isOut || now < p.nextAt || !b.isExpectedToRun(now) || e.isUnreachable(now, b) {
+	if p.isOut || now < p.nextAt || !b.isExpectedToRun(now) {
 		return false
 	}
+	if e.isUnreachable(now, b) {
+		return now-p.pathSilentAt >= outcomeLifetime/2 && e.hasFlowsTo(b.target.Domain)
+	}
 	return b.evidence.isRecentlyUnresponsive(now)
 }
 
@@ -82,6 +85,8 @@
 	case b.evidence.isRecentlyUnresponsive(now):
 	case b.probe.isSilent(now):
 		cause, since = CauseSilence, b.probe.sentAt
+	case b.probe.hasSilentPath(now):
+		cause, since = CauseSilence, b.probe.pathSilentAt
 	default:
 		cause = CauseReport
 		since, _ = b.evidence.reports.newest()
