Log which sign had a flow reset, and when a domain seems cut off

Callers' view: none.

Change: flow_target_dead says loss=, and a line domain_cut tells when a failure domain begins or ceases to seem cut off, with the signs counted. inband returns the cause in place of a yes or no.

--- a/front/health.go
+++ b/front/health.go
@@ -33,13 +33,22 @@
 	suspicions := d.engine.TakeSuspicions(now)
 	recipients := d.suspicionRecipients(now, suspicions)
 	probed := d.probeDomains(now)
+	cuts := d.engine.TakeCutChanges(now)
 	d.mu.Unlock()
+	d.logCuts(now, cuts)
 	d.startProbes(now)
 	d.resetFlowsOfLostTargets(now)
 	d.send(siblings.Message{Kind: siblings.Suspect, Suspicions: suspicions}, recipients)
 	d.send(siblings.Message{Kind: siblings.Hello}, probed)
 }
 
+// logCuts logs which failure domains seem cut off, or no more.
+func (d *Daemon) logCuts(now clock.Millis, changes []inband.CutChange) {
+	for _, c := range changes {
+		d.log.Info("domain_cut", "at_ms", now, "domain", c.Domain, "cut", c.IsCut, "silent_targets", c.Targets, "vms", c.VMs)
+	}
+}
+
 // suspicionRecipients returns the VMs that are told suspicions: those that probe the targets and, if
 // openings timed out, others whose new flows should avoid the targets. The caller holds the lock.
 func (d *Daemon) suspicionRecipients(now clock.Millis, suspicions []inband.Suspicion) []netip.AddrPort {
--- a/front/packets.go
+++ b/front/packets.go
@@ -93,7 +93,7 @@
 	ended := d.engine.EndFlowsOfLostTargets(now)
 	lines := make([]flowLine, 0, len(ended))
 	for _, f := range ended {
-		verdict := inband.Verdict{Reason: inband.TargetDead, Backend: f.Backend}
+		verdict := inband.Verdict{Reason: inband.TargetDead, Backend: f.Backend, Loss: f.Loss}
 		d.reasonCounts[verdict.Reason]++
 		lines = append(lines, d.newFlowLine(now, f.Key, &verdict))
 	}
@@ -143,16 +143,17 @@
 	key          inband.Key
 	target       string
 	unresponsive string // target that did not answer earlier
-	flows        int    // of the target
-	busy         int    // of the target
-	version      int64  // of the tables
+	loss         inband.Loss
+	flows        int   // of the target
+	busy         int   // of the target
+	version      int64 // of the tables
 	revision     inband.Revision
 	age          clock.Millis // of the view
 }
 
 // newFlowLine collects the contents of a log line. The caller holds the lock.
 func (d *Daemon) newFlowLine(now clock.Millis, key inband.Key, verdict *inband.Verdict) flowLine {
-	line := flowLine{at: now, reason: verdict.Reason, key: key, revision: d.catalog.Revision(), age: d.catalog.Age(now)}
+	line := flowLine{at: now, reason: verdict.Reason, key: key, loss: verdict.Loss, revision: d.catalog.Revision(), age: d.catalog.Age(now)}
 	if t := d.catalog.Tables(); t != nil {
 		line.version = t.Version
 	}
@@ -167,9 +168,15 @@
 
 // write logs the line.
 func (l *flowLine) write(log *slog.Logger) {
-	log.Info("flow_"+l.reason.String(), "at_ms", l.at, "client", l.key.Client, "service", l.key.Destination,
+	attributes := []any{
+		"at_ms", l.at, "client", l.key.Client, "service", l.key.Destination,
 		"target", l.target, "silent_target", l.unresponsive, "target_flows", l.flows, "target_busy", l.busy,
-		"tables", l.version, "revision", l.revision, "view_age_ms", l.age)
+		"tables", l.version, "revision", l.revision, "view_age_ms", l.age,
+	}
+	if l.loss != inband.NotLost {
+		attributes = append(attributes, "loss", l.loss)
+	}
+	log.Info("flow_"+l.reason.String(), attributes...)
 }
 
 // logRoutine logs a line unless the rate limit of routine lines is reached.
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -240,9 +240,9 @@
 		e.recordResponse(now, f)
 		e.endFlow(f)
 	}
-	if e.mayReset(now, p, f) {
+	if loss := e.lossOnData(now, p, f); loss != NotLost {
 		e.removeFlow(f)
-		return Verdict{Action: Reset, Reason: TargetDead, Seq: p.Ack, Backend: b}
+		return Verdict{Action: Reset, Reason: TargetDead, Seq: p.Ack, Backend: b, Loss: loss}
 	}
 	if timedOut {
 		return forward(b, Unanswered)
--- a/inband/link.go
+++ b/inband/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/almondflow/almondflow/clock"
 )
@@ -30,7 +31,8 @@
 	firstProbeAt      clock.Millis // first of the unanswered probes that followed each other
 	lastProbeAt       clock.Millis
 	isProbed          bool
-	probedVMs         int // number of VMs probed
+	probedVMs         int  // number of VMs probed
+	wasPartitioned    bool // as of the last TakeCutChanges
 }
 
 // hasUnansweredProbe reports whether the domain's VMs have not answered the probes that were sent lately.
@@ -51,7 +53,7 @@
 func (l *link) recordTimeout(now, sentAt clock.Millis) {
 	isStale := !l.hasUnansweredProbe(now) && now-l.lastTimeoutAt > timeoutMemory
 	if !l.isUnresponsive || isStale {
-		*l = link{unresponsiveSince: sentAt, isUnresponsive: true}
+		*l = link{unresponsiveSince: sentAt, isUnresponsive: true, wasPartitioned: l.wasPartitioned}
 	}
 	l.lastTimeoutAt = now
 }
@@ -59,7 +61,7 @@
 // recordAnswer records that one of the domain's targets answered a packet sent at sentAt.
 func (l *link) recordAnswer(sentAt clock.Millis) {
 	if sentAt >= l.unresponsiveSince {
-		*l = link{}
+		*l = link{wasPartitioned: l.wasPartitioned}
 	}
 }
 
@@ -99,6 +101,29 @@
 	}
 }
 
+// CutChange tells that a failure domain began or ceased to seem cut off from this VM.
+type CutChange struct {
+	Domain  string
+	IsCut   bool
+	Targets int // that were silent to packets and probes of this VM
+	VMs     int // that were probed last
+}
+
+// TakeCutChanges returns the changes since the last call, in order of the domains' names.
+func (e *Engine) TakeCutChanges(now clock.Millis) []CutChange {
+	var all []CutChange
+	for domain, l := range e.links {
+		isCut := e.IsPartitioned(now, domain)
+		if isCut == l.wasPartitioned {
+			continue
+		}
+		l.wasPartitioned = isCut
+		all = append(all, CutChange{Domain: domain, IsCut: isCut, Targets: e.unreachableTargets(now, domain), VMs: l.probedVMs})
+	}
+	slices.SortFunc(all, func(a, b CutChange) int { return strings.Compare(a.Domain, b.Domain) })
+	return all
+}
+
 // forgetUnansweredProbes forgets which VMs have not answered, as their answers may wait to be read.
 func (e *Engine) forgetUnansweredProbes() {
 	for _, l := range e.links {
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -2,6 +2,24 @@
 
 import "github.com/almondflow/almondflow/clock"
 
+// Loss is why a target is lost to a flow.
+type Loss uint8
+
+// Losses, in the order in which they are checked.
+const (
+	NotLost        Loss = iota
+	EntryEnded          // the target left the store, and a packet of the flow timed out
+	ProbeRefused        // no process runs at its address
+	ProbesSilent        // it was silent to the probes of two VMs
+	ProbeAndPacket      // it was silent to a probe, and a packet timed out here
+	DomainCut           // its domain seems cut off, and it was silent to a probe of this VM
+)
+
+var lossNames = [...]string{"", "entry_ended", "probe_refused", "probes_silent", "probe_and_packet", "domain_cut"}
+
+// String returns the name of the loss in logs.
+func (l Loss) String() string { return lossNames[l] }
+
 // maxResets is the number of waiting flows that are reset per call. Callers repeat the call at
 // once while there are more.
 const maxResets = 128
@@ -12,12 +30,20 @@
 	Key     Key
 	Seq     uint32   // sequence number of the reset
 	Backend *Backend // the target that is lost
+	Loss    Loss     // why
 }
 
-// mayReset reports whether to reset a flow because it sends data to a lost target. Its client
-// is then better off with a new flow.
-func (e *Engine) mayReset(now clock.Millis, p *Packet, f *flow) bool {
-	return p.DataLength > 0 && e.isInResettableState(now, f) && e.isLostToTarget(now, f) && e.isRepeatable(f)
+// lossOnData returns why to reset a flow that sends data to a lost target, or NotLost. Its client is then better off
+// with a new flow.
+func (e *Engine) lossOnData(now clock.Millis, p *Packet, f *flow) Loss {
+	if p.DataLength == 0 || !e.isInResettableState(now, f) {
+		return NotLost
+	}
+	loss := e.lossToFlow(now, f)
+	if loss == NotLost || !e.isRepeatable(f) {
+		return NotLost
+	}
+	return loss
 }
 
 // isInResettableState reports whether a flow waits for an answer, so that a reset has its request repeated. During
@@ -33,14 +59,32 @@
 	return route != nil && route.Repeatable
 }
 
-// isTargetLost reports whether a target will not answer the data that a flow waits for: it was
+// lossOf returns why a target will not answer the data that a flow waits for, or NotLost: it was
 // removed, is partitioned from this VM, or is dead. In a domain that seems partitioned, the target must have
 // been silent to packets and to a probe of this VM, as it may run while others there failed.
-func (e *Engine) isTargetLost(now clock.Millis, b *Backend, isTimedOut bool) bool {
-	if isTimedOut && b.isRemoved(now) || b.isDead(now) {
-		return true
+func (e *Engine) lossOf(now clock.Millis, b *Backend, isTimedOut bool) Loss {
+	switch {
+	case isTimedOut && b.isRemoved(now):
+		return EntryEnded
+	case b.isDead(now):
+		return b.causeOfDeath(now)
+	case e.isUnreachable(now, b) && e.IsPartitioned(now, b.target.Domain):
+		return DomainCut
+	default:
+		return NotLost
+	}
+}
+
+// causeOfDeath returns what shows that a dead target is dead.
+func (b *Backend) causeOfDeath(now clock.Millis) Loss {
+	switch {
+	case b.probe.isProof(now):
+		return ProbeRefused
+	case b.probe.isConfirmed:
+		return ProbesSilent
+	default:
+		return ProbeAndPacket
 	}
-	return e.isUnreachable(now, b) && e.IsPartitioned(now, b.target.Domain)
 }
 
 // EndFlowsOfLostTargets stops tracking the flows whose target is lost and returns them, at most
@@ -53,10 +97,14 @@
 	var all []EndedFlow
 	for i := range e.flows.slots {
 		f := &e.flows.slots[i]
-		if f.backend == nil || !e.isOfLostTarget(now, f) {
+		if f.backend == nil {
+			continue
+		}
+		loss := e.lossToTracked(now, f)
+		if loss == NotLost {
 			continue
 		}
-		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend})
+		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend, Loss: loss})
 		e.removeFlow(f)
 		if len(all) == maxResets {
 			break
@@ -65,24 +113,31 @@
 	return all
 }
 
-// isOfLostTarget reports whether to reset a flow because its target is lost.
-func (e *Engine) isOfLostTarget(now clock.Millis, f *flow) bool {
-	return e.isWaitingForLostTarget(now, f) || e.isIdleAtDeadTarget(now, f)
+// lossToTracked returns why to reset a flow without a packet of its client, or NotLost.
+func (e *Engine) lossToTracked(now clock.Millis, f *flow) Loss {
+	if e.isWaitingForAnswer(now, f) {
+		if loss := e.lossToFlow(now, f); loss != NotLost {
+			return loss
+		}
+	}
+	if e.isIdleAtDeadTarget(now, f) {
+		return f.backend.causeOfDeath(now)
+	}
+	return NotLost
 }
 
-// isWaitingForLostTarget reports whether a flow waits for a lost target and its client will repeat
-// the request.
-func (e *Engine) isWaitingForLostTarget(now clock.Millis, f *flow) bool {
-	return f.isWaiting(now) && e.isInResettableState(now, f) && e.isLostToTarget(now, f) && e.isRepeatable(f)
+// isWaitingForAnswer reports whether a flow waits for an answer and its client will repeat the request.
+func (e *Engine) isWaitingForAnswer(now clock.Millis, f *flow) bool {
+	return f.isWaiting(now) && e.isInResettableState(now, f) && e.isRepeatable(f)
 }
 
-// isLostToTarget reports whether a flow's target is lost to it. A flow that came here after a probe showed
+// lossToFlow returns why a flow's target is lost to it, or NotLost. A flow that came here after a probe showed
 // the target's death must have met silence itself, as it may be one with a target that has started again.
-func (e *Engine) isLostToTarget(now clock.Millis, f *flow) bool {
+func (e *Engine) lossToFlow(now clock.Millis, f *flow) Loss {
 	if !f.isTimedOut && f.openedAt > f.backend.probe.sentAt && f.backend.isDead(now) {
-		return false
+		return NotLost
 	}
-	return e.isTargetLost(now, f.backend, f.isTimedOut)
+	return e.lossOf(now, f.backend, f.isTimedOut)
 }
 
 // isIdleAtDeadTarget reports whether a flow of any route has been idle since before its target
@@ -101,7 +156,7 @@
 // hasLostTarget reports whether there are flows of a lost target that has timed out.
 func (e *Engine) hasLostTarget(now clock.Millis) bool {
 	for _, b := range e.watchlist.backends {
-		if b.flows > 0 && e.isTargetLost(now, b, true) {
+		if b.flows > 0 && e.lossOf(now, b, true) != NotLost {
 			return true
 		}
 	}
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -51,6 +51,7 @@
 	Backend      *Backend // receives the packet; for a reset, the target that caused it
 	Unresponsive *Backend // the target that did not answer the previous opening, or nil
 	Seq          uint32   // sequence number of a reset
+	Loss         Loss     // why the target is lost to the flow, with TargetDead
 }
 
 func forward(b *Backend, reason Reason) Verdict {
