Play review/3 and review/4 with other draws and times

No order of events was found that leads there.

By the code, the hosts of these cases can be taken for lost in no way: they have no TCP port, so each probe of them is refused, and a refusal proves nothing of a target that never answered one (interpret); a cut needs a silent probe.

Change: two worlds play the cases with other times, ports and draws; with every second seed clients share one address, so that all of them are deaf at once, else hosts refuse connections.

--- a/experiment/meetings_test.go
+++ b/experiment/meetings_test.go
@@ -19,6 +19,7 @@
 	faults   func(seed clock.Millis) []experiment.Fault
 	isTimely bool // no request waits for a lost target until its deadline
 	isLocal  bool // no VM that reaches its domain sends new flows to another
+	isMixed  bool // with every second seed targets accept no connections, and clients have an address each
 }
 
 // meetingSize returns the size that the worlds vary. By the sixth second VMs know which targets accept
@@ -162,6 +163,36 @@
 		},
 		isTimely: true,
 	},
+	{
+		// review/3, with other times and other places of the client's flows.
+		name: "the link of one client that opens and asks fails", seeds: 120, isMixed: true,
+		size: func(s *experiment.Size) {
+			s.VMs, s.Feeds, s.FeedInterval, s.HoldsPerSecond, s.SharedClients, s.OneAddress = 2, 12, 4*clock.Second, 12, true, true
+		},
+		faults: func(seed clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.DeafClients, At: 7000 + 3*seed, For: 190 + seed%60},
+				{Kind: experiment.DeafClients, At: 8500 + 5*seed, For: 590 + seed%60},
+				{Kind: experiment.LateProbes, At: 8500, For: 2000, Share: 0.5},
+			}
+		},
+	},
+	{
+		// review/4, with other times and other places of the client's flows.
+		name: "targets were replaced, a domain's only VM is frozen and one client's link fails", seeds: 120, isMixed: true,
+		size: func(s *experiment.Size) {
+			s.Domains, s.VMs, s.Targets, s.Feeds, s.FeedInterval, s.SharedClients, s.OneAddress = 3, 1, 3, 15, 2*clock.Second, true, true
+			s.HoldsPerSecond, s.RotationLag = 4, 1500
+		},
+		faults: func(seed clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.DrainTargets, At: 3000, For: 3000, Share: 0.5},
+				{Kind: experiment.PauseVMs, At: 6000 + 5*seed, For: 4000, Share: 0.34},
+				{Kind: experiment.DeafClients, At: 7800 + 7*seed, For: 190 + seed%60, Domain: int(seed % 3)},
+				{Kind: experiment.DeafClients, At: 8600 + 7*seed, For: 590 + seed%60, Domain: int(seed % 3)},
+			}
+		},
+	},
 	{
 		name: "targets crash while clients of others are silent", seeds: 60,
 		size: otherEntry,
@@ -212,6 +243,9 @@
 	if m.size != nil {
 		m.size(&size)
 	}
+	if m.isMixed && seed%2 == 1 {
+		size.NoProbes, size.OneAddress = true, false
+	}
 	if *printWorld && seed == *worldSeed {
 		size.Trace = func(line string) { t.Log(line) }
 	}
