--- a/cmd/almondflow-entry/silence_test.go
+++ b/cmd/almondflow-entry/silence_test.go
@@ -170,7 +170,7 @@
 	for i := range w.ports {
 		w.ports[i] = freePort(w.t)
 	}
-	w.requireNoError(store.PutTablesWithBookings(1, "core"))
+	w.requireNoError(store.PutTablesWithBookings(1, "core", "other"))
 	for i, service := range []string{"core", "other"} { // the second host only shows that the VMs' links work
 		host := startHost(w.t, uint64(i+1), w.ports[0])
 		w.t.Cleanup(func() { _ = host.Close() })
--- a/front/probes.go
+++ b/front/probes.go
@@ -121,7 +121,7 @@
 	if len(recipients) > 0 {
 		d.send(message, recipients)
 	}
-	d.logProbe(now, now-sentAt, probe, shown, result.err)
+	d.logProbe(now, now-sentAt, probe, shown, result)
 }
 
 // probeRecipients returns the VMs that are told the outcome of a probe: those that reported the target.
@@ -153,12 +153,13 @@
 	}
 }
 
-// logProbe logs one probe: why it was sent, how long the target had been suspected, and what it showed.
-func (d *Daemon) logProbe(now, took clock.Millis, probe *inband.TargetProbe, shown inband.ProbeOutcome, err error) {
+// logProbe logs one probe: why it was sent, how long the target had been suspected, what the connection saw and what
+// that showed of the target.
+func (d *Daemon) logProbe(now, took clock.Millis, probe *inband.TargetProbe, shown inband.ProbeOutcome, result attempt) {
 	reason := ""
-	if err != nil {
-		reason = err.Error()
+	if result.err != nil {
+		reason = result.err.Error()
 	}
 	d.log.Info("target_probed", "at_ms", now, "target", probe.ID, "address", probe.Address, "cause", probe.Cause,
-		"suspected_ms", probe.SuspectedFor, "took_ms", took, "outcome", shown, "reason", reason)
+		"suspected_ms", probe.SuspectedFor, "took_ms", took, "saw", result.outcome, "outcome", shown, "reason", reason)
 }
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -36,6 +36,7 @@
 	version          int64
 	idle             clock.Millis
 	routes           map[netip.AddrPort]*Route
+	routedServices   map[string]bool // services that routes lead to
 	byTag            map[Tag]*Backend
 	byID             map[string]*Backend
 	pools            map[string]*pool
--- a/inband/engine_test.go
+++ b/inband/engine_test.go
@@ -23,8 +23,11 @@
 	}}
 }
 
+// target returns a target with an address of its own.
 func target(id, domain string) *inband.Target {
-	return &inband.Target{ID: id, Identity: 1, Service: "core", Address: netip.MustParseAddrPort("10.0.0.1:80"), Domain: domain, Slots: 2}
+	tag := inband.TagOf(id)
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(tag >> 16), byte(tag >> 8), byte(tag)}), 80)
+	return &inband.Target{ID: id, Identity: 1, Service: "core", Address: address, Domain: domain, Slots: 2}
 }
 
 func published(targets ...*inband.Target) []inband.Published {
--- a/inband/probe.go
+++ b/inband/probe.go
@@ -17,15 +17,14 @@
 const (
 	Answered     ProbeOutcome = "answered"     // accepted: the target's process runs, however it serves
 	Refused      ProbeOutcome = "refused"      // refused: no process runs there
-	Replaced     ProbeOutcome = "replaced"     // accepted by another target, which started later at this address
 	Silent       ProbeOutcome = "silent"       // no answer, although another target answered meanwhile
 	Unreachable  ProbeOutcome = "unreachable"  // as Silent, of a target of another domain, whose way may be cut
-	Inconclusive ProbeOutcome = "inconclusive" // not sent, or this VM may be the cause, or the target never answered a probe
+	Inconclusive ProbeOutcome = "inconclusive" // not sent, or this VM or another target may be the cause, or the target never answered a probe
 )
 
 // IsConclusive reports whether an outcome shows something of the target, which other VMs should know.
 func (o ProbeOutcome) IsConclusive() bool {
-	return o == Answered || o == Refused || o == Replaced || o == Silent
+	return o == Answered || o == Refused || o == Silent
 }
 
 // ProbeCause is why a target is probed.
@@ -92,7 +91,7 @@
 
 // isProof reports whether the newest probe is recent and showed that the target's process is gone.
 func (p *probeState) isProof(now clock.Millis) bool {
-	return (p.outcome == Refused || p.outcome == Replaced) && now-p.sentAt <= outcomeLifetime
+	return p.outcome == Refused && now-p.sentAt <= outcomeLifetime
 }
 
 // hasSilentPath reports whether the target, of another domain, did not answer a recent probe of this VM.
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -22,14 +22,14 @@
 	return outcome
 }
 
-// interpret returns what the outcome of a probe shows. A refusal or silence shows nothing of the target if
+// interpret returns what the outcome of a probe shows. An answer shows nothing if it may be another target's. A refusal or silence shows nothing of the target if
 // it never answered a probe, as it may not accept connections at all, or if this VM stood still. Nor does
 // silence of a target of another domain, which may be cut off.
 func (e *Engine) interpret(b *Backend, r ProbeResult) ProbeOutcome {
 	switch r.Outcome {
 	case Answered:
-		if e.isReplaced(b) {
-			return Replaced
+		if e.sharesAddress(b) {
+			return Inconclusive
 		}
 		return Answered
 	case Refused, Silent:
@@ -45,11 +45,11 @@
 	}
 }
 
-// isReplaced reports whether another target that started later has the target's address.
-func (e *Engine) isReplaced(b *Backend) bool {
+// sharesAddress reports whether another entry names the target's address, so that it is not known who answers there. The
+// entry alone proves no death of the target: it may be of another writer, and times of starts come from other clocks.
+func (e *Engine) sharesAddress(b *Backend) bool {
 	for _, other := range e.byID {
-		o := other.target
-		if other != b && o.Address == b.target.Address && o.State != Gone && o.StartedAtMS > b.target.StartedAtMS {
+		if other != b && other.target.Address == b.target.Address && other.target.State != Gone {
 			return true
 		}
 	}
@@ -78,7 +78,7 @@
 	case Answered:
 		p.hasAnswered = true
 		b.evidence.refuteSigns(s.sentAt)
-	case Refused, Replaced, Silent:
+	case Refused, Silent:
 		isRefuted := b.evidence.hasAnswerAfter(s.sentAt) || p.outcome == Answered && p.sentAt > s.sentAt
 		p.hasAnswered = true // known to this VM, or to the one that sent the probe
 		if isRefuted || p.isProof(now) {
--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -113,7 +113,7 @@
 	var chosen []netip.AddrPort
 	for range min(maxControlAttempts, 2*len(e.local)) {
 		b := e.local[e.random.IntN(len(e.local))]
-		if b == probed || !b.isControl() {
+		if b == probed || !b.isControl() || !e.isRouted(b) {
 			continue
 		}
 		chosen = append(chosen, b.target.Address)
@@ -124,6 +124,9 @@
 	return chosen
 }
 
+// isRouted reports whether a route leads to the target's service. The entry of another one may name nothing to use.
+func (e *Engine) isRouted(b *Backend) bool { return e.routedServices[b.target.Service] }
+
 // DomainOf returns the failure domain of a target, or an empty string if it is not known.
 func (e *Engine) DomainOf(id string) string {
 	if b := e.byID[id]; b != nil {
@@ -145,7 +148,7 @@
 		e.contactIndex = (e.contactIndex + 1) % len(e.local)
 		b := e.local[e.contactIndex]
 		p := &b.probe
-		if p.hasAnswered || p.isOut || now < p.nextAt || b.target.State != Serving || !isResponsible(b.target.ID) {
+		if p.hasAnswered || p.isOut || now < p.nextAt || b.target.State != Serving || !e.isRouted(b) || !isResponsible(b.target.ID) {
 			continue
 		}
 		p.contactInterval = min(max(minContactInterval, 2*p.contactInterval), maxContactInterval)
--- a/inband/targets.go
+++ b/inband/targets.go
@@ -35,10 +35,14 @@
 	e.version = tables.Version
 	e.idle = clock.Millis(tables.IdleMS)
 	routes := make(map[netip.AddrPort]*Route, len(tables.Routes))
+	services := map[string]bool{}
 	for i := range tables.Routes {
 		routes[tables.Routes[i].Address] = &tables.Routes[i]
+		for _, s := range tables.Routes[i].Shares {
+			services[s.Service] = true
+		}
 	}
-	e.routes = routes
+	e.routes, e.routedServices = routes, services
 	maps.DeleteFunc(e.sizes, func(service netip.AddrPort, _ *outcome.Sizes) bool { return routes[service] == nil })
 	e.setMaxConnections(tables.Services)
 	e.setSlowStartRates(tables.Services)
