--- a/front/packets.go
+++ b/front/packets.go
@@ -9,6 +9,7 @@
 
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
+	"github.com/almondflow/almondflow/outcome"
 )
 
 // maxDatagramBytes exceeds the size of any packet of a flow.
@@ -143,7 +144,7 @@
 	key          inband.Key
 	target       string
 	unresponsive string // target that did not answer earlier
-	loss         inband.Loss
+	loss         outcome.Loss
 	flows        int   // of the target
 	busy         int   // of the target
 	version      int64 // of the tables
@@ -173,7 +174,7 @@
 		"target", l.target, "silent_target", l.unresponsive, "target_flows", l.flows, "target_busy", l.busy,
 		"tables", l.version, "revision", l.revision, "view_age_ms", l.age,
 	}
-	if l.loss != inband.NotLost {
+	if l.loss != outcome.NotLost {
 		attributes = append(attributes, "loss", l.loss)
 	}
 	log.Info("flow_"+l.reason.String(), attributes...)
--- a/inband/engine.go
+++ b/inband/engine.go
@@ -241,7 +241,7 @@
 		e.recordResponse(now, f)
 		e.endFlow(f)
 	}
-	if loss := e.lossOnData(now, p, f); loss != NotLost {
+	if loss := e.lossOnData(now, p, f); loss != outcome.NotLost {
 		e.removeFlow(f)
 		return Verdict{Action: Reset, Reason: TargetDead, Seq: p.Ack, Backend: b, Loss: loss}
 	}
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -1,25 +1,10 @@
 package inband
 
-import "github.com/almondflow/almondflow/clock"
-
-// Loss is why a target is lost to a flow.
-type Loss uint8
-
-// Losses, in the order in which they are checked.
-const (
-	NotLost        Loss = iota
-	EntryEnded          // the target left the store, and a packet of the flow timed out
-	ProbeRefused        // no process runs at its address
-	ProbesSilent        // it was silent to the probes of two VMs
-	ProbeAndPacket      // it was silent to a probe, and a packet timed out here
-	DomainCut           // its domain seems cut off, and it was silent to a probe of this VM
+import (
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/outcome"
 )
 
-var lossNames = [...]string{"", "entry_ended", "probe_refused", "probes_silent", "probe_and_packet", "domain_cut"}
-
-// String returns the name of the loss in logs.
-func (l Loss) String() string { return lossNames[l] }
-
 // maxResets is the number of waiting flows that are reset per call. Callers repeat the call at
 // once while there are more.
 const maxResets = 128
@@ -28,20 +13,20 @@
 // reset.
 type EndedFlow struct {
 	Key     Key
-	Seq     uint32   // sequence number of the reset
-	Backend *Backend // the target that is lost
-	Loss    Loss     // why
+	Seq     uint32       // sequence number of the reset
+	Backend *Backend     // the target that is lost
+	Loss    outcome.Loss // why
 }
 
 // lossOnData returns why to reset a flow that sends data to a lost target, or NotLost. Its client is then better off
 // with a new flow.
-func (e *Engine) lossOnData(now clock.Millis, p *Packet, f *flow) Loss {
+func (e *Engine) lossOnData(now clock.Millis, p *Packet, f *flow) outcome.Loss {
 	if p.DataLength == 0 || !e.isInResettableState(now, f) {
-		return NotLost
+		return outcome.NotLost
 	}
 	loss := e.lossToFlow(now, f)
-	if loss == NotLost || !e.isRepeatable(f) {
-		return NotLost
+	if loss == outcome.NotLost || !e.isRepeatable(f) {
+		return outcome.NotLost
 	}
 	return loss
 }
@@ -62,28 +47,28 @@
 // lossOf returns why a target will not answer the data that a flow waits for, or NotLost: it was
 // removed, is partitioned from this VM, or is dead. In a domain that seems partitioned, the target must have
 // been silent to packets and to a probe of this VM, as it may run while others there failed.
-func (e *Engine) lossOf(now clock.Millis, b *Backend, isTimedOut bool) Loss {
+func (e *Engine) lossOf(now clock.Millis, b *Backend, isTimedOut bool) outcome.Loss {
 	switch {
 	case isTimedOut && b.isRemoved(now):
-		return EntryEnded
+		return outcome.EntryEnded
 	case b.isDead(now):
 		return b.causeOfDeath(now)
 	case e.isUnreachable(now, b) && e.IsPartitioned(now, b.target.Domain):
-		return DomainCut
+		return outcome.DomainCut
 	default:
-		return NotLost
+		return outcome.NotLost
 	}
 }
 
 // causeOfDeath returns what shows that a dead target is dead.
-func (b *Backend) causeOfDeath(now clock.Millis) Loss {
+func (b *Backend) causeOfDeath(now clock.Millis) outcome.Loss {
 	switch {
 	case b.probe.isProof(now):
-		return ProbeRefused
+		return outcome.ProbeRefused
 	case b.probe.isConfirmed:
-		return ProbesSilent
+		return outcome.ProbesSilent
 	default:
-		return ProbeAndPacket
+		return outcome.ProbeAndPacket
 	}
 }
 
@@ -101,7 +86,7 @@
 			continue
 		}
 		loss := e.lossToTracked(now, f)
-		if loss == NotLost {
+		if loss == outcome.NotLost {
 			continue
 		}
 		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend, Loss: loss})
@@ -114,16 +99,16 @@
 }
 
 // lossToTracked returns why to reset a flow without a packet of its client, or NotLost.
-func (e *Engine) lossToTracked(now clock.Millis, f *flow) Loss {
+func (e *Engine) lossToTracked(now clock.Millis, f *flow) outcome.Loss {
 	if e.isWaitingForAnswer(now, f) {
-		if loss := e.lossToFlow(now, f); loss != NotLost {
+		if loss := e.lossToFlow(now, f); loss != outcome.NotLost {
 			return loss
 		}
 	}
 	if e.isIdleAtDeadTarget(now, f) {
 		return f.backend.causeOfDeath(now)
 	}
-	return NotLost
+	return outcome.NotLost
 }
 
 // isWaitingForAnswer reports whether a flow waits for an answer and its client will repeat the request.
@@ -133,9 +118,9 @@
 
 // lossToFlow returns why a flow's target is lost to it, or NotLost. A flow that came here after a probe showed
 // the target's death must have met silence itself, as it may be one with a target that has started again.
-func (e *Engine) lossToFlow(now clock.Millis, f *flow) Loss {
+func (e *Engine) lossToFlow(now clock.Millis, f *flow) outcome.Loss {
 	if !f.isTimedOut && f.openedAt > f.backend.probe.sentAt && f.backend.isDead(now) {
-		return NotLost
+		return outcome.NotLost
 	}
 	return e.lossOf(now, f.backend, f.isTimedOut)
 }
@@ -156,7 +141,7 @@
 // hasLostTarget reports whether there are flows of a lost target that has timed out.
 func (e *Engine) hasLostTarget(now clock.Millis) bool {
 	for _, b := range e.watchlist.backends {
-		if b.flows > 0 && e.lossOf(now, b, true) != NotLost {
+		if b.flows > 0 && e.lossOf(now, b, true) != outcome.NotLost {
 			return true
 		}
 	}
--- a/inband/verdict.go
+++ b/inband/verdict.go
@@ -1,5 +1,7 @@
 package inband
 
+import "github.com/almondflow/almondflow/outcome"
+
 // Action is what happens to a packet.
 type Action uint8
 
@@ -48,10 +50,10 @@
 type Verdict struct {
 	Action       Action
 	Reason       Reason
-	Backend      *Backend // receives the packet; for a reset, the target that caused it
-	Unresponsive *Backend // the target that did not answer the previous opening, or nil
-	Seq          uint32   // sequence number of a reset
-	Loss         Loss     // why the target is lost to the flow, with TargetDead
+	Backend      *Backend     // receives the packet; for a reset, the target that caused it
+	Unresponsive *Backend     // the target that did not answer the previous opening, or nil
+	Seq          uint32       // sequence number of a reset
+	Loss         outcome.Loss // why the target is lost to the flow, with TargetDead
 }
 
 func forward(b *Backend, reason Reason) Verdict {
