--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -207,7 +207,7 @@
 func (c *Catalog) mergeTarget(now clock.Millis, t *inband.Target) (Change, bool) {
 	e, ok := c.entries[t.ID]
 	if !ok {
-		if t.State == inband.Gone && !t.Address.IsValid() {
+		if (t.State == inband.Gone || t.State == inband.Unusable) && !t.Address.IsValid() { // of a target that was never known
 			return Change{}, false
 		}
 		e = &Entry{target: t, slowStartUntil: now + t.SlowStartLeftMS}
@@ -228,6 +228,12 @@
 		change := e.end(now, t.Revision, c.mayHaveExpired(now))
 		return change, before.State != inband.Gone
 	}
+	if t.State == inband.Unusable {
+		if e.hasEnded {
+			return Change{}, false
+		}
+		return e.makeUnusable(t.Revision), before.State != inband.Unusable
+	}
 	e.target, e.hasEnded = t, false
 	if e.endAssumedSlowStart(now) { // siblings keep theirs, which is no longer
 		c.recordSlowStart(t.ID)
--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -33,7 +33,8 @@
 }
 
 // Changes holds tables, targets and drains of failure domains that were read from the store or received
-// from a sibling. A target in state Gone has left the store. Changes may repeat and overlap.
+// from a sibling. A target in state Gone has left the store. One that is Unusable
+// may have no other fields than its id. Changes may repeat and overlap.
 type Changes struct {
 	Tables         *inband.Tables      `json:"tables,omitempty"` // nil if the tables did not change
 	Delta          *inband.TablesDelta `json:"delta,omitempty"`  // replaces Tables if set
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -34,7 +34,8 @@
 	target          *inband.Target
 	endedAt         clock.Millis
 	hasEnded        bool
-	wasLeaving      bool // the target was leaving when its entry ended
+	wasLeaving      bool // the target was leaving when its entry ended or became unusable
+	wasUnusable     bool // the entry was unusable when it ended, so that its end tells nothing of the target
 	mayHaveExpired  bool // the end was seen during or just after a time without a current view
 	slowStartUntil  clock.Millis
 	assumedAt       inband.Revision // of the end of a drain, from which the slow start is assumed; 0 if its entry told
@@ -46,9 +47,9 @@
 
 // FallbackUntil returns the time until which a target whose entry ended without notice is still
 // used if no other target is left. It returns zero if the entry has not ended, or if the target
-// was leaving.
+// was leaving or its entry unusable.
 func (e *Entry) FallbackUntil() clock.Millis {
-	if !e.hasEnded || e.wasLeaving {
+	if !e.hasEnded || e.wasLeaving || e.wasUnusable {
 		return 0
 	}
 	return e.endedAt + expiryGrace
@@ -58,7 +59,7 @@
 // and be published again. It returns zero if the entry has not ended, or if the target was
 // leaving and its entry cannot have expired.
 func (e *Entry) MayReturnUntil() clock.Millis {
-	if !e.hasEnded || e.wasLeaving && !e.mayHaveExpired {
+	if !e.hasEnded || e.wasLeaving && !e.mayHaveExpired && !e.wasUnusable {
 		return 0
 	}
 	return e.endedAt + returnGrace
@@ -115,7 +116,7 @@
 // copy, which shows this start of the target as serving.
 func (e *Entry) hasLeftBefore(t *inband.Target) bool {
 	isCopy := t.Revision.Era() > e.target.Revision.Era() && t.StartedAtMS == e.target.StartedAtMS
-	isLeaving := e.target.State == inband.Leaving || e.hasEnded && e.wasLeaving
+	isLeaving := e.target.State == inband.Leaving || (e.hasEnded || e.target.State == inband.Unusable) && e.wasLeaving
 	return isCopy && isLeaving && t.State == inband.Serving
 }
 
@@ -124,15 +125,32 @@
 func (e *Entry) end(now clock.Millis, revision inband.Revision, mayHaveExpired bool) Change {
 	change := Change{Subject: "target " + e.target.ID, Before: e.target.State.String(), After: inband.Gone.String()}
 	if !e.hasEnded {
-		e.wasLeaving = e.target.State == inband.Leaving
+		e.wasUnusable = e.target.State == inband.Unusable
+		e.wasLeaving = e.target.State == inband.Leaving || e.wasUnusable && e.wasLeaving
 		e.endedAt, e.hasEnded, e.mayHaveExpired = now, true, mayHaveExpired
 	}
-	ended := *e.target
-	ended.State, ended.Revision = inband.Gone, revision
-	e.target = &ended
+	e.setState(inband.Gone, revision)
+	return change
+}
+
+// makeUnusable keeps the target and its fields for its open flows, while its entry names nothing to use. It ends
+// nothing: the entry may be another writer's, and the target may be running. An entry that has ended stays so.
+func (e *Entry) makeUnusable(revision inband.Revision) Change {
+	change := Change{Subject: "target " + e.target.ID, Before: e.target.State.String(), After: inband.Unusable.String()}
+	if e.target.State != inband.Unusable {
+		e.wasLeaving = e.target.State == inband.Leaving
+	}
+	e.setState(inband.Unusable, revision)
 	return change
 }
 
+// setState changes the state and revision of the target, which is immutable, and keeps its other fields.
+func (e *Entry) setState(state inband.State, revision inband.Revision) {
+	changed := *e.target
+	changed.State, changed.Revision = state, revision
+	e.target = &changed
+}
+
 // isSameForPlacement reports whether two versions of a target are equivalent for placement.
 // A heartbeat changes only the revision and the rest of a slow start.
 func isSameForPlacement(a, b *inband.Target) bool {
@@ -143,7 +161,7 @@
 // hash returns the entry's share of the catalog's digest, which is zero for unknown and ended
 // entries.
 func (e *Entry) hash() uint64 {
-	if e == nil || e.target.State == inband.Gone {
+	if e == nil || e.target.State == inband.Gone || e.target.State == inband.Unusable { // VMs that started later don't know it
 		return 0
 	}
 	t := e.target
--- /dev/null
+++ b/catalog/unusable_test.go
@@ -0,0 +1,89 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/almondflow/almondflow/catalog"
+	"github.com/almondflow/almondflow/clock"
+	"github.com/almondflow/almondflow/inband"
+)
+
+// unusable returns an entry of another writer as the store's client decodes it, without any other field.
+func unusable(revision inband.Revision) *inband.Target {
+	return &inband.Target{ID: "i-1", State: inband.Unusable, Revision: revision}
+}
+
+// Guards against a target whose flows end because another writer's entry stands in place of its own (review/9): it
+// gets no new flows, may be running, and its next entry tells its state again.
+func TestUnusableEntryEndsNoTarget(t *testing.T) {
+	for _, before := range []inband.State{inband.Serving, inband.Leaving} {
+		t.Run(before.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := catalog.New()
+			c.Replace(0, 0, newChanges(1, 10, newTarget("i-1", 9, before)))
+			address := entryI1(c).Target().Address
+			c.TakeChanged()
+			is.Equal(len(c.Apply(100, 100, newChanges(0, 11, unusable(11)))), 1)
+			is.Equal(entryI1(c).Target().State, inband.Unusable)
+			is.Equal(entryI1(c).Target().Address, address) // for its open flows
+			is.Equal(entryI1(c).FallbackUntil(), clock.Millis(0))
+			is.Equal(len(c.TakeChanged()), 1)
+			is.Equal(len(c.Apply(150, 150, newChanges(0, 12, unusable(12)))), 0) // written again
+			c.Replace(clock.Minute, clock.Minute, newChanges(1, 13, unusable(12)))
+			is.Equal(entryI1(c).Target().State, inband.Unusable) // however long it stands there
+			c.Prune(4 * clock.Minute)
+			c.Apply(4*clock.Minute, 4*clock.Minute, newChanges(0, 14, newTarget("i-1", 14, before)))
+			is.Equal(entryI1(c).Target().State, before)
+		})
+	}
+}
+
+// The end of an unusable entry tells nothing of the target, which may publish itself again, but gets no new flow.
+func TestUnusableEntryThatEnds(t *testing.T) {
+	for _, before := range []inband.State{inband.Serving, inband.Leaving} {
+		t.Run(before.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := catalog.New()
+			c.Replace(0, 0, newChanges(1, 10, newTarget("i-1", 9, before)))
+			c.Apply(100, 100, newChanges(0, 11, unusable(11)))
+			c.Apply(200, 200, newChanges(0, 12, newTarget("i-1", 12, inband.Gone)))
+			is.Equal(entryI1(c).Target().State, inband.Gone)
+			is.Equal(entryI1(c).FallbackUntil(), clock.Millis(0))
+			is.True(entryI1(c).MayReturnUntil() > 3*clock.Second)
+			c.Apply(300, 300, newChanges(0, 13, unusable(13)))
+			is.Equal(entryI1(c).Target().State, inband.Gone) // names nothing that could come back
+			c.Apply(400, 400, newChanges(0, 14, newTarget("i-1", 14, before)))
+			is.Equal(entryI1(c).Target().State, before)
+		})
+	}
+}
+
+// Guards against VMs that fetch each other's view again and again, as the one that started while an entry was
+// unusable doesn't know the target.
+func TestUnusableEntriesAreInNoDigest(t *testing.T) {
+	is := is.New(t)
+	known, fresh := catalog.New(), catalog.New()
+	known.Replace(0, 0, newChanges(1, 10, newTarget("i-1", 9, inband.Serving), newTarget("i-2", 9, inband.Serving)))
+	known.Apply(100, 100, newChanges(0, 11, unusable(11)))
+	fresh.Replace(200, 200, newChanges(1, 11, unusable(11), newTarget("i-2", 9, inband.Serving)))
+	is.Equal(len(fresh.Entries()), 1)
+	is.Equal(fresh.Digest(), known.Digest())
+	fresh.Apply(300, 300, known.ChangesSince(300, 1, 0)) // has the target's address
+	is.True(entryI1(fresh).Target().Address.IsValid())
+	is.Equal(fresh.Digest(), known.Digest())
+}
+
+// A leaving target whose entry is unusable is not taken back by an older copy of the store that shows it as serving.
+func TestCopyDoesNotBringUnusableLeavingTargetsBack(t *testing.T) {
+	for _, before := range []inband.State{inband.Serving, inband.Leaving} {
+		t.Run(before.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := newCatalogOfEra(1, newTarget("i-1", 90, before))
+			c.Apply(100, 100, inEra(1, newChanges(0, 101, unusable(101))))
+			c.Replace(500, 500, inEra(2, newChanges(5, 130, newTarget("i-1", 70, inband.Serving))))
+			is.Equal(states(c)["i-1"] == inband.Serving, before == inband.Serving)
+		})
+	}
+}
--- a/inband/target.go
+++ b/inband/target.go
@@ -10,11 +10,14 @@
 // State is the lifecycle state that a target announces.
 type State uint8
 
-// States of a target, in the order of its lifecycle.
+// States of a target. The first three are in the order of its lifecycle.
 const (
 	Serving State = iota // accepts new flows
 	Leaving              // draining: accepts no new flows and finishes those it has
 	Gone                 // no longer in the store
+	// Unusable is a target whose entry names nothing to use, as one of another writer: it gets no new flows, but
+	// may be running and keeps its flows.
+	Unusable
 )
 
 // String returns the name of the state in logs and responses.
@@ -24,6 +27,8 @@
 		return "serving"
 	case Leaving:
 		return "leaving"
+	case Unusable:
+		return "unusable"
 	default:
 		return "gone"
 	}
