Probe targets of a cut domain that were not asked yet first

What callers would see: in a cut of a large domain a VM that renews its silent probes, within its limit of 16 a second, could leave others unasked, as probes went by id: flows there would wait for their deadline. Not met so far; by the code.

Change: renewals come last, the oldest first.

Test: TestTargetsNotAskedYetComeFirst fails with probes by id.

--- a/inband/linkend_test.go
+++ b/inband/linkend_test.go
@@ -140,3 +140,18 @@
 	e.MarkReachable("c")
 	is.True(!e.IsPartitioned(5400, "c"))
 }
+
+// Guards against targets of a cut domain that are never asked, because those that are known to be silent are asked again
+// and again within the limit of probes.
+func TestTargetsNotAskedYetComeFirst(t *testing.T) {
+	is := is.New(t)
+	e, _ := silentDomain(is, 2)
+	e.UpdateTargets(published(target("i-4", "b")))
+	for _, at := range []clock.Millis{2300, 2500} {
+		e.Handle(at, data(70, feedAddress, inband.TagOf("i-4"), 101, 500))
+	}
+	is.Equal(e.SuspectsToProbe(2500, always), []string{"i-4", "i-1", "i-2", "i-3"})
+	e.RecordProbe(2510, inband.ProbeResult{Probe: e.StartProbe(2500, "i-1"), SentAt: 2500, Outcome: inband.Silent})
+	e.Sweep(2700)
+	is.Equal(e.SuspectsToProbe(2700, always), []string{"i-4", "i-2", "i-3"})
+}
--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -1,7 +1,9 @@
 package inband
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 
 	"github.com/almondflow/almondflow/clock"
 )
@@ -53,14 +55,24 @@
 
 // SuspectsToProbe returns the ids of the targets that should be probed now, ordered by id. isResponsible
 // selects the targets of this VM's domain that it probes. Unresponsive targets of other domains are probed
-// by each VM, as each has its own way to them.
+// by each VM, as each has its own way to them. Those that this VM has not reached lately come last, the one that was
+// probed longest ago first, so that in a large domain they leave room for the others.
 func (e *Engine) SuspectsToProbe(now clock.Millis, isResponsible func(id string) bool) []string {
 	var ids []string
+	var again []*Backend
 	for _, b := range e.watchlist.backends {
-		if e.shouldProbe(now, b) && (!e.isLocal(b) || isResponsible(b.target.ID)) {
+		switch {
+		case !e.shouldProbe(now, b) || e.isLocal(b) && !isResponsible(b.target.ID):
+		case e.isUnreachable(now, b):
+			again = append(again, b)
+		default:
 			ids = append(ids, b.target.ID)
 		}
 	}
+	slices.SortStableFunc(again, func(a, b *Backend) int { return cmp.Compare(a.probe.pathSilentAt, b.probe.pathSilentAt) })
+	for _, b := range again {
+		ids = append(ids, b.target.ID)
+	}
 	return ids
 }
 
