--- a/inband/linkend_test.go
+++ b/inband/linkend_test.go
@@ -118,6 +118,16 @@
 	is.True(e.IsPartitioned(2120, "b"))
 }
 
+// Guards against a domain that seems cut off because no VM of it is known that could answer.
+func TestDomainWithoutVMsIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "b"), target("i-2", "b"), target("i-3", "b"))
+	silenceTargets(e, 1000, 50)
+	is.Equal(probeSuspects(e, 1200, inband.Silent), 3)
+	is.True(!e.IsPartitioned(1400, "b"))
+	is.Equal(len(e.EndFlowsOfLostTargets(1400)), 0)
+}
+
 // Guards against one domain's signs that hold for another: two domains are cut off in turn.
 func TestDomainsCutInTurn(t *testing.T) {
 	is := is.New(t)
