--- a/inband/probe.go
+++ b/inband/probe.go
@@ -15,11 +15,12 @@
 
 // Outcomes of probes.
 const (
-	Answered     ProbeOutcome = "answered"     // accepted: the target's process runs, however it serves
-	Refused      ProbeOutcome = "refused"      // refused: no process runs there
-	Silent       ProbeOutcome = "silent"       // no answer, although another target answered meanwhile
-	Unreachable  ProbeOutcome = "unreachable"  // as Silent, of a target of another domain, whose way may be cut
-	Inconclusive ProbeOutcome = "inconclusive" // not sent, or this VM or another target may be the cause, or the target never answered a probe
+	Answered    ProbeOutcome = "answered"    // accepted: the target's process runs, however it serves
+	Refused     ProbeOutcome = "refused"     // refused: no process runs there
+	Silent      ProbeOutcome = "silent"      // no answer, although another target answered meanwhile
+	Unreachable ProbeOutcome = "unreachable" // as Silent, of a target of another domain, whose way may be cut
+	// Inconclusive: not sent, or this VM or another target may be the cause, or the target never answered a probe.
+	Inconclusive ProbeOutcome = "inconclusive"
 )
 
 // IsConclusive reports whether an outcome shows something of the target, which other VMs should know.
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -22,9 +22,9 @@
 	return outcome
 }
 
-// interpret returns what the outcome of a probe shows. An answer shows nothing if it may be another target's. A refusal or silence shows nothing of the target if
-// it never answered a probe, as it may not accept connections at all, or if this VM stood still. Nor does
-// silence of a target of another domain, which may be cut off.
+// interpret returns what the outcome of a probe shows. An answer shows nothing if it may be another target's. A refusal
+// or silence shows nothing of the target if it never answered a probe, as it may not accept connections at all, or if
+// this VM stood still. Nor does silence of a target of another domain, which may be cut off.
 func (e *Engine) interpret(b *Backend, r ProbeResult) ProbeOutcome {
 	switch r.Outcome {
 	case Answered:
