--- a/catalog/takeover_test.go
+++ b/catalog/takeover_test.go
@@ -98,7 +98,7 @@
 		{"silence", 1, 0}, {"loss", 0, 1}, {"silence and loss", 1, 1}, {"two silences", 2, 0}, {"two losses", 0, 2},
 	}
 	for _, tt := range tests {
-		for _, vms := range []int{3, 7, 20, 87} {
+		for _, vms := range []int{2, 3, 7, 20, 87} {
 			t.Run(fmt.Sprintf("%s, %d VMs", tt.name, vms), func(t *testing.T) {
 				is := is.New(t)
 				for seed := range uint64(300) {
