Let told silence count only beside an unanswered probe of this VM

What callers would see: all flows of a living target at one VM are reset, idle ones, too, because another VM doesn't reach the target and one client's link here has lost an answer.

Cause: a silent probe of any VM and a packet that timed out here made a death, though each has a cause of its own that leaves the target whole.

Change: told silence counts with packets that timed out here only if a probe of this VM was not answered either; that one needs no control, as the other VM's had one. The silence of two VMs counts as before.

Tests: TestSilenceToldByOneVMIsNoProof fails without the change. TestAnsweredProbesVoidOlderSigns, TestOldDataIsNoSign and a row of TestProbesOfOtherVMs asked for the verdict by told silence and own packets; they now add the own unanswered probe that the rule asks for, and a row asks that it is no verdict without. In TestAnswerAtASharedAddressShowsNothing the told silence is of two VMs now.

--- a/experiment/meetings_test.go
+++ b/experiment/meetings_test.go
@@ -177,6 +177,17 @@
 			}
 		},
 	},
+	{
+		// Two signs of two causes: the link of one of the VMs that probe a target, and those of clients of others.
+		name: "a link of one VM fails while clients of others are silent", seeds: 100, isMixed: true,
+		size: func(s *experiment.Size) { s.VMs, s.Feeds, s.HoldsPerSecond, s.SharedClients = 4, 24, 4, true },
+		faults: func(seed clock.Millis) []experiment.Fault {
+			return []experiment.Fault{
+				{Kind: experiment.CutLinks, At: 6000, For: 3000, Share: 0.5},
+				{Kind: experiment.DeafClients, At: 6500 + 5*seed, For: 900, Share: 0.3},
+			}
+		},
+	},
 	{
 		// review/4, with other times and other places of the client's flows.
 		name: "targets were replaced, a domain's only VM is frozen and one client's link fails", seeds: 120, isMixed: true,
--- a/front/probes.go
+++ b/front/probes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -103,12 +104,13 @@
 func (d *Daemon) finishProbe(probe *inband.TargetProbe, sentAt clock.Millis, pauses int, result attempt) {
 	now := d.clock.Now()
 	if d.checkForPause(now) != pauses && result.outcome != inband.Answered {
-		result.outcome = inband.Inconclusive
+		result = attempt{inband.Inconclusive, errPausedMeanwhile}
 	}
+	isUnanswered := result.outcome == inband.Silent || errors.Is(result.err, errNoControl)
 	d.mu.Lock()
 	d.probesOut--
 	wasSilent := d.engine.IsSilent(now, probe.ID)
-	shown := d.engine.RecordProbe(now, inband.ProbeResult{Probe: probe, SentAt: sentAt, Outcome: result.outcome})
+	shown := d.engine.RecordProbe(now, inband.ProbeResult{Probe: probe, SentAt: sentAt, Outcome: result.outcome, IsUnanswered: isUnanswered})
 	message := siblings.Message{Kind: siblings.Suspect}
 	var recipients []netip.AddrPort
 	if report, reporters := d.engine.ReportOf(now, probe.ID); report != nil && shown.IsConclusive() && probe.Cause != inband.CauseFirstContact {
--- a/inband/probe.go
+++ b/inband/probe.go
@@ -54,6 +54,8 @@
 	Probe   *TargetProbe
 	SentAt  clock.Millis
 	Outcome ProbeOutcome
+	// IsUnanswered is set if nothing came back in time, also where no other target answered and so nothing is shown.
+	IsUnanswered bool
 }
 
 // ProbeReport reports the outcome of a probe to other VMs.
@@ -79,8 +81,9 @@
 	// While outcome is Silent: whether probes of this VM and of one that told so itself were, and whether those
 	// of two VMs were.
 	hasOwnSilence, hasToldSilence, isConfirmed bool
-	// Of a target of another domain: whether it did not answer this VM's newest probe, and when that was
-	// sent. A cut between the domains explains that as well as its death.
+	// Whether the target did not answer this VM's newest probe, and when that was sent. Of a target of this VM's domain
+	// that counts although no other target answered, if another VM's probe is silent. Of one of another domain, a cut
+	// explains it as well as a death.
 	isPathSilent bool
 	pathSilentAt clock.Millis
 }
@@ -95,7 +98,7 @@
 	return p.outcome == Refused && now-p.sentAt <= outcomeLifetime
 }
 
-// hasSilentPath reports whether the target, of another domain, did not answer a recent probe of this VM.
+// hasSilentPath reports whether the target did not answer a recent probe of this VM.
 func (p *probeState) hasSilentPath(now clock.Millis) bool {
 	return p.isPathSilent && now-p.pathSilentAt <= outcomeLifetime
 }
@@ -125,15 +128,15 @@
 	}
 }
 
-// isDead reports whether the target is dead: a probe showed that its process is gone, or a probe was not
-// answered and neither were packets that this VM forwarded. These are two independent signs, as no
-// client has part in the probe, and other targets answered the prober meanwhile. Without an own sign it
-// takes the silent probes of two VMs, beside the sign that caused them.
+// isDead reports whether the target is dead: a probe showed that its process is gone, or a probe was silent, one of this
+// VM was not answered either, and neither were packets that this VM forwarded. No client has part in the probes, and
+// other targets answered a prober meanwhile. Without own signs it takes the silent probes of two VMs, beside the sign that
+// caused them.
 func (b *Backend) isDead(now clock.Millis) bool {
 	if b.probe.isProof(now) {
 		return true
 	}
-	return b.probe.isSilent(now) && (b.probe.isConfirmed || b.evidence.isRecentlyUnresponsive(now))
+	return b.probe.isSilent(now) && (b.probe.isConfirmed || b.probe.hasSilentPath(now) && b.evidence.isRecentlyUnresponsive(now))
 }
 
 // silentSince returns the time up to which flows of a dead target were last seen if they have been idle
--- a/inband/probeoutcome.go
+++ b/inband/probeoutcome.go
@@ -15,13 +15,19 @@
 	e.recordActivity(now) // the outcome may be the first event after the process stood still
 	b.probe.isOut = false
 	outcome := e.interpret(b, r)
-	if !e.isLocal(b) && r.Outcome != Inconclusive {
-		b.probe.isPathSilent, b.probe.pathSilentAt = outcome == Unreachable, r.SentAt
-	}
+	e.recordPath(b, r, outcome)
 	e.applyOutcome(now, b, shown{outcome: outcome, sentAt: r.SentAt, isOwn: true})
 	return outcome
 }
 
+// recordPath records whether this VM's probe was answered.
+func (e *Engine) recordPath(b *Backend, r ProbeResult, shown ProbeOutcome) {
+	isUnanswered := shown == Unreachable || shown == Silent || r.IsUnanswered && e.isLocal(b) && e.resumedAt <= r.SentAt
+	if isUnanswered || r.Outcome != Inconclusive {
+		b.probe.isPathSilent, b.probe.pathSilentAt = isUnanswered, r.SentAt
+	}
+}
+
 // interpret returns what the outcome of a probe shows. An answer shows nothing if it may be another target's. A refusal
 // or silence shows nothing of the target if it never answered a probe, as it may not accept connections at all, or if
 // this VM stood still. Nor does silence of a target of another domain, which may be cut off.
--- a/inband/sign_test.go
+++ b/inband/sign_test.go
@@ -85,6 +85,7 @@
 				e.Sweep(at)
 			}
 			e.ReceiveProbes(1200+pause, "a", []inband.ProbeReport{{ID: "i-1", Outcome: inband.Silent}})
+			is.Equal(leaveUnanswered(e, 1205+pause), 1)
 			is.Equal(len(e.EndFlowsOfLostTargets(1210+pause)) > 0, pause == 500)
 		})
 	}
--- a/outcome/loss.go
+++ b/outcome/loss.go
@@ -9,7 +9,7 @@
 	EntryEnded          // the target left the store, and a packet of the flow timed out
 	ProbeRefused        // no process runs at its address
 	ProbesSilent        // it was silent to the probes of two VMs
-	ProbeAndPacket      // it was silent to a probe, and a packet timed out here
+	ProbeAndPacket      // it was silent to a probe, left one of this VM unanswered, and a packet timed out here
 	DomainCut           // its domain seems cut off, and it was silent to a probe of this VM
 )
 
