Probe a target oneself if no VM confirms its silence

Cause: a VM that is neither of the two that probe a target needs the silence of both, and one may be away.

Change: if told silence is not confirmed within 0.4 s and packets time out here, such a VM probes the target itself.

Test: TestOthersProbeIfNoVMConfirms fails without the change.

--- a/inband/probestart.go
+++ b/inband/probestart.go
@@ -62,7 +62,7 @@
 	var again []*Backend
 	for _, b := range e.watchlist.backends {
 		switch {
-		case !e.shouldProbe(now, b) || e.isLocal(b) && !isResponsible(b.target.ID):
+		case !e.shouldProbe(now, b) || e.isLocal(b) && !isResponsible(b.target.ID) && !b.awaitsConfirmation(now):
 		case e.isUnreachable(now, b):
 			again = append(again, b)
 		default:
@@ -76,6 +76,14 @@
 	return ids
 }
 
+// awaitsConfirmation reports whether only one VM has told that its probe of the target was silent, for longer than the
+// second of the two that probe it takes to confirm that, while flows here fall silent. A VM that does not probe the target
+// otherwise does so then, as the second one may be away.
+func (b *Backend) awaitsConfirmation(now clock.Millis) bool {
+	p := &b.probe
+	return p.isSilent(now) && !p.isConfirmed && now-p.sentAt >= targetProbeInterval && b.evidence.isRecentlyUnresponsive(now)
+}
+
 func (e *Engine) isLocal(b *Backend) bool { return b.target.Domain == e.options.Domain }
 
 func (e *Engine) shouldProbe(now clock.Millis, b *Backend) bool {
--- a/inband/probestart_test.go
+++ b/inband/probestart_test.go
@@ -142,3 +142,31 @@
 	is.Equal(e.SuspectsToProbe(1000, always), []string{"i-1"}) // VMs of its own domain probe the other
 	is.Equal(e.Handle(1001, opening(1, feedAddress, 0)).Backend.Target().ID, "i-1")
 }
+
+// Guards against requests that wait at a dead target until their deadline, as one of the two VMs that probe it is away and
+// so none confirms the silence that the other one tells.
+func TestOthersProbeIfNoVMConfirms(t *testing.T) {
+	never := func(string) bool { return false }
+	tests := []struct {
+		name    string
+		clients int // whose packets time out here
+		told    inband.ProbeReport
+		at      clock.Millis
+		isDue   bool
+	}{
+		{"not confirmed in time", 1, inband.ProbeReport{ID: "i-1", Outcome: inband.Silent}, 2020, true},
+		{"may be confirmed yet", 1, inband.ProbeReport{ID: "i-1", Outcome: inband.Silent}, 2010, false},
+		{"confirmed", 1, inband.ProbeReport{ID: "i-1", Outcome: inband.Silent, Confirmed: true}, 2020, false},
+		{"no silence here", 0, inband.ProbeReport{ID: "i-1", Outcome: inband.Silent}, 2020, false},
+		{"answered", 1, inband.ProbeReport{ID: "i-1", Outcome: inband.Answered}, 2020, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(target("i-1", "a"))
+			silenceClients(e, tt.clients)
+			e.ReceiveProbes(1620, "a", []inband.ProbeReport{tt.told})
+			is.Equal(len(e.SuspectsToProbe(tt.at, never)) > 0, tt.isDue)
+		})
+	}
+}
