List a proof that an answer crossing a reset does not refute

What callers would see: after a target has started again under its id, a second flow there is reset although the VM has seen it answer.

Cause, by the trace: VM 1 resets a flow at 7017 by a refused probe of 6219; its client's acknowledgment, sent before the reset came, arrives at 7019. The flow is no longer tracked, so the answer counts for nothing, and at 7454 another flow is reset.

--- a/inband/probeoutcome_test.go
+++ b/inband/probeoutcome_test.go
@@ -177,3 +177,23 @@
 	report, _ = prober.ReportOf(1400, "i-1")
 	is.True(!report.Confirmed)
 }
+
+// Guards against a reset that goes against what this VM has seen: an acknowledgment that crosses the reset of its flow
+// shows that the target answered a packet which is newer than the proof of its death (a trial of the world "targets start
+// again, slow at first, and flows move", seed 28).
+func TestAnswerThatCrossesAResetRefutesTheProof(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(target("i-1", "a"))
+	makeSilent(e, feedAddress)
+	is.Equal(probeSuspects(e, 1210, inband.Refused), 1)
+	e.EndFlowsOfLostTargets(1220)
+	tag := inband.TagOf("i-1")
+	moved := data(30, feedAddress, tag, 101, 500)
+	e.Handle(1700, moved) // the target has started again
+	is.Equal(e.Handle(1900, moved).Action, inband.Reset)
+	answer := data(30, feedAddress, tag, 151, 900)
+	answer.DataLength = 0
+	e.Handle(1902, answer)
+	e.Handle(2100, data(31, feedAddress, tag, 101, 500))
+	is.Equal(e.Handle(2300, data(31, feedAddress, tag, 101, 500)).Action, inband.Forward)
+}
