--- /dev/null
+++ b/review/world3/oddservice.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+// Services, routes and times of the scenario.
+const (
+	bookingService = "booking-core"
+	uploadService  = "portfolio-store"
+	calmTime       = 6 * time.Second
+	oddTime        = 40 * time.Second
+	uploadDeadline = 5 * time.Second
+	uploadBytes    = 20000  // the mean on the small sites
+	uploadMaxBytes = 120000 // and the most
+	uploadWork     = 5 * time.Millisecond
+	oddInterval    = 150 * time.Millisecond // between entries of the other writer
+)
+
+var uploadRoute = netip.MustParseAddrPort("198.18.0.1:8443")
+
+func init() { scenarios["odd-service"] = playOddService }
+
+// playOddService plays uploads while another writer's entry, of a service that is named nowhere, stands in place of a
+// host's own most of the time.
+func playOddService(w *world, hasTrouble bool) ([]string, error) {
+	if err := w.startSmallSite(); err != nil {
+		return nil, err
+	}
+	w.await(calmTime)
+	done := make(chan struct{})
+	if hasTrouble {
+		go w.writeOddEntries(w.hosts[0], w.hosts[1], done)
+	}
+	w.upload(oddTime)
+	close(done)
+	w.judgeStrays()
+	return w.takeBroken(), nil
+}
+
+// startSmallSite starts three entry VMs and five hosts in two zones.
+func (w *world) startSmallSite() error {
+	w.zones = []string{"kadikoy", "besiktas"}
+	if err := w.startStore(w.store); err != nil {
+		return err
+	}
+	for i, zone := range []string{"kadikoy", "besiktas", "kadikoy", "besiktas"} {
+		service := uploadService
+		if i == 1 {
+			service = bookingService
+		}
+		h, err := newHost(w, i+1, service, zone, uploadWork)
+		if err != nil {
+			return err
+		}
+		w.hosts = append(w.hosts, h)
+	}
+	routes := []map[string]any{
+		{
+			"name": "upload", "hostname": "198.18.0.1", "prefix": "/8443/", "service": uploadService, "type": "upload",
+			"timeoutMs": 5000, "targetLatencyMs": 500, "priority": 2,
+		},
+		{
+			"name": "hold", "hostname": "198.18.0.1", "prefix": "/8080/", "service": bookingService, "type": "unsafe",
+			"timeoutMs": 1200, "targetLatencyMs": 120, "priority": 1,
+		},
+	}
+	if err := w.publish(7, routes, []string{bookingService, uploadService}); err != nil {
+		return err
+	}
+	return w.startDaemons([]string{"kadikoy", "kadikoy", "besiktas"}, 4)
+}
+
+// writeOddEntries has another writer write its entry under a host's key again and again, beside the host's own.
+func (w *world) writeOddEntries(victim, other *host, done chan struct{}) {
+	ticker := time.NewTicker(oddInterval)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		w.record.add("another writer writes servers/%s, of the service ledger, at %s", victim.id, other.address())
+		w.store.PutBytes("servers/"+victim.id, toJSON(map[string]any{
+			"service": "ledger", "address": other.address(), "zone": victim.zone, "version": "v9", "slots": hostSlots,
+			"state": "ready", "warmupLeftMs": 0, "seq": n, "born": victim.born,
+		}))
+	}
+}
+
+// upload has the clients upload for a time, each client some at once, with a flow for each.
+func (w *world) upload(length time.Duration) {
+	ends := time.Now().Add(length)
+	finished := make(chan struct{})
+	const perClient = 6
+	for i, c := range w.clients {
+		for j := range perClient {
+			go func() {
+				for n := 0; time.Now().Before(ends); n++ {
+					w.uploadOnce(c, fmt.Sprintf("u%d-%d-%d", i, j, n))
+					time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+				}
+				finished <- struct{}{}
+			}()
+		}
+	}
+	for range len(w.clients) * perClient {
+		<-finished
+	}
+}
+
+func (w *world) uploadOnce(c *client, id string) {
+	deadline := time.Now().Add(uploadDeadline)
+	f := c.newFlow(uploadRoute)
+	isOpen, why := f.open()
+	if !isOpen {
+		w.record.add("request %s of %v: %s", id, f.key.Client, why)
+		f.end(true)
+		return
+	}
+	r := f.ask(request{id: id, method: "POST", path: "/photos", bodyLen: uploadBytes + rand.IntN(uploadMaxBytes-uploadBytes)}, deadline)
+	w.record.add("request %s of %v: %v", id, f.key.Client, r)
+	f.end(r.status == 0)
+}
