--- a/review/world3/host.go
+++ b/review/world3/host.go
@@ -40,6 +40,7 @@
 	queue         []func()
 	workTime      time.Duration
 	isClosed      bool
+	drainAckAt    time.Time // when the store accepted that it drains
 }
 
 // hostFlow is a flow at a host.
@@ -131,6 +132,28 @@
 	_ = h.conn.Close()
 }
 
+// drain reports to the store that the host drains. It goes on serving.
+func (h *host) drain() {
+	h.mu.Lock()
+	h.state = "draining"
+	h.mu.Unlock()
+	h.beat()
+	h.mu.Lock()
+	h.drainAckAt = time.Now()
+	h.mu.Unlock()
+	h.w.record.add("the store has accepted that %s drains", h.id)
+}
+
+// leave ends the host and its entry.
+func (h *host) leave() {
+	h.mu.Lock()
+	working := h.busy + len(h.queue)
+	h.mu.Unlock()
+	h.close()
+	h.w.store.Remove("servers/" + h.id)
+	h.w.record.add("%s has left, with %d requests in work", h.id, working)
+}
+
 // holds reports whether the host lives and holds a flow.
 func (h *host) holds(key flowKey) bool {
 	h.mu.Lock()
@@ -209,6 +232,7 @@
 	f.unacked, f.repeat, f.repeatAt = []segment{syn}, firstRepeat, time.Now().Add(firstRepeat)
 	h.flows[p.Key] = f
 	h.w.record.add("%s takes an opening of %v for %v", h.id, p.Key.Client, p.Key.Destination)
+	h.w.judgeDrain(h, p.Key)
 	h.send(f.stamp([]segment{syn}))
 }
 
@@ -238,6 +262,9 @@
 func (h *host) finish(f *hostFlow, r request) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.isClosed {
+		return
+	}
 	f.push(response(r, 200, "X-Almondflow-Upstream-Signature: "+h.id+"\r\n", h.id))
 	h.send(f.due(time.Now()))
 	if len(h.queue) == 0 {
--- /dev/null
+++ b/review/world3/odddrain.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Times and habits of the scenario.
+const (
+	holdDeadline = 1200 * time.Millisecond
+	holdWork     = 20 * time.Millisecond
+	holdBytes    = 900
+	holdTime     = 14 * time.Second
+	drainAt      = 8 * time.Second
+	oddAt        = drainAt + drainTime + 300*time.Millisecond
+	leaveAt      = oddAt + 700*time.Millisecond
+)
+
+var holdRoute = netip.MustParseAddrPort("198.18.0.1:8080")
+
+func init() { scenarios["odd-drain"] = playOddDrain }
+
+// playOddDrain plays holds while a host drains. Once it has drained for drainTime, another writer writes one entry under
+// the host's key, none of whose fields is spelled as the platform's are.
+func playOddDrain(w *world, hasTrouble bool) ([]string, error) {
+	if err := w.startSmallSite(bookingService, holdWork); err != nil {
+		return nil, err
+	}
+	w.await(calmTime)
+	go w.drainUnderOddEntry(w.hosts[0], hasTrouble)
+	w.press(holdTime-calmTime, load{route: holdRoute, deadline: holdDeadline, next: func() request {
+		return request{method: "POST", path: "/holds", bodyLen: holdBytes}
+	}})
+	w.judgeStrays()
+	return w.takeBroken(), nil
+}
+
+func (w *world) drainUnderOddEntry(h *host, hasTrouble bool) {
+	w.await(drainAt)
+	h.drain()
+	w.await(oddAt)
+	if hasTrouble {
+		w.record.add("another writer writes servers/%s, with Service, Address, Zone and so on", h.id)
+		w.store.PutBytes("servers/"+h.id, toJSON(map[string]any{
+			"Service": h.service, "Address": h.address(), "Zone": h.zone, "Version": "v1", "Slots": hostSlots,
+			"State": "ready", "WarmupLeftMs": 0, "Seq": 1,
+		}))
+	}
+	w.await(leaveAt)
+	h.leave()
+}
--- a/review/world3/oddservice.go
+++ b/review/world3/oddservice.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -27,7 +26,7 @@
 // playOddService plays uploads while another writer's entry, of a service that is named nowhere, stands in place of a
 // host's own most of the time.
 func playOddService(w *world, hasTrouble bool) ([]string, error) {
-	if err := w.startSmallSite(); err != nil {
+	if err := w.startSmallSite(uploadService, uploadWork); err != nil {
 		return nil, err
 	}
 	w.await(calmTime)
@@ -35,24 +34,24 @@
 	if hasTrouble {
 		go w.writeOddEntries(w.hosts[0], w.hosts[1], done)
 	}
-	w.upload(oddTime)
+	w.press(oddTime, load{route: uploadRoute, deadline: uploadDeadline, next: func() request {
+		return request{method: "POST", path: "/photos", bodyLen: uploadBytes + rand.IntN(uploadMaxBytes-uploadBytes)}
+	}})
 	close(done)
 	w.judgeStrays()
 	return w.takeBroken(), nil
 }
 
-// startSmallSite starts three entry VMs and five hosts in two zones.
-func (w *world) startSmallSite() error {
+// startSmallSite starts three entry VMs and four hosts in two zones, three of them of one service.
+func (w *world) startSmallSite(service string, work time.Duration) error {
 	w.zones = []string{"kadikoy", "besiktas"}
 	if err := w.startStore(w.store); err != nil {
 		return err
 	}
+	others := map[string]string{uploadService: bookingService, bookingService: uploadService}
+	services := []string{service, others[service], service, service}
 	for i, zone := range []string{"kadikoy", "besiktas", "kadikoy", "besiktas"} {
-		service := uploadService
-		if i == 1 {
-			service = bookingService
-		}
-		h, err := newHost(w, i+1, service, zone, uploadWork)
+		h, err := newHost(w, i+1, services[i], zone, work)
 		if err != nil {
 			return err
 		}
@@ -91,38 +90,3 @@
 		}))
 	}
 }
-
-// upload has the clients upload for a time, each client some at once, with a flow for each.
-func (w *world) upload(length time.Duration) {
-	ends := time.Now().Add(length)
-	finished := make(chan struct{})
-	const perClient = 6
-	for i, c := range w.clients {
-		for j := range perClient {
-			go func() {
-				for n := 0; time.Now().Before(ends); n++ {
-					w.uploadOnce(c, fmt.Sprintf("u%d-%d-%d", i, j, n))
-					time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
-				}
-				finished <- struct{}{}
-			}()
-		}
-	}
-	for range len(w.clients) * perClient {
-		<-finished
-	}
-}
-
-func (w *world) uploadOnce(c *client, id string) {
-	deadline := time.Now().Add(uploadDeadline)
-	f := c.newFlow(uploadRoute)
-	isOpen, why := f.open()
-	if !isOpen {
-		w.record.add("request %s of %v: %s", id, f.key.Client, why)
-		f.end(true)
-		return
-	}
-	r := f.ask(request{id: id, method: "POST", path: "/photos", bodyLen: uploadBytes + rand.IntN(uploadMaxBytes-uploadBytes)}, deadline)
-	w.record.add("request %s of %v: %v", id, f.key.Client, r)
-	f.end(r.status == 0)
-}
--- a/review/world3/story.go
+++ b/review/world3/story.go
@@ -52,9 +52,25 @@
 	}
 }
 
+// judgeDrain judges DRAIN by an opening that a host took: it must not have been sent, and so not have arrived, later than
+// drainTime after the store accepted that the host drains. The caller holds the host's lock.
+func (w *world) judgeDrain(h *host, key flowKey) {
+	w.mu.Lock()
+	sentAt := w.storyOf(key).sentAt
+	w.mu.Unlock()
+	if late := sentAt.Sub(h.drainAckAt); !h.drainAckAt.IsZero() && late > drainTime {
+		w.breakRule("DRAIN: %s took an opening of %v that was sent %.3f s after the store accepted that it drains", h.id, key.Client, late.Seconds())
+	}
+}
+
 // sent notes what clients sent. The record would be long with each packet, so that only openings are told.
 func (w *world) sent(p *segment) {
 	if p.IsOpening() {
+		w.mu.Lock()
+		if s := w.storyOf(p.Key); s.sentAt.IsZero() {
+			s.sentAt = time.Now()
+		}
+		w.mu.Unlock()
 		w.record.add("client %v opens a flow to %v, copy %d", p.Key.Client, p.Key.Destination, p.Ack)
 	}
 }
--- a/review/world3/world.go
+++ b/review/world3/world.go
@@ -14,8 +14,11 @@
 	"github.com/almondflow/almondflow/platform/standin"
 )
 
-// reorderMs is the bound of the rule FLOW on the small sites.
-const reorderTime = 2000 * time.Millisecond
+// Bounds of the small sites.
+const (
+	reorderTime = 2000 * time.Millisecond
+	drainTime   = 3000 * time.Millisecond
+)
 
 // world is one deployment.
 type world struct {
@@ -40,7 +43,8 @@
 
 // flowStory is what happened to the packets of one flow.
 type flowStory struct {
-	host     *host // at which it is open
+	sentAt   time.Time // of the first opening
+	host     *host     // at which it is open
 	openedAt time.Time
 	endedAt  time.Time
 	arrivals []flowArrival
