--- a/review/world3/odddrain.go
+++ b/review/world3/odddrain.go
@@ -10,10 +10,11 @@
 	holdDeadline = 1200 * time.Millisecond
 	holdWork     = 20 * time.Millisecond
 	holdBytes    = 900
+	holdPath     = "/holds"
 	holdTime     = 14 * time.Second
-	drainAt      = 8 * time.Second
+	drainAt      = 7700 * time.Millisecond
 	oddAt        = drainAt + drainTime + 300*time.Millisecond
-	leaveAt      = oddAt + 700*time.Millisecond
+	leaveAt      = oddAt + time.Second
 )
 
 var holdRoute = netip.MustParseAddrPort("198.18.0.1:8080")
@@ -29,7 +30,7 @@
 	w.await(calmTime)
 	go w.drainUnderOddEntry(w.hosts[0], hasTrouble)
 	w.press(holdTime-calmTime, load{route: holdRoute, deadline: holdDeadline, next: func() request {
-		return request{method: "POST", path: "/holds", bodyLen: holdBytes}
+		return request{method: "POST", path: holdPath, bodyLen: holdBytes}
 	}})
 	w.judgeStrays()
 	return w.takeBroken(), nil
@@ -40,12 +41,17 @@
 	h.drain()
 	w.await(oddAt)
 	if hasTrouble {
-		w.record.add("another writer writes servers/%s, with Service, Address, Zone and so on", h.id)
-		w.store.PutBytes("servers/"+h.id, toJSON(map[string]any{
-			"Service": h.service, "Address": h.address(), "Zone": h.zone, "Version": "v1", "Slots": hostSlots,
-			"State": "ready", "WarmupLeftMs": 0, "Seq": 1,
-		}))
+		w.writeMisspelled(h, h.service)
 	}
 	w.await(leaveAt)
 	h.leave()
 }
+
+// writeMisspelled has another writer write one entry under a host's key that names a service in fields of other names.
+func (w *world) writeMisspelled(h *host, service string) {
+	w.record.add("another writer writes servers/%s, with Service %s, Address, Zone and so on", h.id, service)
+	w.store.PutBytes("servers/"+h.id, toJSON(map[string]any{
+		"Service": service, "Address": h.address(), "Zone": h.zone, "Version": "v1", "Slots": hostSlots,
+		"State": "ready", "WarmupLeftMs": 0, "Seq": 1,
+	}))
+}
--- a/review/world3/story.go
+++ b/review/world3/story.go
@@ -82,6 +82,9 @@
 	runs := w.runs[r.id]
 	w.mu.Unlock()
 	w.record.add("%s runs request %s", h.id, r.id)
+	if r.path == holdPath && h.service != bookingService {
+		w.breakRule("ROUTE: hold %s is run by %s of %s", r.id, h.id, h.service)
+	}
 	if runs > 1 && r.method != "GET" {
 		w.breakRule("request %s ran %d times", r.id, runs)
 	}
