--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the third review start. The build of the deploy file comes before it.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-world3 ./review/world3
+go build -tags review -o target/review-world3 ./review/world3
--- a/review/world3/daemon.go
+++ b/review/world3/daemon.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -10,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"syscall"
 	"time"
@@ -54,9 +57,9 @@
 	}
 	return map[string]string{
 		"nodeName|json": fmt.Sprintf("%q", d.name), "zone|json": fmt.Sprintf("%q", d.zone),
-		"listen.datagramAddr|json": quote(d.ports.packets), "listen.readyAddr|json": quote(d.ports.ready),
+		wire.PacketsPlaceholder: quote(d.ports.packets), wire.ReadyPlaceholder: quote(d.ports.ready),
 		"listen.control|json": quote(d.ports.control), "ip": d.address.String(),
-		"internalPorts.0": fmt.Sprint(d.ports.sibling), "seeds|json": "[" + strings.Join(seeds, ",") + "]",
+		wire.SiblingPlaceholder: fmt.Sprint(d.ports.sibling), "seeds|json": "[" + strings.Join(seeds, ",") + "]",
 		"platform.address|json": fmt.Sprintf("%q", w.storeAddress), "bounds.maxFlowS": "60", "limits.cpuShare": "0.4",
 		"limits.linkMbps": "1000.0", "bootstrap|json": fmt.Sprint(isFirst), "contracts": "base,drain,config,cost,recover,flows,platform",
 		"zones": strings.Join(regions, ","),
@@ -97,7 +100,8 @@
 	d.process = exec.CommandContext(context.Background(), daemonProgram)
 	d.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.folder, "LANG=C", "ALMONDFLOW_CONFIG=" + d.settings}
 	d.process.Stdout, d.process.Stderr = output, output
-	if err := d.process.Start(); err != nil {
+	d.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
+	if err := startOnOneThread(d.process); err != nil {
 		return err
 	}
 	d.ended = make(chan struct{})
@@ -109,6 +113,24 @@
 	return nil
 }
 
+// starts are commands to start. The kernel ends a process with the thread that started it, so one thread starts all.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
+func startOnOneThread(c *exec.Cmd) error {
+	failed := make(chan error)
+	starts <- func() { failed <- c.Start() }
+	return <-failed
+}
+
 // signal sends a signal to the process.
 func (d *daemon) signal(w *world, s syscall.Signal) {
 	w.record.add("%s gets %v", d.name, s)
@@ -138,7 +160,7 @@
 func (d *daemon) isReady(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkInterval)
 	defer cancel()
-	url := "http://" + netip.AddrPortFrom(d.address, d.ports.ready).String() + "/almondflow/readiness"
+	url := "http://" + netip.AddrPortFrom(d.address, d.ports.ready).String() + wire.ReadinessPath
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false
--- a/review/world3/host.go
+++ b/review/world3/host.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -94,10 +96,10 @@
 	h.seq++
 	entry := map[string]any{
 		"service": h.service, "address": h.address(), "zone": h.zone, "version": "v1", "slots": hostSlots,
-		"state": h.state, "warmupLeftMs": 0, "seq": h.seq, "born": h.born,
+		"state": h.state, wire.SlowStartField: 0, "seq": h.seq, "born": h.born,
 	}
 	h.mu.Unlock()
-	_ = h.w.store.Put("servers/"+h.id, entry) // a map of plain values
+	_ = h.w.store.Put(wire.HostsPrefix+h.id, entry) // a map of plain values
 }
 
 // run sends what is due, until the host is closed.
@@ -135,7 +137,7 @@
 // drain reports to the store that the host drains. It goes on serving.
 func (h *host) drain() {
 	h.mu.Lock()
-	h.state = "draining"
+	h.state = wire.LeavingState
 	h.mu.Unlock()
 	h.beat()
 	h.mu.Lock()
@@ -150,7 +152,7 @@
 	working := h.busy + len(h.queue)
 	h.mu.Unlock()
 	h.close()
-	h.w.store.Remove("servers/" + h.id)
+	h.w.store.Remove(wire.HostsPrefix + h.id)
 	h.w.record.add("%s has left, with %d requests in work", h.id, working)
 }
 
--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command world3 is the small deployment that the scripts of the third review use: entry VMs as separate
 // processes, and stand-ins for the store, the hosts, the routers and the clients, all on loopback addresses. Its
 // scenarios are named after the folders of the cases.
@@ -6,9 +8,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -67,6 +71,16 @@
 	return nil
 }
 
+// endOnSignal ends the processes if this one is to end.
+func (w *world) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	w.close()
+	_ = os.RemoveAll(w.folder) // it is temporary
+	os.Exit(exitCannot)
+}
+
 func main() {
 	if len(os.Args) != argsWanted {
 		fmt.Fprintln(os.Stderr, "usage: world3 SCENARIO RECORD")
@@ -89,6 +103,7 @@
 	}
 	defer os.RemoveAll(folder)
 	w := newWorld(folder)
+	go w.endOnSignal()
 	broken, err := run(w, os.Getenv(troubleName) != "0")
 	w.close()
 	for _, b := range broken {
--- a/review/world3/message.go
+++ b/review/world3/message.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/world3/odddrain.go
+++ b/review/world3/odddrain.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -49,8 +51,8 @@
 
 // writeMisspelled has another writer write one entry under a host's key that names a service in fields of other names.
 func (w *world) writeMisspelled(h *host, service string) {
-	w.record.add("another writer writes servers/%s, with Service %s, Address, Zone and so on", h.id, service)
-	w.store.PutBytes("servers/"+h.id, toJSON(map[string]any{
+	w.record.add("another writer writes the entry of %s, with Service %s, Address, Zone and so on", h.id, service)
+	w.store.PutBytes(wire.HostsPrefix+h.id, toJSON(map[string]any{
 		"Service": service, "Address": h.address(), "Zone": h.zone, "Version": "v1", "Slots": hostSlots,
 		"State": "ready", "WarmupLeftMs": 0, "Seq": 1,
 	}))
--- a/review/world3/oddservice.go
+++ b/review/world3/oddservice.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -60,11 +62,11 @@
 	routes := []map[string]any{
 		{
 			"name": "upload", "hostname": "198.18.0.1", "prefix": "/8443/", "service": uploadService, "type": "upload",
-			"timeoutMs": 5000, "targetLatencyMs": 500, "priority": 2,
+			"timeoutMs": 5000, wire.TargetLatencyField: 500, "priority": 2,
 		},
 		{
 			"name": "hold", "hostname": "198.18.0.1", "prefix": "/8080/", "service": bookingService, "type": "unsafe",
-			"timeoutMs": 1200, "targetLatencyMs": 120, "priority": 1,
+			"timeoutMs": 1200, wire.TargetLatencyField: 120, "priority": 1,
 		},
 	}
 	if err := w.publish(7, routes, []string{bookingService, uploadService}); err != nil {
@@ -83,10 +85,10 @@
 			return
 		case <-ticker.C:
 		}
-		w.record.add("another writer writes servers/%s, of the service ledger, at %s", victim.id, other.address())
-		w.store.PutBytes("servers/"+victim.id, toJSON(map[string]any{
+		w.record.add("another writer writes the entry of %s, of the service ledger, at %s", victim.id, other.address())
+		w.store.PutBytes(wire.HostsPrefix+victim.id, toJSON(map[string]any{
 			"service": "ledger", "address": other.address(), "zone": victim.zone, "version": "v9", "slots": hostSlots,
-			"state": "ready", "warmupLeftMs": 0, "seq": n, "born": victim.born,
+			"state": "ready", wire.SlowStartField: 0, "seq": n, "born": victim.born,
 		}))
 	}
 }
--- a/review/world3/world.go
+++ b/review/world3/world.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -78,10 +80,10 @@
 func (w *world) publish(version int, routes []map[string]any, services []string) error {
 	listed := make([]map[string]any, 0, len(services))
 	for _, s := range services {
-		listed = append(listed, map[string]any{"name": s, "healthPath": "/health", "maxConns": 2000})
+		listed = append(listed, map[string]any{"name": s, wire.HealthPathField: "/health", wire.ConnectionsField: 2000})
 	}
-	return w.store.Put("op/config", map[string]any{
-		"version": version, "routes": routes, "services": listed, "limits": map[string]any{"idleTimeoutMs": 12000},
+	return w.store.Put(wire.ConfigKey, map[string]any{
+		"version": version, "routes": routes, "services": listed, "limits": map[string]any{wire.IdleField: 12000},
 	})
 }
 
