--- a/review/world3/oddservice.go
+++ b/review/world3/oddservice.go
@@ -3,92 +3,102 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 )
 
-// Services, routes and times of the scenario.
+// Times and habits of the scenario.
 const (
-	bookingService = "booking-core"
-	uploadService  = "portfolio-store"
-	calmTime       = 6 * time.Second
-	oddTime        = 40 * time.Second
-	uploadDeadline = 5 * time.Second
-	uploadBytes    = 20000  // the mean on the small sites
-	uploadMaxBytes = 120000 // and the most
-	uploadWork     = 5 * time.Millisecond
-	oddInterval    = 150 * time.Millisecond // between entries of the other writer
+	ledgerAt     = 8500 * time.Millisecond // a moment after the host's own entry
+	feedTime     = 14 * time.Second
+	feedDeadline = time.Second
+	feedWork     = 15 * time.Millisecond
+	feedPause    = 400 * time.Millisecond // on average
 )
 
-var uploadRoute = netip.MustParseAddrPort("198.18.0.1:8443")
+var feedRoute = netip.MustParseAddrPort("198.18.0.2:8443")
 
 func init() { scenarios["odd-service"] = playOddService }
 
-// playOddService plays uploads while another writer's entry, of a service that is named nowhere, stands in place of a
-// host's own most of the time.
+// playOddService plays feeds on flows that stay open. Once, another writer writes an entry under a host's key, of a service
+// that is named nowhere and at an address where nothing listens any more.
 func playOddService(w *world, hasTrouble bool) ([]string, error) {
-	if err := w.startSmallSite(uploadService, uploadWork); err != nil {
+	if err := w.startSmallSite(bookingService, feedWork); err != nil {
 		return nil, err
 	}
 	w.await(calmTime)
-	done := make(chan struct{})
 	if hasTrouble {
-		go w.writeOddEntries(w.hosts[0], w.hosts[1], done)
+		go func() {
+			w.await(ledgerAt)
+			w.writeLedger(w.hosts[0])
+		}()
+	}
+	ends := w.record.start.Add(feedTime)
+	finished := make(chan struct{})
+	for i, c := range w.clients {
+		for j := range loadPerClient {
+			go func() {
+				w.feed(c, fmt.Sprintf("f%d-%d", i, j), ends)
+				finished <- struct{}{}
+			}()
+		}
+	}
+	for range len(w.clients) * loadPerClient {
+		<-finished
 	}
-	w.press(oddTime, load{route: uploadRoute, deadline: uploadDeadline, next: func() request {
-		return request{method: "POST", path: "/photos", bodyLen: uploadBytes + rand.IntN(uploadMaxBytes-uploadBytes)}
-	}})
-	close(done)
 	w.judgeStrays()
 	return w.takeBroken(), nil
 }
 
-// startSmallSite starts three entry VMs and four hosts in two zones, three of them of one service.
-func (w *world) startSmallSite(service string, work time.Duration) error {
-	w.zones = []string{"kadikoy", "besiktas"}
-	if err := w.startStore(w.store); err != nil {
-		return err
-	}
-	others := map[string]string{uploadService: bookingService, bookingService: uploadService}
-	services := []string{service, others[service], service, service}
-	for i, zone := range []string{"kadikoy", "besiktas", "kadikoy", "besiktas"} {
-		h, err := newHost(w, i+1, services[i], zone, work)
-		if err != nil {
-			return err
+// writeLedger writes the other writer's entry. Nothing listens at the address that it names.
+func (w *world) writeLedger(h *host) {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 31, 2, 99}), w.ports.control)
+	w.record.add("another writer writes the entry of %s, of the service ledger, at %v", h.id, address)
+	w.store.PutBytes(wire.HostsPrefix+h.id, toJSON(map[string]any{
+		"service": "ledger", "address": address.String(), "zone": h.zone, "version": "v9", "slots": hostSlots,
+		"state": "ready", wire.SlowStartField: 0, "seq": 1, "born": h.born,
+	}))
+}
+
+// feed keeps a flow open for many requests, with pauses between them, and opens another when it ends.
+func (w *world) feed(c *client, name string, ends time.Time) {
+	for n := 0; time.Now().Before(ends); {
+		f := c.newFlow(feedRoute)
+		isOpen, why := f.open()
+		if !isOpen {
+			w.record.add("feed %s: %s", name, why)
+			f.end(true)
+			continue
 		}
-		w.hosts = append(w.hosts, h)
-	}
-	routes := []map[string]any{
-		{
-			"name": "upload", "hostname": "198.18.0.1", "prefix": "/8443/", "service": uploadService, "type": "upload",
-			"timeoutMs": 5000, wire.TargetLatencyField: 500, "priority": 2,
-		},
-		{
-			"name": "hold", "hostname": "198.18.0.1", "prefix": "/8080/", "service": bookingService, "type": "unsafe",
-			"timeoutMs": 1200, wire.TargetLatencyField: 120, "priority": 1,
-		},
-	}
-	if err := w.publish(7, routes, []string{bookingService, uploadService}); err != nil {
-		return err
+		for time.Now().Before(ends) {
+			n++
+			r := f.ask(request{id: fmt.Sprintf("%s-%d", name, n), method: "GET", path: "/feed"}, time.Now().Add(feedDeadline))
+			w.record.add("feed %s, request %d: %v", name, n, r)
+			if r.status == 0 {
+				break
+			}
+			if f.hasEndedIn(time.Duration(rand.Int64N(int64(2 * feedPause)))) {
+				w.record.add("feed %s ended between requests", name)
+				break
+			}
+		}
+		f.end(true)
 	}
-	return w.startDaemons([]string{"kadikoy", "kadikoy", "besiktas"}, 4)
 }
 
-// writeOddEntries has another writer write its entry under a host's key again and again, beside the host's own.
-func (w *world) writeOddEntries(victim, other *host, done chan struct{}) {
-	ticker := time.NewTicker(oddInterval)
-	defer ticker.Stop()
-	for n := 1; ; n++ {
+// hasEndedIn waits between two requests, takes in what comes meanwhile, and reports whether the flow has ended.
+func (f *clientFlow) hasEndedIn(length time.Duration) bool {
+	deadline := time.After(length)
+	for {
 		select {
-		case <-done:
-			return
-		case <-ticker.C:
+		case a := <-f.inbox:
+			if f.handle(&a) != "" {
+				return true
+			}
+		case <-deadline:
+			return false
 		}
-		w.record.add("another writer writes the entry of %s, of the service ledger, at %s", victim.id, other.address())
-		w.store.PutBytes(wire.HostsPrefix+victim.id, toJSON(map[string]any{
-			"service": "ledger", "address": other.address(), "zone": victim.zone, "version": "v9", "slots": hostSlots,
-			"state": "ready", wire.SlowStartField: 0, "seq": n, "born": victim.born,
-		}))
 	}
 }
