--- a/review/world3/odddrain.go
+++ b/review/world3/odddrain.go
@@ -19,7 +19,7 @@
 	leaveAt      = oddAt + time.Second
 )
 
-var holdRoute = netip.MustParseAddrPort("198.18.0.1:8080")
+var holdRoute = netip.MustParseAddrPort("127.31.4.1:8080")
 
 func init() { scenarios["odd-drain"] = playOddDrain }
 
--- a/review/world3/oddservice.go
+++ b/review/world3/oddservice.go
@@ -18,7 +18,7 @@
 	feedPause    = 400 * time.Millisecond // on average
 )
 
-var feedRoute = netip.MustParseAddrPort("198.18.0.2:8443")
+var feedRoute = netip.MustParseAddrPort("127.31.4.2:8443")
 
 func init() { scenarios["odd-service"] = playOddService }
 
--- a/review/world3/site.go
+++ b/review/world3/site.go
@@ -28,16 +28,16 @@
 	}
 	routes := []map[string]any{
 		{
-			"name": "upload", "hostname": "198.18.0.1", "prefix": "/8443/", "service": uploadService, "type": "upload",
+			"name": "upload", "hostname": "127.31.4.1", "prefix": "/8443/", "service": uploadService, "type": "upload",
 			"timeoutMs": 5000, wire.TargetLatencyField: 500, "priority": 2,
 		},
 		{
-			"name": "hold", "hostname": "198.18.0.1", "prefix": "/8080/", "service": bookingService, "type": "unsafe",
+			"name": "hold", "hostname": "127.31.4.1", "prefix": "/8080/", "service": bookingService, "type": "unsafe",
 			"timeoutMs": 1200, wire.TargetLatencyField: 120, "priority": 1,
 		},
 	}
 	routes = append(routes, map[string]any{
-		"name": "feed", "hostname": "198.18.0.2", "prefix": "/8443/", "service": bookingService, "type": "safe",
+		"name": "feed", "hostname": "127.31.4.2", "prefix": "/8443/", "service": bookingService, "type": "safe",
 		"timeoutMs": 1000, wire.TargetLatencyField: 100, "priority": 2,
 	})
 	if err := w.publish(7, routes, []string{bookingService, uploadService}); err != nil {
