--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -35,7 +35,6 @@
 	endedAt         clock.Millis
 	hasEnded        bool
 	wasLeaving      bool // the target was leaving when its entry ended or became unusable
-	wasUnusable     bool // the entry was unusable when it ended, so that its end tells nothing of the target
 	mayHaveExpired  bool // the end was seen during or just after a time without a current view
 	slowStartUntil  clock.Millis
 	assumedAt       inband.Revision // of the end of a drain, from which the slow start is assumed; 0 if its entry told
@@ -47,9 +46,9 @@
 
 // FallbackUntil returns the time until which a target whose entry ended without notice is still
 // used if no other target is left. It returns zero if the entry has not ended, or if the target
-// was leaving or its entry unusable.
+// was leaving.
 func (e *Entry) FallbackUntil() clock.Millis {
-	if !e.hasEnded || e.wasLeaving || e.wasUnusable {
+	if !e.hasEnded || e.wasLeaving {
 		return 0
 	}
 	return e.endedAt + expiryGrace
@@ -59,7 +58,7 @@
 // and be published again. It returns zero if the entry has not ended, or if the target was
 // leaving and its entry cannot have expired.
 func (e *Entry) MayReturnUntil() clock.Millis {
-	if !e.hasEnded || e.wasLeaving && !e.mayHaveExpired && !e.wasUnusable {
+	if !e.hasEnded || e.wasLeaving && !e.mayHaveExpired {
 		return 0
 	}
 	return e.endedAt + returnGrace
@@ -125,8 +124,7 @@
 func (e *Entry) end(now clock.Millis, revision inband.Revision, mayHaveExpired bool) Change {
 	change := Change{Subject: "target " + e.target.ID, Before: e.target.State.String(), After: inband.Gone.String()}
 	if !e.hasEnded {
-		e.wasUnusable = e.target.State == inband.Unusable
-		e.wasLeaving = e.target.State == inband.Leaving || e.wasUnusable && e.wasLeaving
+		e.wasLeaving = e.target.State == inband.Leaving || e.target.State == inband.Unusable && e.wasLeaving
 		e.endedAt, e.hasEnded, e.mayHaveExpired = now, true, mayHaveExpired
 	}
 	e.setState(inband.Gone, revision)
