--- a/catalog/bench_test.go
+++ b/catalog/bench_test.go
@@ -32,7 +32,7 @@
 			var c *catalog.Catalog
 			for b.Loop() {
 				c = catalog.New()
-				c.Replace(0, 0, &catalog.Changes{Tables: &inband.Tables{Version: 1}, Targets: targets, Revision: 1 << 30})
+				c.Replace(0, 0, &catalog.Changes{Tables: coreTables(1), Targets: targets, Revision: 1 << 30})
 				c.Digest()
 			}
 			runtime.GC()
@@ -48,7 +48,7 @@
 	for _, count := range []int{150, 3000, 99000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			c := catalog.New()
-			c.Replace(0, 0, &catalog.Changes{Tables: &inband.Tables{Version: 1}, Targets: newTargets(count), Revision: 1 << 20})
+			c.Replace(0, 0, &catalog.Changes{Tables: coreTables(1), Targets: newTargets(count), Revision: 1 << 20})
 			revision := inband.Revision(1 << 20)
 			for b.Loop() {
 				revision++
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -30,11 +30,21 @@
 	changedIDs          map[string]struct{} // entries that changed since the last TakeChanged
 	expiryPossibleUntil clock.Millis        // until then, an entry that ends may have expired
 	rewriteUntil        clock.Millis        // until then, the operator may write drains again that the store lost
+	// What decides whether an entry is believed.
+	named         map[string]bool     // services of the newest tables that were seen, also on the page of a full read
+	namedVersion  int64               // of those tables
+	hasNewNames   bool                // since entries were last reconsidered
+	flawed        map[string]struct{} // targets in whose place an entry stands that was passed over
+	passedOverLog PassedOverLog
+	isTold        bool // a sibling sent what is merged
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
-	return &Catalog{entries: map[string]*Entry{}, changedIDs: map[string]struct{}{}}
+	return &Catalog{
+		entries: map[string]*Entry{}, changedIDs: map[string]struct{}{},
+		flawed: map[string]struct{}{},
+	}
 }
 
 // IsComplete reports whether the tables and all targets have been read at least once.
@@ -69,9 +79,11 @@
 // catalog's revision and age stay, because it still lacks the newer tables.
 func (c *Catalog) Apply(now, asOf clock.Millis, changes *Changes) []Change {
 	var merged []Change
+	c.isTold = changes.FromSibling
 	if t := c.newerTables(changes); t != nil {
 		merged = append(merged, Change{Subject: "tables", Before: strconv.FormatInt(c.tablesVersion(), 10), After: strconv.FormatInt(t.Version, 10)})
 		c.setTables(t)
+		merged = append(merged, c.nameServices(now, t)...)
 	}
 	if !c.isOfEarlierEra(changes.Revision) {
 		merged = append(merged, c.mergeTargets(now, changes.Targets)...)
@@ -80,6 +92,7 @@
 	if changes.Delta == nil || changes.Delta.Version <= c.tablesVersion() {
 		c.Confirm(asOf, changes.Revision)
 	}
+	merged = append(merged, c.reconsider(now)...)
 	if len(merged) > 0 {
 		c.generation++
 	}
@@ -89,35 +102,20 @@
 // MergePage merges one page of an unfinished full read, so that open flows of its targets can be
 // forwarded before the rest arrives. The catalog's revision and age stay.
 func (c *Catalog) MergePage(now clock.Millis, page *Changes) {
-	if len(c.mergeTargets(now, page.Targets)) > 0 {
+	c.isTold = false
+	merged := append(c.nameServices(now, page.Tables), c.mergeTargets(now, page.Targets)...)
+	if len(merged)+len(c.reconsider(now)) > 0 {
 		c.generation++
 	}
 	c.MergeMarks(now, page.Drains)
 }
 
-func (c *Catalog) mergeTargets(now clock.Millis, targets []*inband.Target) []Change {
-	var merged []Change
-	for _, t := range targets {
-		before := c.entries[t.ID].hash()
-		change, isNew := c.mergeTarget(now, t)
-		if !isNew {
-			continue
-		}
-		e := c.entries[t.ID]
-		c.digest ^= before ^ e.hash()
-		c.changedIDs[t.ID] = struct{}{}
-		e.changedRevision = t.Revision
-		change.Target = e.target
-		merged = append(merged, change)
-	}
-	return merged
-}
-
-// TakeChanged returns the entries that changed since the last call, ordered by id.
+// TakeChanged returns the entries that changed since the last call, ordered by id, except those of which nothing was
+// ever believed.
 func (c *Catalog) TakeChanged() []*Entry {
 	all := make([]*Entry, 0, len(c.changedIDs))
 	for id := range c.changedIDs {
-		if e := c.entries[id]; e != nil {
+		if e := c.entries[id]; e != nil && e.IsBelieved() {
 			all = append(all, e)
 		}
 	}
@@ -170,7 +168,8 @@
 		present[t.ID] = true
 	}
 	for id, e := range c.entries {
-		if !present[id] && !e.hasEnded && e.target.Revision <= changes.Revision {
+		isInStore := !e.hasEnded || e.target.PassedOver != nil
+		if !present[id] && isInStore && e.target.Revision <= changes.Revision {
 			full.Targets = append(full.Targets, &inband.Target{ID: id, State: inband.Gone, Revision: changes.Revision})
 		}
 	}
@@ -203,49 +202,6 @@
 	return revision.Era() < c.revision.Era()
 }
 
-// mergeTarget merges one target and reports whether placement depends on the change.
-func (c *Catalog) mergeTarget(now clock.Millis, t *inband.Target) (Change, bool) {
-	e, ok := c.entries[t.ID]
-	if !ok {
-		if (t.State == inband.Gone || t.State == inband.Unusable) && !t.Address.IsValid() { // of a target that was never known
-			return Change{}, false
-		}
-		e = &Entry{target: t, slowStartUntil: now + t.SlowStartLeftMS}
-		c.entries[t.ID] = e
-		if t.State == inband.Gone { // a sibling keeps it for its open flows
-			e.endedAt, e.hasEnded, e.wasLeaving, e.mayHaveExpired = now, true, true, true
-		}
-		return Change{Subject: "target " + t.ID, Before: "unknown", After: t.State.String()}, true
-	}
-	if t.Revision <= e.target.Revision {
-		return Change{}, false
-	}
-	before := e.target
-	if e.hasLeftBefore(t) {
-		return Change{}, false
-	}
-	if t.State == inband.Gone {
-		change := e.end(now, t.Revision, c.mayHaveExpired(now))
-		return change, before.State != inband.Gone
-	}
-	if t.State == inband.Unusable {
-		if e.hasEnded {
-			return Change{}, false
-		}
-		return e.makeUnusable(t.Revision), before.State != inband.Unusable
-	}
-	e.target, e.hasEnded = t, false
-	if e.endAssumedSlowStart(now) { // siblings keep theirs, which is no longer
-		c.recordSlowStart(t.ID)
-	}
-	beginsSlowStart := e.updateSlowStart(now)
-	change := Change{Subject: "target " + t.ID, Before: before.State.String(), After: t.State.String()}
-	if beginsSlowStart {
-		change.After += ", in slow start"
-	}
-	return change, beginsSlowStart || !isSameForPlacement(before, t)
-}
-
 // mayHaveExpired reports whether an entry whose end is seen now may have expired for lack of
 // heartbeats: the view is stale, or was until a moment ago.
 func (c *Catalog) mayHaveExpired(now clock.Millis) bool {
@@ -258,13 +214,21 @@
 	c.drains.Prune(now)
 	before := len(c.entries)
 	for id, e := range c.entries {
-		if e.hasEnded && now > e.endedAt+endedRetention {
-			delete(c.entries, id)
+		if e.hasEnded && e.target.PassedOver == nil && now > e.endedAt+endedRetention {
+			c.remove(id)
 		}
 	}
 	return len(c.entries) < before
 }
 
+// remove forgets an entry that has ended.
+func (c *Catalog) remove(id string) {
+	e := c.entries[id]
+	c.digest ^= e.hash()
+	delete(c.flawed, id)
+	delete(c.entries, id)
+}
+
 // Entries returns all entries, including ended ones, ordered by id.
 func (c *Catalog) Entries() []*Entry {
 	all := make([]*Entry, 0, len(c.entries))
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -22,11 +22,20 @@
 func newChanges(version int64, revision inband.Revision, targets ...*inband.Target) *catalog.Changes {
 	c := &catalog.Changes{Revision: revision, Targets: targets}
 	if version > 0 {
-		c.Tables = &inband.Tables{Version: version}
+		c.Tables = coreTables(version)
 	}
 	return c
 }
 
+// coreTables returns tables that name the service of newTarget, and others.
+func coreTables(version int64, others ...string) *inband.Tables {
+	t := &inband.Tables{Version: version, Services: []inband.Service{{Name: "core"}}}
+	for _, name := range others {
+		t.Routes = append(t.Routes, inband.Route{Shares: []inband.Share{{Service: name, Weight: 1}}})
+	}
+	return t
+}
+
 // entryI1 returns the entry of target i-1, or nil.
 func entryI1(c *catalog.Catalog) *catalog.Entry {
 	for _, e := range c.Entries() {
--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -28,8 +28,9 @@
 
 // InvalidEntry describes an entry of the store that cannot be used.
 type InvalidEntry struct {
-	Key    string
-	Reason error
+	Key      string
+	Revision inband.Revision
+	Reason   error
 }
 
 // Changes holds tables, targets and drains of failure domains that were read from the store or received
@@ -43,4 +44,5 @@
 	HasAllDrains   bool                `json:"has_all_drains,omitempty"` // the drains of other domains ended by Revision
 	Revision       inband.Revision     `json:"revision"`                 // up to which the changes are complete
 	InvalidEntries []InvalidEntry      `json:"-"`
+	FromSibling    bool                `json:"-"` // targets were judged by the sibling, and may be known to it for longer
 }
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -39,6 +39,12 @@
 	slowStartUntil  clock.Millis
 	assumedAt       inband.Revision // of the end of a drain, from which the slow start is assumed; 0 if its entry told
 	changedRevision inband.Revision // of the newest change that placement depends on
+	// Of the entry that stands in the target's place and was passed over; it is in the target.
+	believedRevision inband.Revision // of the newest entry that was believed
+	isNamed          bool            // its service was named when it was believed
+	flaw             Flaw
+	flawSince        clock.Millis
+	passedOverAt     clock.Millis
 }
 
 // Target returns the target as last published. Its state is Gone once its entry ended.
@@ -81,7 +87,7 @@
 // assumeSlowStart takes the target for one in slow start, unless its entry is newer than a revision. It reports
 // whether that is new.
 func (e *Entry) assumeSlowStart(until clock.Millis, revision inband.Revision) bool {
-	if e.hasEnded || e.target.Revision > revision || until <= e.slowStartUntil {
+	if e.hasEnded || e.believedRevision > revision || until <= e.slowStartUntil {
 		return false
 	}
 	e.slowStartUntil, e.assumedAt = until, revision
@@ -114,7 +120,7 @@
 // hasLeftBefore reports whether the target began to leave, or left, before the store came back from an older
 // copy, which shows this start of the target as serving.
 func (e *Entry) hasLeftBefore(t *inband.Target) bool {
-	isCopy := t.Revision.Era() > e.target.Revision.Era() && t.StartedAtMS == e.target.StartedAtMS
+	isCopy := t.Revision.Era() > e.believedRevision.Era() && t.StartedAtMS == e.target.StartedAtMS
 	isLeaving := e.target.State == inband.Leaving || (e.hasEnded || e.target.State == inband.Unusable) && e.wasLeaving
 	return isCopy && isLeaving && t.State == inband.Serving
 }
@@ -135,17 +141,22 @@
 // nothing: the entry may be another writer's, and the target may be running. An entry that has ended stays so.
 func (e *Entry) makeUnusable(revision inband.Revision) Change {
 	change := Change{Subject: "target " + e.target.ID, Before: e.target.State.String(), After: inband.Unusable.String()}
+	e.noteLeaving()
+	e.setState(inband.Unusable, revision)
+	return change
+}
+
+// noteLeaving keeps whether the target was leaving before another writer's entry took its place.
+func (e *Entry) noteLeaving() {
 	if e.target.State != inband.Unusable {
 		e.wasLeaving = e.target.State == inband.Leaving
 	}
-	e.setState(inband.Unusable, revision)
-	return change
 }
 
 // setState changes the state and revision of the target, which is immutable, and keeps its other fields.
 func (e *Entry) setState(state inband.State, revision inband.Revision) {
 	changed := *e.target
-	changed.State, changed.Revision = state, revision
+	changed.State, changed.Revision, changed.WasLeaving = state, revision, e.wasLeaving
 	e.target = &changed
 }
 
@@ -157,12 +168,18 @@
 }
 
 // hash returns the entry's share of the catalog's digest, which is zero for unknown and ended
-// entries.
+// entries. It depends on what stands in the store, not on what this VM believes of it.
 func (e *Entry) hash() uint64 {
-	if e == nil || e.target.State == inband.Gone || e.target.State == inband.Unusable { // VMs that started later don't know it
+	if e == nil {
 		return 0
 	}
 	t := e.target
+	if t.PassedOver != nil { // VMs that started later may believe it
+		t = t.PassedOver
+	}
+	if t.State == inband.Gone || t.State == inband.Unusable { // VMs that started later don't know it
+		return 0
+	}
 	h := fnv.New64a()
 	for _, part := range []string{
 		t.ID, t.Service, t.Address.String(), t.Domain, t.State.String(), strconv.FormatInt(t.StartedAtMS, 10), strconv.Itoa(t.Slots),
--- a/cmd/almondflow-entry/odd_entries_test.go
+++ b/cmd/almondflow-entry/odd_entries_test.go
@@ -87,3 +87,38 @@
 	awaitStatus(t, daemon, `"id":"i-00000002","service":"core","domain":"a","mark":"leaving"`)
 	is.True(!strings.Contains(d.logs.String(), "before=leaving after=serving"))
 }
+
+// Guards against flows that are reset as another writer's entry, of a service that is named nowhere, takes the place of
+// a living host's (review/13): they go on to the host. The entry's reason is logged once and counted.
+func TestEntryOfAServiceThatIsNamedNowhere(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	daemon := d.startDaemon("vm-1")
+	host := d.addHost(1, daemon.Addresses().Packets.Port())
+	awaitStatus(t, daemon, host.ID())
+	awaitReady(t, daemon)
+	client, err := standin.NewClient(clientAddress, daemon.Addresses().Packets.Port())
+	is.NoErr(err)
+	defer func() { _ = client.Close() }()
+	odd := bytes.Replace(standin.HostEntryText("9", "2", "0", "1"), []byte(`"core"`), []byte(`"ledger"`), 1)
+	for range 3 {
+		d.store.PutHostEntry(host.ID(), odd)
+	}
+	awaitStatus(t, daemon, `"id":"i-00000001","service":"core","domain":"a","mark":"unusable"`)
+	is.NoErr(client.Send(daemon.Addresses().Packets, 40001, feedAddress, inband.Packet{
+		Flags: inband.Acknowledging, Seq: 101, Ack: 1, Tag: inband.TagOf(host.ID()), DataLength: 10,
+	}))
+	_, from, err := client.Receive()
+	is.NoErr(err)
+	is.Equal(from, host.ID())
+	metrics := "http://" + daemon.Addresses().Operator + "/metrics"
+	await(t, metrics, func(_ int, body string) bool {
+		return strings.Contains(body, `almondflow_front_entries_passed_over{reason="unnamed_service"} `) &&
+			!strings.Contains(body, `almondflow_front_entries_passed_over{reason="unnamed_service"} 0`)
+	})
+	for !strings.Contains(d.logs.String(), "msg=entry_passed_over") { //nolint:revive // the line is written after the change
+	}
+	is.Equal(strings.Count(d.logs.String(), "reason=unnamed_service service=ledger address=127.0.0.1:9"), 1)
+	d.putHost(host, false)
+	awaitStatus(t, daemon, `"id":"i-00000001","service":"core","domain":"a","mark":"serving"`)
+}
--- a/front/era_test.go
+++ b/front/era_test.go
@@ -17,7 +17,7 @@
 
 // readInEra returns a full read of the store in an era.
 func readInEra(era uint64, version int64, ids ...string) *catalog.Changes {
-	changes := &catalog.Changes{Tables: &inband.Tables{Version: version}, Revision: inband.NewRevision(era, 100)}
+	changes := &catalog.Changes{Tables: &inband.Tables{Version: version, Services: []inband.Service{{Name: "core"}}}, Revision: inband.NewRevision(era, 100)}
 	for _, id := range ids {
 		changes.Targets = append(changes.Targets, &inband.Target{
 			ID: id, Service: "core", Address: netip.MustParseAddrPort("10.0.0.1:80"), Revision: inband.NewRevision(era, 90),
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -27,9 +27,9 @@
 	fake.Advance(clock.Second)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.catalog.Replace(fake.Now(), fake.Now(), &catalog.Changes{Tables: &inband.Tables{Version: 1}, Targets: []*inband.Target{
-		{ID: "i-1", Service: "core", Domain: "a", Slots: 2},
-		{ID: "i-2", Service: "core", Domain: "b", Slots: 3},
+	d.catalog.Replace(fake.Now(), fake.Now(), &catalog.Changes{Tables: &inband.Tables{Version: 1, Services: []inband.Service{{Name: "core"}}}, Targets: []*inband.Target{
+		{ID: "i-1", Service: "core", Domain: "a", Slots: 2, Address: netip.MustParseAddrPort("10.0.0.1:80")},
+		{ID: "i-2", Service: "core", Domain: "b", Slots: 3, Address: netip.MustParseAddrPort("10.0.0.2:80")},
 	}})
 	d.updateEngine()
 	d.members.MarkAlive(fake.Now(), otherVM)
--- a/front/messages.go
+++ b/front/messages.go
@@ -214,7 +214,7 @@
 	if ageGain <= 0 || v.Revision < d.catalog.Revision() {
 		return nil, false, v.Version > d.catalog.Tables().Version
 	}
-	changes := &catalog.Changes{Delta: m.Tables, Targets: m.Targets, Drains: m.Drains, Revision: d.catalog.Revision()} // may not be complete
+	changes := &catalog.Changes{Delta: m.Tables, Targets: m.Targets, Drains: m.Drains, Revision: d.catalog.Revision(), FromSibling: true} // may not be complete
 	applied = d.mergeChanges(now, now-d.catalog.Age(now), changes, false, m.From.Address.String())
 	if v.Version > d.catalog.Tables().Version || v.Digest != d.catalog.DigestAt(v.Revision) {
 		return applied, false, true
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
@@ -66,6 +67,8 @@
 	spillShareMetric = Metric{"almondflow_front_spill_share", gaugeType, "fraction",
 		"Share of a service's new flows that is sent to other failure domains because requests wait longer " +
 			"in the own one (tag service; tag regions for routes that are bound to some)."}
+	passedOverMetric = Metric{"almondflow_front_entries_passed_over", counterType, "entries",
+		"Entries of targets in the store that were not believed, by reason (tag reason)."}
 	packetTimeMetric = Metric{"almondflow_front_packet_time", histogramType, "microseconds",
 		"Time from reading a packet to sending it on, sampled for one packet in 64."}
 )
@@ -76,7 +79,7 @@
 		packetsMetric, flowsMetric, siblingsMetric, suspectsMetric, failingTargetsMetric, shedRequestsMetric, overloadedPoolsMetric, refusedOpeningsMetric, refusedShareMetric, drainedDomainsMetric, tablesVersionMetric, readyAfterMetric,
 		droppedLinesMetric, controlBytesMetric, unsentMessagesMetric,
 		loadSentMetric, loadBytesMetric, loadReceivedMetric, loadReportersMetric, loadAgeMetric, probesMetric,
-		remoteOpeningsMetric, responseTimeMetric, spillShareMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric,
+		remoteOpeningsMetric, responseTimeMetric, spillShareMetric, storeCallMetric, viewAgeMetric, packetTimeMetric, probeTimeMetric, passedOverMetric,
 	}
 }
 
@@ -109,6 +112,7 @@
 	reportedDropped int64                      // lines dropped at the last scrape
 	reportedRefused map[int]int                // openings refused at the last scrape, by priority
 	remoteOpenings  tally.Counter
+	passedOver      [catalog.FlawCount]tally.Counter
 	reportedRemote  int // openings counted at the last scrape
 }
 
@@ -134,9 +138,21 @@
 	for reason := range m.packets {
 		m.packets[reason] = scope.Tagged(map[string]string{"reason": inband.Reason(reason).String()}).Counter(packetsMetric.Name)
 	}
+	for flaw := range m.passedOver {
+		m.passedOver[flaw] = scope.Tagged(map[string]string{"reason": catalog.Flaw(flaw).String()}).Counter(passedOverMetric.Name)
+	}
 	return m
 }
 
+// recordPassedOver counts entries that were not believed.
+func (m *metrics) recordPassedOver(log *catalog.PassedOverLog) {
+	for flaw, count := range log.Counts {
+		if count > 0 {
+			m.passedOver[flaw].Inc(int64(count))
+		}
+	}
+}
+
 // recordPacketTime records the processing time of a packet. A zero start marks a packet that is
 // not timed.
 func (m *metrics) recordPacketTime(startedAt time.Time) {
--- a/front/reading.go
+++ b/front/reading.go
@@ -249,6 +249,9 @@
 func publishedTargets(entries []*catalog.Entry) []inband.Published {
 	all := make([]inband.Published, 0, len(entries))
 	for _, e := range entries {
+		if !e.IsBelieved() {
+			continue
+		}
 		all = append(all, inband.Published{Target: e.Target(), FallbackUntil: e.FallbackUntil(), MayReturnUntil: e.MayReturnUntil(), SlowStartUntil: e.SlowStartUntil()})
 	}
 	return all
@@ -261,7 +264,21 @@
 		d.log.Info("believes", "at_ms", now, "subject", c.Subject, "before", c.Before, "after", c.After, "source", source)
 	}
 	for _, e := range invalidEntries {
-		d.log.Warn("entry_ignored", "at_ms", now, "key", e.Key, "reason", e.Reason)
+		d.logRoutine("entry_ignored", "at_ms", now, "key", e.Key, "revision", e.Revision, "reason", e.Reason)
+	}
+	d.logPassedOver(now, source)
+}
+
+// logPassedOver logs and counts the entries of targets that the catalog did not believe.
+func (d *Daemon) logPassedOver(now clock.Millis, source string) {
+	d.mu.Lock()
+	passedOver := d.catalog.TakePassedOver()
+	d.mu.Unlock()
+	d.metrics.recordPassedOver(&passedOver)
+	for _, p := range passedOver.Entries {
+		t := p.Target
+		d.logRoutine("entry_passed_over", "at_ms", now, "target", t.ID, "revision", t.Revision, "reason", p.Flaw, "service", t.Service,
+			"address", t.Address, "domain", t.Domain, "started_at", t.StartedAtMS, "target_now", p.Believed, "source", source)
 	}
 }
 
--- a/front/views.go
+++ b/front/views.go
@@ -102,6 +102,7 @@
 
 // mergeFetchedView merges a fetched view. The caller holds the lock.
 func (d *Daemon) mergeFetchedView(now clock.Millis, response *viewResponse, isFull bool, from string) []catalog.Change {
+	response.Changes.FromSibling = true
 	isNewEra := response.Changes.Revision.Era() > d.catalog.Revision().Era()
 	isFull = isFull && (isNewEra || !d.catalog.IsComplete())
 	applied := d.mergeChanges(now, now-response.AgeMS, response.Changes, isFull, from)
--- a/inband/target.go
+++ b/inband/target.go
@@ -48,6 +48,10 @@
 	SlowStartLeftMS clock.Millis   `json:"cold_ms,omitempty"` // remaining slow start time when it was published
 	StartedAtMS     int64          `json:"born"`              // start time in Unix milliseconds
 	Revision        Revision       `json:"revision"`
+	// Of a target that is Unusable or Gone: what it was before, and the entry that stands in its place without
+	// being believed.
+	WasLeaving bool    `json:"was_leaving,omitempty"`
+	PassedOver *Target `json:"passed_over,omitempty"`
 }
 
 // TagOf returns the tag of a target, which is the same at every entry VM. A target that
