Let a number in a key belong to one target

Cause: two keys of one number were two targets, and a host takes what is sent to its number for either.

Change: a number is of the first target that was believed under it. In a first view of the store with both, neither gets new flows, and the flows of both go on. A sibling's view tells which one it knew first.

Before: on TestTwoKeysOfOneNumber fails in two of its three parts (the third was not false). After: passes, with the new row of TestDigestAcrossAnOddEntry.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -31,19 +31,23 @@
 	expiryPossibleUntil clock.Millis        // until then, an entry that ends may have expired
 	rewriteUntil        clock.Millis        // until then, the operator may write drains again that the store lost
 	// What decides whether an entry is believed.
-	named         map[string]bool     // services of the newest tables that were seen, also on the page of a full read
-	namedVersion  int64               // of those tables
-	hasNewNames   bool                // since entries were last reconsidered
+	named         map[string]bool   // services of the newest tables that were seen, also on the page of a full read
+	namedVersion  int64             // of those tables
+	hasNewNames   bool              // since entries were last reconsidered
+	holders       map[uint64]string // id of the target that a number is of
+	contested     map[uint64]bool   // numbers of two targets that were learned of at once
+	hasFirstView  bool
 	flawed        map[string]struct{} // targets in whose place an entry stands that was passed over
 	passedOverLog PassedOverLog
-	isTold        bool // a sibling sent what is merged
+	contests      []Change // of targets whose number a merged one contests
+	isTold        bool     // a sibling sent what is merged
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
 	return &Catalog{
-		entries: map[string]*Entry{}, changedIDs: map[string]struct{}{},
-		flawed: map[string]struct{}{},
+		entries: map[string]*Entry{}, changedIDs: map[string]struct{}{}, holders: map[uint64]string{},
+		contested: map[uint64]bool{}, flawed: map[string]struct{}{},
 	}
 }
 
@@ -174,7 +178,9 @@
 		}
 	}
 	c.hasFullRead = true
-	return c.Apply(now, asOf, &full)
+	merged := c.Apply(now, asOf, &full)
+	c.hasFirstView = true
+	return merged
 }
 
 // Confirm records that the catalog was complete up to a revision at asOf, which may be before
@@ -225,6 +231,9 @@
 func (c *Catalog) remove(id string) {
 	e := c.entries[id]
 	c.digest ^= e.hash()
+	if c.holders[e.target.Identity] == id {
+		delete(c.holders, e.target.Identity)
+	}
 	delete(c.flawed, id)
 	delete(c.entries, id)
 }
--- a/catalog/flaw.go
+++ b/catalog/flaw.go
@@ -17,6 +17,8 @@
 	NoFlaw Flaw = iota
 	// Unreadable is an entry that lacks a field, or has one that cannot be read.
 	Unreadable
+	// SharedNumber is an entry whose key holds the number of another target.
+	SharedNumber
 	// UnnamedService is an entry of a service that the tables do not name.
 	UnnamedService
 	// EarlierStart is an entry of a start before the one that is known.
@@ -34,6 +36,8 @@
 		return "none"
 	case Unreadable:
 		return "unreadable"
+	case SharedNumber:
+		return "shared_number"
 	case UnnamedService:
 		return "unnamed_service"
 	case EarlierStart:
@@ -48,7 +52,10 @@
 // flawOf decides whether an entry that can be read is one of the target's own. It is asked before anything of the
 // entry is believed, whichever way the entry came.
 func (c *Catalog) flawOf(e *Entry, t *inband.Target) Flaw {
+	holder, isHeld := c.holders[t.Identity]
 	switch {
+	case c.contested[t.Identity] || isHeld && holder != t.ID:
+		return SharedNumber
 	case e.isNamed && e.continues(t): // the tables may no longer name the service of a target with open flows
 		return NoFlaw
 	case c.named == nil: // open flows do not wait for the tables
--- a/catalog/merge.go
+++ b/catalog/merge.go
@@ -19,6 +19,8 @@
 			merged = append(merged, c.track(t.ID, t.Revision, func() (Change, bool) { return c.mergeTold(now, t) })...)
 		}
 	}
+	merged = append(merged, c.contests...)
+	c.contests = nil
 	return merged
 }
 
@@ -78,6 +80,9 @@
 	if flaw == NoFlaw {
 		return c.believe(now, e, t)
 	}
+	if flaw == SharedNumber {
+		c.contest(now, e, t)
+	}
 	before := e.target.State
 	change := c.passOver(now, e, t, flaw)
 	return change, before != e.target.State
@@ -116,6 +121,7 @@
 			e.endedAt, e.hasEnded, e.wasLeaving, e.mayHaveExpired = now, true, true, true
 		}
 		c.entries[t.ID] = e
+		c.hold(t)
 		return change, true
 	default:
 		e := c.addUnknown(t.ID)
@@ -135,10 +141,18 @@
 	return e
 }
 
+// hold notes that a number is of a target.
+func (c *Catalog) hold(t *inband.Target) {
+	if t.Identity != 0 && c.holders[t.Identity] == "" {
+		c.holders[t.Identity] = t.ID
+	}
+}
+
 // believe replaces the target by a newer entry of its own.
 func (c *Catalog) believe(now clock.Millis, e *Entry, t *inband.Target) (Change, bool) {
 	before, wasKnown := e.target, e.IsBelieved()
 	c.forgetPassedOver(e)
+	c.hold(t)
 	e.isNamed = c.named[t.Service] || e.isNamed && e.continues(t)
 	e.target, e.believedRevision, e.hasEnded = t, t.Revision, false
 	if !wasKnown {
--- a/catalog/passedover.go
+++ b/catalog/passedover.go
@@ -70,12 +70,13 @@
 	e.target = &changed
 }
 
-// reconsider believes entries that were passed over and have no flaw any more: the tables name their service now,
-// or nothing has contradicted them for so long that no other writer is left.
+// reconsider believes entries that were passed over and have no flaw any more: the tables name their service now, the
+// other target of their number is gone, or nothing has contradicted them for so long that no other writer is left.
 func (c *Catalog) reconsider(now clock.Millis) []Change {
 	if len(c.flawed) == 0 {
 		return nil
 	}
+	c.endContests()
 	ids := make([]string, 0, len(c.flawed))
 	for id := range c.flawed {
 		if e := c.entries[id]; e.flaw != UnnamedService || c.hasNewNames {
@@ -109,6 +110,36 @@
 	return c.track(t.ID, t.Revision, func() (Change, bool) { return c.believe(now, e, &believed) })
 }
 
+// contest passes over two targets of one number, if this VM learned of both at once: it can't tell which one the number
+// is of. The flows of both go on.
+func (c *Catalog) contest(now clock.Millis, e *Entry, t *inband.Target) {
+	other := c.entries[c.holders[t.Identity]]
+	if c.hasFirstView || c.isTold || other == nil || other.hasEnded || other.target.State == inband.Unusable {
+		return
+	}
+	c.contested[t.Identity] = true
+	e.target, e.isNamed = t, c.named[t.Service]
+	first := other.target
+	c.contests = append(c.contests, c.track(first.ID, first.Revision, func() (Change, bool) { return c.passOver(now, other, first, SharedNumber), true })...)
+}
+
+// endContests ends those that a single target is left of.
+func (c *Catalog) endContests() {
+	if len(c.contested) == 0 {
+		return
+	}
+	rivals := map[uint64]int{}
+	for id := range c.flawed {
+		rivals[c.entries[id].target.PassedOver.Identity]++
+	}
+	for number := range c.contested {
+		if rivals[number] < 2 {
+			delete(c.contested, number)
+			delete(c.holders, number)
+		}
+	}
+}
+
 // nameServices takes the services that tables name, in a list or as where a route leads. Targets that were believed
 // before any tables came are judged by the first ones.
 func (c *Catalog) nameServices(now clock.Millis, t *inband.Tables) []Change {
--- a/catalog/passedover_test.go
+++ b/catalog/passedover_test.go
@@ -227,7 +227,7 @@
 
 // VMs agree on the digest, whether they saw the target's own entry before the odd one, the odd one only, or were told.
 func TestDigestAcrossAnOddEntry(t *testing.T) {
-	for name, odd := range map[string]func(*inband.Target){"unnamed": ofLedger, "moved": elsewhere, "earlier": ofEarlierStart} {
+	for name, odd := range map[string]func(*inband.Target){"unnamed": ofLedger, "moved": elsewhere, "earlier": ofEarlierStart, "same number": func(t *inband.Target) { t.ID = "I-1" }} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			own, other := hostOf("i-1", 9, nil), hostOf("i-1", 11, odd)
@@ -285,6 +285,47 @@
 	is.Equal(c.Digest(), empty)
 }
 
+// Guards against another key of a target's number, which has a draining target take new flows: "the others hold". A VM
+// that learns of both at once can't tell which is the target's, and places no flow until one is gone.
+func TestTwoKeysOfOneNumber(t *testing.T) {
+	alias := func(revision inband.Revision) *inband.Target {
+		return hostOf("I-1", revision, func(t *inband.Target) { t.Address = otherAddress })
+	}
+	t.Run("known", func(t *testing.T) {
+		is := is.New(t)
+		c := knowing(hostOf("i-1", 9, leaving))
+		c.Apply(100, 100, newChanges(0, 11, alias(11)))
+		is.Equal(states(c), map[string]inband.State{"i-1": inband.Leaving, "I-1": inband.Unusable})
+		is.Equal(counts(c), map[catalog.Flaw]uint64{catalog.SharedNumber: 1})
+		c.Apply(1200, 1200, newChanges(0, 12, hostOf("i-1", 12, leaving), newTarget("i-1", 13, inband.Gone)))
+		c.Apply(1300, 1300, newChanges(0, 14, alias(14)))
+		is.Equal(states(c)["I-1"], inband.Unusable) // the target may come back
+		c.Prune(10 * clock.Minute)
+		c.Apply(10*clock.Minute, 10*clock.Minute, newChanges(0, 15))
+		is.Equal(states(c), map[string]inband.State{"I-1": inband.Serving})
+	})
+	t.Run("learned at once", func(t *testing.T) {
+		is := is.New(t)
+		c := knowing(alias(8), hostOf("i-1", 9, leaving))
+		is.Equal(states(c), map[string]inband.State{"i-1": inband.Unusable, "I-1": inband.Unusable})
+		c.Apply(100, 100, newChanges(0, 11, hostOf("i-1", 11, leaving)))
+		is.Equal(states(c)["i-1"], inband.Unusable)
+		is.Equal(entryI1(c).Target().Address, hostOf("i-1", 0, nil).Address) // its open flows go on
+		c.Apply(200, 200, newChanges(0, 12, newTarget("I-1", 12, inband.Gone)))
+		is.Equal(states(c)["i-1"], inband.Leaving)
+	})
+	t.Run("told", func(t *testing.T) {
+		is := is.New(t)
+		c, told := knowing(hostOf("i-1", 9, nil)), catalog.New()
+		c.Apply(100, 100, newChanges(0, 11, alias(11)))
+		view := c.ChangesSince(200, 0, 0)
+		view.FromSibling = true
+		told.Replace(200, 200, view)
+		is.Equal(states(told), states(c))
+		is.Equal(states(told)["i-1"], inband.Serving)
+	})
+}
+
 // An odd entry after the end of a target's own, and its removal, change nothing of the target.
 func TestOddEntryOfAnEndedTarget(t *testing.T) {
 	is := is.New(t)
