Match names exactly wherever another process or a file is read

No failure of callers is known.

Cause: encoding/json takes names in another case, and the last of several values.

Change: these are decoded by go-json-experiment/json; strictjson, exact before, stays the reader of documents that people write against a schema.

A row of TestParseSettings and one of TestClientReportsPlatformFaults ask for the new texts of the same errors (unknown object member name, unexpected EOF).

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -25,7 +25,10 @@
 	tests := []struct{ name, from, to, want string }{
 		{"policy", `"naive"`, `"fair"`, `policy must be "local" or "naive"`},
 		{"address", `"packet_address":"127.0.0.1:0"`, `"packet_address":"[::1]:0"`, "packet_address must be an IPv4 address"},
-		{"unknown name", `"policy"`, `"polcy"`, `unknown field "polcy"`},
+		{"unknown name", `"policy"`, `"polcy"`, `unknown object member name "polcy"`},
+		{"name in another case", `"policy"`, `"Policy"`, `unknown object member name "Policy"`},
+		{"name twice", `"max_flows":10`, `"max_flows":10,"max_flows":20`, `duplicate object member name "max_flows"`},
+		{"text after the settings", `"link_mbps":10.0}`, `"link_mbps":10.0} {}`, "decode settings"},
 		{"type", `"stop_ms":0`, `"stop_ms":"0"`, "decode settings"},
 		{"limit", `"max_flows":10`, `"max_flows":0`, "max_flows must be at least 1"},
 	}
--- a/front/settings.go
+++ b/front/settings.go
@@ -1,14 +1,14 @@
 package front
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"net/netip"
 	"os"
 
+	"github.com/go-json-experiment/json"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/inband"
 )
@@ -61,9 +61,7 @@
 // settings. If values are missing or invalid, the error lists all of them.
 func ParseSettings(data []byte) (*Settings, error) {
 	s := &Settings{}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(s); err != nil {
+	if err := json.Unmarshal(data, s, json.RejectUnknownMembers(true)); err != nil {
 		return nil, fmt.Errorf("decode settings: %w", err)
 	}
 	if err := s.check(); err != nil {
--- a/front/views.go
+++ b/front/views.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strconv"
 
+	exact "github.com/go-json-experiment/json"
+
 	"github.com/almondflow/almondflow/catalog"
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/drain"
@@ -136,7 +138,7 @@
 		return nil, fmt.Errorf("sibling answered with status %d", response.StatusCode)
 	}
 	view := &viewResponse{}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxViewBytes)).Decode(view); err != nil {
+	if err := exact.UnmarshalRead(io.LimitReader(response.Body, maxViewBytes), view); err != nil {
 		return nil, fmt.Errorf("decode view: %w", err)
 	}
 	age, err := strconv.ParseInt(response.Header.Get(viewAgeHeader), 10, 64)
--- a/operator/client.go
+++ b/operator/client.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/go-json-experiment/json"
 	"github.com/samber/oops"
 
 	"github.com/almondflow/almondflow/result"
@@ -75,13 +75,13 @@
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusBadRequest {
 		var e ErrorResponse
-		_ = json.NewDecoder(response.Body).Decode(&e)
+		_ = json.UnmarshalRead(response.Body, &e)
 		return oops.Code(result.Usage).Errorf("%s", e.Error)
 	}
 	if response.StatusCode != http.StatusOK {
 		return unreachable.Wrapf(fmt.Errorf("status %d", response.StatusCode), "daemon %s", c.address)
 	}
-	if err = json.NewDecoder(response.Body).Decode(into); err != nil {
+	if err = json.UnmarshalRead(response.Body, into); err != nil {
 		return unreachable.Wrapf(err, "daemon %s: decode response", c.address)
 	}
 	return nil
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -6,8 +6,10 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,3 +144,18 @@
 	is.Equal(got, want)
 	is.True(regexp.MustCompile(`almondflow_packets\{result="forwarded",vm="kadikoy-1"\} 9`).Match(text)) // the second total replaces the first
 }
+
+// Guards against an answer whose fields differ in case, or occur twice, being taken for the daemon's.
+func TestMisspelledFieldsOfAnAnswer(t *testing.T) {
+	is := is.New(t)
+	answer := `{"table_version":7,"Table_Version":9}`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(answer)) }))
+	defer server.Close()
+	client := operator.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	status, err := client.Status(context.Background())
+	is.NoErr(err)
+	is.Equal(status.TableVersion, uint64(7))
+	answer = `{"table_version":7,"table_version":9}`
+	_, err = client.Status(context.Background())
+	is.True(err != nil)
+}
--- a/published/client.go
+++ b/published/client.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	exact "github.com/go-json-experiment/json"
+
 	"github.com/almondflow/almondflow/clock"
 )
 
@@ -127,11 +129,11 @@
 
 func parseResponse(text []byte) Response {
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(text, &fields); err != nil {
+	if err := exact.Unmarshal(text, &fields); err != nil {
 		return NewFailure("parse response: %v", err)
 	}
 	var e envelope
-	if err := json.Unmarshal(text, &e); err != nil {
+	if err := exact.Unmarshal(text, &e); err != nil {
 		return NewFailure("parse response: %v", err)
 	}
 	_, hasVersion := fields["version"]
--- a/published/client_test.go
+++ b/published/client_test.go
@@ -26,7 +26,7 @@
 		{standin.StaleValues, ""},
 		{standin.Slow, "deadline"},
 		{standin.Down, "status 503"},
-		{standin.InvalidJSON, "unexpected end"},
+		{standin.InvalidJSON, "unexpected EOF"},
 		{standin.OversizedValue, "exceeds 1048576 bytes"},
 	}
 	for _, test := range tests {
--- a/published/head.go
+++ b/published/head.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"sync"
 
+	exact "github.com/go-json-experiment/json"
+
 	"github.com/almondflow/almondflow/result"
 	"github.com/almondflow/almondflow/strictjson"
 )
@@ -30,7 +32,7 @@
 	var head struct {
 		Parts json.RawMessage `json:"parts"`
 	}
-	return json.Unmarshal(value, &head) == nil && head.Parts != nil
+	return exact.Unmarshal(value, &head) == nil && head.Parts != nil
 }
 
 // parseHead parses the head of a split value. It returns the version and the references
--- a/siblings/message.go
+++ b/siblings/message.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"slices"
 
+	exact "github.com/go-json-experiment/json"
+
 	"github.com/almondflow/almondflow/clock"
 	"github.com/almondflow/almondflow/drain"
 	"github.com/almondflow/almondflow/inband"
@@ -100,7 +102,7 @@
 // no valid sender address, or contains a null target.
 func Decode(data []byte) (*Message, error) {
 	m := &Message{}
-	if err := json.Unmarshal(data, m); err != nil {
+	if err := exact.Unmarshal(data, m); err != nil {
 		return nil, fmt.Errorf("decode message: %w", err)
 	}
 	if !m.From.Address.IsValid() {
--- a/siblings/siblings_test.go
+++ b/siblings/siblings_test.go
@@ -75,8 +75,21 @@
 	is.Equal(decoded.Contacts, m.Contacts)
 }
 
+// Guards against fields that differ in case, or occur twice, being taken for ones of the message.
+func TestMisspelledFieldsOfAMessage(t *testing.T) {
+	is := is.New(t)
+	m, err := siblings.Decode([]byte(`{"kind":"hello","from":{"address":"10.0.0.1:7720","Domain":"a"},"Targets":[{"id":"i-1"}],"View":{}}`))
+	is.NoErr(err)
+	is.Equal(m.From.Domain, "")
+	is.Equal(len(m.Targets), 0)
+	is.True(m.View == nil)
+}
+
 func TestDecodeRejectsMalformedMessages(t *testing.T) {
-	for _, text := range []string{"", "x", "{}", `{"kind":"hello","from":{"address":"x"}}`, `[1]`} {
+	for _, text := range []string{
+		"", "x", "{}", `{"kind":"hello","from":{"address":"x"}}`, `[1]`, `{"kind":"hello","FROM":{"address":"10.0.0.1:7720"}}`,
+		`{"kind":"hello","from":{"address":"10.0.0.1:7720"},"from":{"address":"10.0.0.2:7720"}}`,
+	} {
 		t.Run(text, func(t *testing.T) {
 			is := is.New(t)
 			_, err := siblings.Decode([]byte(text))
--- a/strictjson/delta.go
+++ b/strictjson/delta.go
@@ -1,9 +1,11 @@
 package strictjson
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // ErrDigestMismatch means that the result of a delta does not have the digest that the delta
@@ -31,7 +33,7 @@
 // IsDelta reports whether a document is a delta rather than a full document.
 func IsDelta(document []byte) bool {
 	var message struct {
-		BaseDigest *json.RawMessage `json:"base_digest"`
+		BaseDigest *jsontext.Value `json:"base_digest"`
 	}
 	return json.Unmarshal(document, &message) == nil && message.BaseDigest != nil
 }
