Log what is passed over without the daemon's lock

A VM hung on a page of a full read that brought news of a drain, so that it answered nothing any more.

Cause: logChanges is also called with the lock held (mergePageDrains), and took it to fetch the entries that were passed over.

Change: logChanges takes no lock; logIgnored and logPassedOver are called by those that don't hold it.

Before: TestPageWithADrainIsMergedUnderTheLock ends by the limit of 5 s. After: passes. TestPassedOverEntriesAreLoggedAndCounted held.

The fixture of two rows of TestTargetsAreInSlowStartAfterADrain names the target's service again, without which they held for another reason.

--- a/catalog/merge.go
+++ b/catalog/merge.go
@@ -92,7 +92,11 @@
 // target that is not known here; the entry is judged again.
 func (c *Catalog) mergeTold(now clock.Millis, t *inband.Target) (Change, bool) {
 	entry := *t.PassedOver
-	entry.Revision = t.Revision
+	entry.ID, entry.Revision, entry.PassedOver = t.ID, t.Revision, nil
+	if entry.State > inband.Leaving { // a sibling keeps no other ones
+		entry.State = inband.Unusable
+		return c.mergeTarget(now, &entry)
+	}
 	if c.entries[t.ID] != nil {
 		return c.mergeTarget(now, &entry)
 	}
--- a/catalog/slowstart_test.go
+++ b/catalog/slowstart_test.go
@@ -41,7 +41,7 @@
 			is := is.New(t)
 			c := catalog.New()
 			first := newChanges(1, 10, newTarget("i-1", 9, inband.Serving))
-			first.Tables.Services = tt.services
+			first.Tables.Services, first.Tables.Routes = tt.services, coreTables(1, "core").Routes
 			first.Targets[0].Service, first.Targets[0].Domain = "core", "a"
 			c.Replace(0, 0, first)
 			c.Apply(10, 10, newDrains(10, drainOf(tt.domain, 10)))
--- a/catalog/unusable_test.go
+++ b/catalog/unusable_test.go
@@ -113,3 +113,27 @@
 		})
 	}
 }
+
+// The same after the copy came: an odd entry there doesn't make the target one that the copy may show as serving.
+func TestOddEntryInACopyDoesNotBringLeavingTargetsBack(t *testing.T) {
+	is := is.New(t)
+	c := newCatalogOfEra(1, newTarget("i-1", 90, inband.Leaving))
+	c.Replace(500, 500, inEra(2, newChanges(5, 130, unusable(70))))
+	c.Apply(600, 600, inEra(2, newChanges(0, 131, newTarget("i-1", 131, inband.Serving))))
+	is.Equal(states(c)["i-1"], inband.Unusable)
+}
+
+// A drain that ends while another writer's entry stands has the target in slow start all the same, if the target's own
+// entry is from before.
+func TestDrainThatEndsBesideAnUnusableEntry(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	first := newChanges(1, 10, newTarget("i-1", 9, inband.Serving))
+	first.Tables.Services[0].SlowStartMS = 8 * clock.Second
+	first.Targets[0].Domain = "a"
+	c.Replace(0, 0, first)
+	c.Apply(10, 10, newDrains(11, drainOf("a", 11)))
+	c.Apply(20, 20, newChanges(0, 13, unusable(13)))
+	c.Apply(30, 30, newDrains(14, endOf("a", 12))) // it is told late
+	is.Equal(entryI1(c).SlowStartUntil(), 30+8*clock.Second)
+}
--- a/cmd/almondflow-entry/soak_faults_test.go
+++ b/cmd/almondflow-entry/soak_faults_test.go
@@ -82,8 +82,13 @@
 	s.store.SetFault(standin.Healthy)
 	s.restoreLinks()
 	s.requireNoError(s.store.PutTablesWithPriorities(s.version-50, "nobody"))
-	calls := s.store.Calls() + staleTablesCalls
-	for range maxConvergenceChecks {
+	s.awaitCalls(staleTablesCalls, maxConvergenceChecks)
+}
+
+// awaitCalls waits until VMs have called the store a number of times, for so many checks of all VMs at most.
+func (s *soak) awaitCalls(number, maxChecks int) {
+	calls := s.store.Calls() + number
+	for range maxChecks {
 		s.checkVersions()
 		if s.store.Calls() >= calls || s.t.Failed() {
 			return
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -272,7 +272,7 @@
 	isChanged := overloaded != d.overloadedPools
 	d.overloadedPools = overloaded
 	d.mu.Unlock()
-	d.logChanges(now, lostDrainSource, settled, nil)
+	d.logChanges(now, lostDrainSource, settled)
 	if loadChange.isChanged {
 		loadChange.write(d.log)
 	}
--- a/front/drains.go
+++ b/front/drains.go
@@ -48,5 +48,5 @@
 	}
 	d.updateEngine()
 	d.keepRecent(now, applied)
-	d.logChanges(now, storeSource, applied, nil)
+	d.logChanges(now, storeSource, applied)
 }
--- a/front/drains_test.go
+++ b/front/drains_test.go
@@ -51,13 +51,13 @@
 func (d *Daemon) mergeRead(now clock.Millis, changes *catalog.Changes) {
 	var read catalog.FullRead
 	full, _ := read.AddLastPage(changes)
-	d.logChanges(now, storeSource, d.mergeChanges(now, now, full, true, storeSource), nil)
+	d.logChanges(now, storeSource, d.mergeChanges(now, now, full, true, storeSource))
 }
 
 // mergeWatched merges a mark that the store returned to a watch.
 func (d *Daemon) mergeWatched(now clock.Millis, m drain.Mark) {
 	changes := &catalog.Changes{Revision: m.Revision, Drains: []drain.Mark{m}}
-	d.logChanges(now, storeSource, d.mergeChanges(now, now, changes, false, storeSource), nil)
+	d.logChanges(now, storeSource, d.mergeChanges(now, now, changes, false, storeSource))
 }
 
 // newFlowDomains returns the domains whose targets get new flows, ordered by name.
--- a/front/fuzz_test.go
+++ b/front/fuzz_test.go
@@ -39,7 +39,7 @@
 	from := `"from":{"address":"10.1.0.9:7720","domain":"a","capacity":3,"age_ms":-5}`
 	f.Add([]byte(`{"kind":"suspect",`+from+`,"suspects":[{"id":"i-1","born":1,"openings":-3,"data":9223372036854775807}],"probes":[{"id":"i-1","outcome":"refused","age_ms":-9},{"id":"i-1","outcome":"silent","confirmed":true}]}`), int64(5))
 	f.Add([]byte(`{"kind":"suspect",`+from+`,"grades":[{"id":"i-1","good":-1,"bad":9223372036854775807}]}`), int64(1<<60))
-	f.Add([]byte(`{"kind":"announce",`+from+`,"view":{"revision":9,"age_ms":-9223372036854775808,"version":7,"digest":1},"targets":[{"id":"i-1","mark":9,"born":5,"revision":8},{"id":"","slots":-1}],"tables":{"base":1,"version":9,"set":[{"shares":null},{"shares":[{"service":"core","weight":-7}]}]}}`), int64(-1))
+	f.Add([]byte(`{"kind":"announce",`+from+`,"view":{"revision":9,"age_ms":-9223372036854775808,"version":7,"digest":1},"targets":[{"id":"i-1","mark":9,"born":5,"revision":8},{"id":"","slots":-1},{"id":"i-1","mark":3,"revision":9,"passed_over":{"id":"i-2","mark":2,"passed_over":{}}}],"tables":{"base":1,"version":9,"set":[{"shares":null},{"shares":[{"service":"core","weight":-7}]}]}}`), int64(-1))
 	f.Add([]byte(`{"kind":"goodbye",`+from+`,"contacts":[{"address":"10.1.0.8:1","domain":"a","age_ms":-99999999999}]}`), int64(0))
 	report := load.Encode(&load.Report{Targets: []load.TargetWork{{Tag: uint32(inband.TagOf("i-1")), Start: 1, Work: load.Work{Busy: 1e9}}}}, maxLoadBytes)
 	f.Add(fmt.Appendf(nil, `{"kind":"load",%s,"load":%q}`, from, base64.StdEncoding.EncodeToString(report)), int64(7))
--- a/front/messages.go
+++ b/front/messages.go
@@ -154,7 +154,8 @@
 		reply = &siblings.Message{Kind: siblings.Heartbeat, View: d.viewSummary(now), Contacts: d.members.SampleContacts(now, m.From.Domain)}
 	}
 	d.mu.Unlock()
-	d.logChanges(now, m.From.Address.String(), applied, nil)
+	d.logChanges(now, m.From.Address.String(), applied)
+	d.logPassedOver(now, m.From.Address.String())
 	if isFetching {
 		go d.updateFromSibling(ctx, m.From.Address, version, revision)
 	}
--- a/front/reading.go
+++ b/front/reading.go
@@ -106,7 +106,9 @@
 	d.readScheduler.RecordSuccess()
 	d.recordStoreSuccess(now, now-sentAt)
 	d.mu.Unlock()
-	d.logChanges(now, storeSource, applied, response.InvalidEntries)
+	d.logChanges(now, storeSource, applied)
+	d.logIgnored(now, response.InvalidEntries)
+	d.logPassedOver(now, storeSource)
 	d.announce(now, true, maxLocalRecipients)
 	d.handlePending()
 }
@@ -257,29 +259,12 @@
 	return all
 }
 
-// logChanges logs changes and invalid entries and adds the changes to the audit trail.
-func (d *Daemon) logChanges(now clock.Millis, source string, applied []catalog.Change, invalidEntries []catalog.InvalidEntry) {
+// logChanges logs changes and adds them to the audit trail.
+func (d *Daemon) logChanges(now clock.Millis, source string, applied []catalog.Change) {
 	for _, c := range applied {
 		d.auditTrail.add(AuditRecord{AtMS: now, Subject: c.Subject, Before: c.Before, After: c.After, Source: source})
 		d.log.Info("believes", "at_ms", now, "subject", c.Subject, "before", c.Before, "after", c.After, "source", source)
 	}
-	for _, e := range invalidEntries {
-		d.logRoutine("entry_ignored", "at_ms", now, "key", e.Key, "revision", e.Revision, "reason", e.Reason)
-	}
-	d.logPassedOver(now, source)
-}
-
-// logPassedOver logs and counts the entries of targets that the catalog did not believe.
-func (d *Daemon) logPassedOver(now clock.Millis, source string) {
-	d.mu.Lock()
-	passedOver := d.catalog.TakePassedOver()
-	d.mu.Unlock()
-	d.metrics.recordPassedOver(&passedOver)
-	for _, p := range passedOver.Entries {
-		t := p.Target
-		d.logRoutine("entry_passed_over", "at_ms", now, "target", t.ID, "revision", t.Revision, "reason", p.Flaw, "service", t.Service,
-			"address", t.Address, "domain", t.Domain, "started_at", t.StartedAtMS, "target_now", p.Believed, "source", source)
-	}
 }
 
 // viewSummary returns the summary of this VM's view, or nil if it is not complete. The caller
--- a/front/views.go
+++ b/front/views.go
@@ -94,7 +94,8 @@
 		d.wakeReader()
 		return
 	}
-	d.logChanges(now, from.String(), applied, nil)
+	d.logChanges(now, from.String(), applied)
+	d.logPassedOver(now, from.String())
 	d.wakeReader()
 	d.handlePending()
 	if !wasComplete {
