Keep what is passed over beside the catalog's entries

Change: what tells of an entry that is passed over is kept for those only, numbers lead to entries, and a target that is new and its own is added without a placeholder.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -34,10 +34,10 @@
 	named         map[string]bool   // services of the newest tables that were seen, also on the page of a full read
 	namedVersion  int64             // of those tables
 	hasNewNames   bool              // since entries were last reconsidered
-	holders       map[uint64]string // id of the target that a number is of
+	holders       map[uint64]*Entry // target that a number is of
 	contested     map[uint64]bool   // numbers of two targets that were learned of at once
 	hasFirstView  bool
-	flawed        map[string]struct{} // targets in whose place an entry stands that was passed over
+	flawed        map[string]passing // targets in whose place an entry stands that was passed over
 	passedOverLog PassedOverLog
 	contests      []Change // of targets whose number a merged one contests
 	isTold        bool     // a sibling sent what is merged
@@ -46,8 +46,8 @@
 // New returns an empty catalog.
 func New() *Catalog {
 	return &Catalog{
-		entries: map[string]*Entry{}, changedIDs: map[string]struct{}{}, holders: map[uint64]string{},
-		contested: map[uint64]bool{}, flawed: map[string]struct{}{},
+		entries: map[string]*Entry{}, changedIDs: map[string]struct{}{}, holders: map[uint64]*Entry{},
+		contested: map[uint64]bool{}, flawed: map[string]passing{},
 	}
 }
 
@@ -231,7 +231,7 @@
 func (c *Catalog) remove(id string) {
 	e := c.entries[id]
 	c.digest ^= e.hash()
-	if c.holders[e.target.Identity] == id {
+	if c.holders[e.target.Identity] == e {
 		delete(c.holders, e.target.Identity)
 	}
 	delete(c.flawed, id)
--- a/catalog/entry.go
+++ b/catalog/entry.go
@@ -31,20 +31,16 @@
 
 // Entry holds a target and the history of its entry in the store.
 type Entry struct {
-	target          *inband.Target
-	endedAt         clock.Millis
-	hasEnded        bool
-	wasLeaving      bool // the target was leaving when its entry ended or became unusable
-	mayHaveExpired  bool // the end was seen during or just after a time without a current view
-	slowStartUntil  clock.Millis
-	assumedAt       inband.Revision // of the end of a drain, from which the slow start is assumed; 0 if its entry told
-	changedRevision inband.Revision // of the newest change that placement depends on
-	// Of the entry that stands in the target's place and was passed over; it is in the target.
+	target           *inband.Target
+	endedAt          clock.Millis
+	hasEnded         bool
+	wasLeaving       bool // the target was leaving when its entry ended or became unusable
+	mayHaveExpired   bool // the end was seen during or just after a time without a current view
+	isNamed          bool // the target's service was named when its entry was believed
+	slowStartUntil   clock.Millis
+	assumedAt        inband.Revision // of the end of a drain, from which the slow start is assumed; 0 if its entry told
+	changedRevision  inband.Revision // of the newest change that placement depends on
 	believedRevision inband.Revision // of the newest entry that was believed
-	isNamed          bool            // its service was named when it was believed
-	flaw             Flaw
-	flawSince        clock.Millis
-	passedOverAt     clock.Millis
 }
 
 // Target returns the target as last published. Its state is Gone once its entry ended.
--- a/catalog/flaw.go
+++ b/catalog/flaw.go
@@ -52,9 +52,9 @@
 // flawOf decides whether an entry that can be read is one of the target's own. It is asked before anything of the
 // entry is believed, whichever way the entry came.
 func (c *Catalog) flawOf(e *Entry, t *inband.Target) Flaw {
-	holder, isHeld := c.holders[t.Identity]
+	holder := c.holders[t.Identity]
 	switch {
-	case c.contested[t.Identity] || isHeld && holder != t.ID:
+	case c.contested[t.Identity] || holder != nil && holder.target.ID != t.ID:
 		return SharedNumber
 	case e.isNamed && e.continues(t): // the tables may no longer name the service of a target with open flows
 		return NoFlaw
--- a/catalog/merge.go
+++ b/catalog/merge.go
@@ -109,6 +109,9 @@
 	return c.mergeReadable(now, c.entries[t.ID], &entry)
 }
 
+// neverBelieved is a target of which nothing is known.
+var neverBelieved = Entry{target: &inband.Target{State: inband.Unusable}}
+
 // addTarget adds a target that is not known yet.
 func (c *Catalog) addTarget(now clock.Millis, t *inband.Target) (Change, bool) {
 	change := Change{Subject: "target " + t.ID, Before: "unknown", After: t.State.String()}
@@ -124,16 +127,17 @@
 		if t.State == inband.Gone {
 			e.endedAt, e.hasEnded, e.wasLeaving, e.mayHaveExpired = now, true, true, true
 		}
-		c.entries[t.ID] = e
-		c.hold(t)
+		c.add(e)
 		return change, true
 	default:
-		e := c.addUnknown(t.ID)
-		if !c.isTold || c.flawOf(e, t) != UnnamedService {
-			return c.mergeReadable(now, e, t)
+		flaw := c.flawOf(&neverBelieved, t)
+		if flaw == UnnamedService && c.isTold { // the sibling knew it before the tables left its service out
+			flaw = NoFlaw
+		}
+		if flaw != NoFlaw {
+			return c.mergeReadable(now, c.addUnknown(t.ID), t)
 		}
-		_, _ = c.believe(now, e, t)
-		e.isNamed = true // the sibling knew it before the tables left its service out
+		c.add(&Entry{target: t, slowStartUntil: now + t.SlowStartLeftMS, believedRevision: t.Revision, isNamed: c.isTold || c.named[t.Service]})
 		return change, true
 	}
 }
@@ -145,10 +149,16 @@
 	return e
 }
 
+// add adds a target of which something is believed.
+func (c *Catalog) add(e *Entry) {
+	c.entries[e.target.ID] = e
+	c.hold(e)
+}
+
 // hold notes that a number is of a target.
-func (c *Catalog) hold(t *inband.Target) {
-	if t.Identity != 0 && c.holders[t.Identity] == "" {
-		c.holders[t.Identity] = t.ID
+func (c *Catalog) hold(e *Entry) {
+	if number := e.target.Identity; number != 0 && c.holders[number] == nil {
+		c.holders[number] = e
 	}
 }
 
@@ -156,9 +166,9 @@
 func (c *Catalog) believe(now clock.Millis, e *Entry, t *inband.Target) (Change, bool) {
 	before, wasKnown := e.target, e.IsBelieved()
 	c.forgetPassedOver(e)
-	c.hold(t)
 	e.isNamed = c.named[t.Service] || e.isNamed && e.continues(t)
 	e.target, e.believedRevision, e.hasEnded = t, t.Revision, false
+	c.hold(e)
 	if !wasKnown {
 		e.slowStartUntil = now + t.SlowStartLeftMS
 		return Change{Subject: "target " + t.ID, Before: "unknown", After: t.State.String()}, true
--- a/catalog/passedover.go
+++ b/catalog/passedover.go
@@ -17,6 +17,13 @@
 	Believed inband.State // of the target now
 }
 
+// passing tells of the entry that stands in a target's place.
+type passing struct {
+	flaw  Flaw
+	since clock.Millis // when it was first passed over for that flaw, and nothing was believed since
+	at    clock.Millis // when it was last passed over
+}
+
 // PassedOverLog holds the entries that were passed over since it was last taken.
 type PassedOverLog struct {
 	Entries []PassedOver      // those that differ from the one before under their key
@@ -34,11 +41,13 @@
 // usable meanwhile, and keeps what it was.
 func (c *Catalog) passOver(now clock.Millis, e *Entry, t *inband.Target, flaw Flaw) Change {
 	before := e.target
-	isNews := flaw != e.flaw || before.PassedOver == nil || !isSameForPlacement(before.PassedOver, t)
-	if flaw != e.flaw {
-		e.flawSince = now
+	p := c.flawed[t.ID]
+	isNews := flaw != p.flaw || !isSameForPlacement(before.PassedOver, t)
+	if flaw != p.flaw {
+		p.since = now
 	}
-	e.flaw, e.passedOverAt = flaw, now
+	p.flaw, p.at = flaw, now
+	c.flawed[t.ID] = p
 	changed := *before
 	changed.Revision, changed.PassedOver = t.Revision, t
 	if !e.hasEnded {
@@ -46,7 +55,6 @@
 		changed.State, changed.WasLeaving = inband.Unusable, e.wasLeaving
 	}
 	e.target = &changed
-	c.flawed[t.ID] = struct{}{}
 	c.logPassedOver(PassedOver{Target: t, Flaw: flaw, Believed: changed.State}, isNews)
 	return Change{Subject: "target " + t.ID, Before: before.State.String(), After: changed.State.String() + ", passed over: " + flaw.String()}
 }
@@ -61,7 +69,6 @@
 // forgetPassedOver forgets the entry that stands in place of the target's own, as another one does now.
 func (c *Catalog) forgetPassedOver(e *Entry) {
 	delete(c.flawed, e.target.ID)
-	e.flaw, e.flawSince = NoFlaw, 0
 	if e.target.PassedOver == nil {
 		return
 	}
@@ -79,7 +86,7 @@
 	c.endContests()
 	ids := make([]string, 0, len(c.flawed))
 	for id := range c.flawed {
-		if e := c.entries[id]; e.flaw != UnnamedService || c.hasNewNames {
+		if c.flawed[id].flaw != UnnamedService || c.hasNewNames {
 			ids = append(ids, id)
 		}
 	}
@@ -94,10 +101,10 @@
 
 func (c *Catalog) reconsiderEntry(now clock.Millis, e *Entry) []Change {
 	t := e.target.PassedOver
-	flaw := c.flawOf(e, t)
+	p, flaw := c.flawed[t.ID], c.flawOf(e, t)
 	switch flaw {
-	case e.flaw:
-		isAlone := now-e.flawSince >= contradictionTime && c.Age(now) <= staleViewAge
+	case p.flaw:
+		isAlone := now-p.since >= contradictionTime && c.Age(now) <= staleViewAge
 		if !isAlone || flaw != EarlierStart && flaw != MovedWithoutStart {
 			return nil
 		}
@@ -106,14 +113,14 @@
 		return c.track(t.ID, t.Revision, func() (Change, bool) { return c.passOver(now, e, t, flaw), true })
 	}
 	believed := *t
-	believed.SlowStartLeftMS = max(0, t.SlowStartLeftMS-(now-e.passedOverAt))
+	believed.SlowStartLeftMS = max(0, t.SlowStartLeftMS-(now-p.at))
 	return c.track(t.ID, t.Revision, func() (Change, bool) { return c.believe(now, e, &believed) })
 }
 
 // contest passes over two targets of one number, if this VM learned of both at once: it can't tell which one the number
 // is of. The flows of both go on.
 func (c *Catalog) contest(now clock.Millis, e *Entry, t *inband.Target) {
-	other := c.entries[c.holders[t.Identity]]
+	other := c.holders[t.Identity]
 	if c.hasFirstView || c.isTold || other == nil || other.hasEnded || other.target.State == inband.Unusable {
 		return
 	}
