Write no line of belief where an odd entry changes none

An odd entry whose content changes each time wrote a line believes with the same state before and after, and one in the audit trail, besides its entry_passed_over. Lines of belief are not limited.

Change: such a change is passed to siblings without a line. The counter has no reason none any more.

Test: TestPassedOverEntriesAreLoggedAndCounted writes two contents of an odd entry, ten times each: two lines entry_passed_over, one of belief, a count of 20.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -31,12 +31,12 @@
 	expiryPossibleUntil clock.Millis        // until then, an entry that ends may have expired
 	rewriteUntil        clock.Millis        // until then, the operator may write drains again that the store lost
 	// What decides whether an entry is believed.
-	named         map[string]bool   // services of the newest tables that were seen, also on the page of a full read
-	namedVersion  int64             // of those tables
-	hasNewNames   bool              // since entries were last reconsidered
-	holders       map[uint64]*Entry // target that a number is of
-	contested     map[uint64]bool   // numbers of two targets that were learned of at once
-	hasFirstView  bool
+	named         map[string]bool    // services of the newest tables that were seen, also on the page of a full read
+	namedVersion  int64              // of those tables
+	hasNewNames   bool               // since entries were last reconsidered
+	holders       map[uint64]*Entry  // target that a number is of
+	contested     map[uint64]bool    // numbers of two targets that were learned of at once
+	hasFirstView  bool               // a full read was merged
 	flawed        map[string]passing // targets in whose place an entry stands that was passed over
 	passedOverLog PassedOverLog
 	contests      []Change // of targets whose number a merged one contests
@@ -74,6 +74,7 @@
 	After   string
 	Target  *inband.Target // nil for tables and drains
 	Drain   *drain.Mark    // nil for tables and targets
+	Flaw    Flaw           // of the entry, if it was passed over
 }
 
 // Apply merges changes that were current at asOf and returns those that were new. Older
--- a/catalog/passedover.go
+++ b/catalog/passedover.go
@@ -56,7 +56,7 @@
 	}
 	e.target = &changed
 	c.logPassedOver(PassedOver{Target: t, Flaw: flaw, Believed: changed.State}, isNews)
-	return Change{Subject: "target " + t.ID, Before: before.State.String(), After: changed.State.String() + ", passed over: " + flaw.String()}
+	return Change{Subject: "target " + t.ID, Before: before.State.String(), After: changed.State.String(), Flaw: flaw}
 }
 
 func (c *Catalog) logPassedOver(p PassedOver, isNews bool) {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -138,8 +138,8 @@
 	for reason := range m.packets {
 		m.packets[reason] = scope.Tagged(map[string]string{"reason": inband.Reason(reason).String()}).Counter(packetsMetric.Name)
 	}
-	for flaw := range m.passedOver {
-		m.passedOver[flaw] = scope.Tagged(map[string]string{"reason": catalog.Flaw(flaw).String()}).Counter(passedOverMetric.Name)
+	for flaw := catalog.NoFlaw + 1; flaw < catalog.FlawCount; flaw++ {
+		m.passedOver[flaw] = scope.Tagged(map[string]string{"reason": flaw.String()}).Counter(passedOverMetric.Name)
 	}
 	return m
 }
--- a/front/passedover_test.go
+++ b/front/passedover_test.go
@@ -26,14 +26,15 @@
 }
 
 // An entry that is passed over has one line while it is written again, and a count each time. Lines are bounded by the
-// limit of routine ones.
+// limit of routine ones, and a change of belief has one.
 func TestPassedOverEntriesAreLoggedAndCounted(t *testing.T) {
 	is := is.New(t)
 	d := newReadDaemon(t)
 	for i := range 20 {
 		odd := newDomainTarget("i-1", "a")
 		odd.Service, odd.Address, odd.Revision = "ledger", netip.MustParseAddrPort("10.0.0.9:90"), drainBegin+inband.Revision(i)
-		d.mergeChanges(1000, 1000, &catalog.Changes{Targets: []*inband.Target{odd}, Revision: odd.Revision}, false, storeSource)
+		odd.Slots += i / 10
+		d.logChanges(1000, storeSource, d.mergeChanges(1000, 1000, &catalog.Changes{Targets: []*inband.Target{odd}, Revision: odd.Revision}, false, storeSource))
 	}
 	d.logPassedOver(1000, storeSource)
 	invalid := make([]catalog.InvalidEntry, 20)
@@ -43,8 +44,9 @@
 	const line = "msg=entry_passed_over at_ms=1000 target=i-1 revision=11 reason=unnamed_service service=ledger address=10.0.0.9:90 " +
 		"domain=a started_at=0 target_now=unusable source=store"
 	is.Equal(strings.Count(lines.String(), line), 1)
-	is.Equal(strings.Count(lines.String(), "msg=entry_passed_over"), 1)
-	is.Equal(strings.Count(lines.String(), "msg=entry_ignored"), d.settings.Load().LogLinesPerSecond-1)
+	is.Equal(strings.Count(lines.String(), "msg=entry_passed_over"), 2) // one for each content
+	is.Equal(strings.Count(lines.String(), "msg=entry_ignored"), d.settings.Load().LogLinesPerSecond-2)
+	is.Equal(strings.Count(lines.String(), "after=unusable source=store"), 1)
 	name := passedOverMetric.Name + "+reason=" + catalog.UnnamedService.String()
 	is.Equal(d.metrics.scope.(tally.TestScope).Snapshot().Counters()[name].Value(), int64(20))
 }
--- a/front/reading.go
+++ b/front/reading.go
@@ -262,6 +262,9 @@
 // logChanges logs changes and adds them to the audit trail.
 func (d *Daemon) logChanges(now clock.Millis, source string, applied []catalog.Change) {
 	for _, c := range applied {
+		if c.Flaw != catalog.NoFlaw && c.Before == c.After {
+			continue // nothing else is believed; logPassedOver tells of the entry
+		}
 		d.auditTrail.add(AuditRecord{AtMS: now, Subject: c.Subject, Before: c.Before, After: c.After, Source: source})
 		d.log.Info("believes", "at_ms", now, "subject", c.Subject, "before", c.Before, "after", c.After, "source", source)
 	}
