Take an acknowledgment that crosses a reset for an answer

Cause: a flow was forgotten as it was reset, so that the acknowledgment of what its target had answered meanwhile belonged to no flow and refuted nothing. Ruled out: the probe, which was refused before the target started again.

Change: such a flow stays in the table, ended; the next packet that acknowledges something new counts as an answer. The flow is handled as an untracked one from then on, as before.

--- a/inband/engine.go
+++ b/inband/engine.go
@@ -218,6 +218,9 @@
 	if f == nil {
 		return e.handleUntracked(now, p)
 	}
+	if f.isReset {
+		return e.handleAfterReset(now, p, f)
+	}
 	if p.Tag != 0 && p.Tag != f.backend.tag && e.byTag[p.Tag] == nil {
 		return Verdict{Action: Drop, Reason: UnknownTag} // names an unknown target, not the one chosen by this VM
 	}
@@ -242,7 +245,7 @@
 		e.endFlow(f)
 	}
 	if loss := e.lossOnData(now, p, f); loss != outcome.NotLost {
-		e.removeFlow(f)
+		e.endByReset(f)
 		return Verdict{Action: Reset, Reason: TargetDead, Seq: p.Ack, Backend: b, Loss: loss}
 	}
 	if timedOut {
--- a/inband/flows.go
+++ b/inband/flows.go
@@ -28,6 +28,7 @@
 	isMetered     bool // this request counts in the measured work of the target
 	isTimedOut    bool // the newest packet was counted as timed out
 	hasOutcome    bool // the outcome of the newest request was recorded
+	isReset       bool // this VM had it reset; it is kept for an answer that crosses the reset
 	hasRequested  bool // the first request was forwarded, or may have been by another VM
 	retransmits   int  // retransmissions of the newest packet
 	openedAt      clock.Millis
--- a/inband/reset.go
+++ b/inband/reset.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		all = append(all, EndedFlow{Key: f.key, Seq: f.ack, Backend: f.backend, Loss: loss})
-		e.removeFlow(f)
+		e.endByReset(f)
 		if len(all) == maxResets {
 			break
 		}
@@ -98,6 +98,23 @@
 	return all
 }
 
+// endByReset ends a flow that is reset, and keeps it for an answer that is on its way.
+func (e *Engine) endByReset(f *flow) {
+	e.endFlow(f)
+	f.isReset = true
+}
+
+// handleAfterReset handles a packet of a flow that was reset. An acknowledgment of something new shows that the target
+// answered a packet which is newer than what had the flow reset. A client that missed the reset goes on as on a flow
+// that is not tracked.
+func (e *Engine) handleAfterReset(now clock.Millis, p *Packet, f *flow) Verdict {
+	if p.Tag == f.backend.tag && int32(p.Ack-f.ack) > 0 {
+		e.recordAnswer(now, f)
+	}
+	e.removeFlow(f)
+	return e.handleUntracked(now, p)
+}
+
 // lossToTracked returns why to reset a flow without a packet of its client, or NotLost.
 func (e *Engine) lossToTracked(now clock.Millis, f *flow) outcome.Loss {
 	if e.isWaitingForAnswer(now, f) {
