--- a/front/passedover_test.go
+++ b/front/passedover_test.go
@@ -20,7 +20,7 @@
 	is := is.New(t)
 	d := newReadDaemon(t)
 	d.mu.Lock()
-	d.mergePage(1000, &catalog.Changes{Revision: drainBegin, Drains: []drain.Mark{{Domain: "a", Revision: drainBegin}}}, "servers/i-1")
+	d.mergePage(1000, &catalog.Changes{Revision: drainBegin, Drains: []drain.Mark{{Domain: "a", Revision: drainBegin}}}, "the key of i-1")
 	d.mu.Unlock()
 	is.Equal(d.newFlowDomains(), []string{"b"})
 }
